--- /dev/null
+++ b/core/recorder/types.go
@@ -0,0 +1,45 @@
+// Package recorder keeps the timeline: a bounded ring of typed events in each
+// process, ordered over all processes by a hybrid logical clock.
+package recorder
+
+import "time"
+
+// Kind is the type of an event.
+type Kind string
+
+// Kinds of events.
+const (
+	Started    Kind = "started"
+	Stopped    Kind = "stopped"
+	Leaving    Kind = "leaving"
+	Submitted  Kind = "submitted"
+	Configured Kind = "configured"
+	Rejected   Kind = "rejected"
+	Elected    Kind = "elected"
+	Deposed    Kind = "deposed"
+	Granted    Kind = "granted"
+	Lapsed     Kind = "lapsed"
+	Drained    Kind = "drained"
+	Emptied    Kind = "emptied"
+	Limited    Kind = "limited"
+	Lost       Kind = "lost"
+	Found      Kind = "found"
+	Paused     Kind = "paused"
+)
+
+// Event is one entry of the timeline.
+type Event struct {
+	// Stamp is the hybrid logical time: 48 bits of Unix ms, 16 bits of counter.
+	Stamp uint64 `json:"stamp"`
+	// Wall is the process's own clock at the event.
+	Wall     time.Time `json:"wall"`
+	Instance string    `json:"instance"`
+	Domain   string    `json:"domain"`
+	Kind     Kind      `json:"kind"`
+	// Version is the configuration version or the lease epoch.
+	Version  uint64 `json:"version,omitempty"`
+	Upstream string `json:"upstream,omitempty"`
+	Peer     string `json:"peer,omitempty"`
+	// Cause is one short sentence.
+	Cause string `json:"cause,omitempty"`
+}
--- /dev/null
+++ b/hornbeamd/main.go
@@ -0,0 +1,4 @@
+// Command hornbeamd is a placeholder until its parts arrive.
+package main
+
+func main() {}
