loader: parse, check and apply tickets and settings

Tickets and settings are read strictly from YAML with all problems located by file, line and key. State.Apply is deterministic and shares unchanged maps.

--- /dev/null
+++ b/core/loader/apply.go
@@ -0,0 +1,129 @@
+package loader
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// Gap is the error for a ticket that doesn't follow the state's version. The
+// state stays as it was.
+type Gap struct {
+	// Version is the state's version.
+	Version uint64
+	// Number is the number of the ticket.
+	Number uint64
+}
+
+// Error describes the gap.
+func (g *Gap) Error() string {
+	return fmt.Sprintf("ticket %d does not follow version %d", g.Number, g.Version)
+}
+
+// Rejected is the error for a ticket that doesn't pass the checks. It advances
+// the version and changes nothing, on every instance alike.
+type Rejected struct {
+	Number   uint64
+	Problems Problems
+}
+
+// Error lists the problems.
+func (r *Rejected) Error() string {
+	return fmt.Sprintf("ticket %d does not pass the checks: %v", r.Number, r.Problems)
+}
+
+// Unwrap returns the problems.
+func (r *Rejected) Unwrap() error { return r.Problems }
+
+// Apply returns the state after ticket t, whose number must be s.Version+1. It
+// depends on nothing but s and t. A *Gap leaves the state as it was; a *Rejected
+// comes with the state that has the new version and is otherwise unchanged.
+func (s State) Apply(t Ticket) (State, error) {
+	if t.Number != s.Version+1 {
+		return s, &Gap{Version: s.Version, Number: t.Number}
+	}
+	next, problems := s.change(t)
+	if len(problems) == 0 {
+		next.Version = t.Number
+		return next, nil
+	}
+	s.Version = t.Number
+	return s, &Rejected{Number: t.Number, Problems: problems}
+}
+
+// change returns s with the objects of t, and the problems of the result.
+func (s State) change(t Ticket) (State, Problems) {
+	p := t.checkHead()
+	kinds := map[string]bool{}
+	s.Touched = maps.Clone(s.Touched)
+	if s.Touched == nil {
+		s.Touched = map[string]uint64{}
+	}
+	for _, key := range slices.Sorted(maps.Keys(t.Objects)) {
+		kind, name, ok := SplitKey(key)
+		if !ok {
+			p.add(key, "is not a valid object key")
+			continue
+		}
+		if !kinds[kind] {
+			tables[kind].clone(&s)
+			kinds[kind] = true
+		}
+		s.set(&p, kind, name, t.Objects[key])
+		s.Touched[key] = t.Number
+	}
+	p = append(p, s.checkChange(kinds)...)
+	p.sort()
+	return s, p
+}
+
+func (s *State) set(p *Problems, kind, name string, raw json.RawMessage) {
+	key := kind + "/" + name
+	if !isNull(raw) {
+		if err := tables[kind].put(s, name, raw); err != nil {
+			p.add(key, "%v", err)
+		}
+		return
+	}
+	if _, ok := tables[kind].get(s, name); !ok {
+		p.add(key, "can't be removed because it does not exist")
+	}
+	tables[kind].remove(s, name)
+}
+
+// checkChange skips the prefixes when no blocks changed, because there are many.
+func (s State) checkChange(kinds map[string]bool) Problems {
+	p := s.checkValues(slices.Collect(maps.Keys(kinds)))
+	p = append(p, s.checkReferences()...)
+	if kinds[KindUpstream] {
+		p = append(p, s.checkAddresses()...)
+	}
+	if kinds[KindBlocks] {
+		p = append(p, s.checkPrefixes()...)
+	}
+	return p
+}
+
+func (t Ticket) checkHead() (p Problems) {
+	if t.Number != t.Base+1 {
+		p.add("base", "must be one below the ticket's number")
+	}
+	if len(t.Objects) == 0 {
+		p.add("objects", "is empty")
+	}
+	size := 0
+	for key, raw := range t.Objects {
+		size += len(key) + len(raw)
+	}
+	if size > MaxValue {
+		p.add("objects", "take %d bytes, more than %d", size, MaxValue)
+	}
+	return p
+}
+
+func isNull(raw json.RawMessage) bool {
+	raw = bytes.TrimSpace(raw)
+	return len(raw) == 0 || bytes.Equal(raw, []byte("null"))
+}
--- /dev/null
+++ b/core/loader/check.go
@@ -0,0 +1,252 @@
+package loader
+
+import (
+	"maps"
+	"math"
+	"net/netip"
+	"slices"
+	"strings"
+)
+
+// Bounds of configuration values.
+const (
+	// MaxValue is the largest value in bytes that the platform accepts, less
+	// room for its envelope.
+	MaxValue    = 1_000_000
+	maxReserve  = 0.1
+	maxPriority = 9
+	// maxLimit in milliseconds keeps the time in which the slots of a dead
+	// holder stay unused below 10 s.
+	maxLimit = 60_000
+	// shareSlack allows for shares such as 0.333 that are rounded.
+	shareSlack = 0.001
+	policyMain = "main"
+)
+
+func (Region) check(reporter) {}
+
+func (d Domain) check(report reporter) {
+	if d.Instances <= 0 {
+		report("instances", "must be above 0")
+	}
+}
+
+func (l Link) check(report reporter) {
+	if l.Capacity <= 0 {
+		report("capacity", "must be above 0")
+	}
+	if l.Delay < 0 {
+		report("delay", "must not be negative")
+	}
+}
+
+func (s Service) check(report reporter) {
+	if s.Priority < 0 || s.Priority > maxPriority {
+		report("priority", "must be from 0 to %d", maxPriority)
+	}
+	if s.Limit <= 0 || s.Limit > maxLimit {
+		report("limit", "must be from 1 to %d ms", maxLimit)
+	}
+	if s.Body < 0 {
+		report("body", "must not be negative")
+	}
+}
+
+func (u Upstream) check(report reporter) {
+	checkAddress(report, "address", u.Address)
+	if u.Slots <= 0 {
+		report("slots", "must be above 0")
+	}
+	if u.Conns <= 0 {
+		report("conns", "must be above 0")
+	}
+}
+
+func (w Weight) check(report reporter) {
+	var sum float64
+	for _, region := range slices.Sorted(maps.Keys(w.Shares)) {
+		if share := w.Shares[region]; share < 0 || share > 1 {
+			report("shares."+region, "must be from 0 to 1")
+		}
+		sum += w.Shares[region]
+	}
+	if math.Abs(sum-1) > shareSlack {
+		report("shares", "must add up to 1, not %.4g", sum)
+	}
+}
+
+func (h Shift) check(report reporter) {
+	if h.Share <= 0 || h.Share > 1 {
+		report("share", "must be above 0 and at most 1")
+	}
+	if h.Cap <= 0 {
+		report("cap", "must be above 0")
+	}
+	if h.Start.IsZero() {
+		report("start", "is missing")
+	}
+	if h.Finish.Before(h.Start) {
+		report("finish", "must not be before start")
+	}
+	if h.From == h.To {
+		report("to", "must differ from the source")
+	}
+}
+
+func (Drain) check(reporter) {}
+
+func (b Blocks) check(report reporter) {
+	for _, region := range slices.Sorted(maps.Keys(b.Regions)) {
+		for i, text := range b.Regions[region] {
+			p, err := netip.ParsePrefix(text)
+			if err != nil || p != p.Masked() || p.String() != text {
+				report(item("regions."+region, i), "%q is not a prefix such as 127.20.1.0/24", text)
+			}
+		}
+	}
+}
+
+func (p Policy) check(report reporter) {
+	if p.Headroom < 0 || p.Headroom > 1 {
+		report("headroom", "must be from 0 to 1")
+	}
+	if p.Reserve < 0 || p.Reserve > maxReserve {
+		report("reserve", "must be from 0 to %g", maxReserve)
+	}
+}
+
+func checkAddress(report reporter, field, text string) {
+	if text == "" {
+		report(field, "is missing")
+		return
+	}
+	if a, err := netip.ParseAddrPort(text); err != nil || a.Port() == 0 {
+		report(field, "%q is not an ip:port", text)
+	}
+}
+
+// Check returns all problems of the state: bad values, references to objects
+// that don't exist, and conflicts between objects.
+func (s State) Check() Problems {
+	p := s.checkValues(slices.Collect(maps.Keys(tables)))
+	p = append(p, s.checkReferences()...)
+	p = append(p, s.checkAddresses()...)
+	p = append(p, s.checkPrefixes()...)
+	p.sort()
+	return p
+}
+
+func (s State) checkValues(kinds []string) (p Problems) {
+	for _, kind := range kinds {
+		tables[kind].each(&s, func(name string, o object) {
+			key := kind + "/" + name
+			if _, _, ok := SplitKey(key); !ok {
+				p.add(key, "is not a valid object key")
+			}
+			o.check(p.under(key))
+		})
+	}
+	return p
+}
+
+func (s State) checkReferences() (p Problems) {
+	for name, d := range s.Domains {
+		s.need(p.under("domain/"+name), "region", KindRegion, d.Region)
+	}
+	for name, u := range s.Upstreams {
+		report := p.under("upstream/" + name)
+		s.need(report, "service", KindService, u.Service)
+		s.need(report, "domain", KindDomain, u.Domain)
+	}
+	for name, h := range s.Shifts {
+		report := p.under("shift/" + name)
+		s.need(report, "", KindService, name)
+		s.need(report, "from", KindRegion, h.From)
+		s.need(report, "to", KindRegion, h.To)
+	}
+	for name := range s.Policies {
+		if name != policyMain {
+			p.add("policy/"+name, "the only policy is policy/main")
+		}
+	}
+	s.checkPairs(&p)
+	return p
+}
+
+// checkPairs checks the objects whose key has two names.
+func (s State) checkPairs(p *Problems) {
+	for name := range s.Links {
+		from, to, _ := strings.Cut(name, "/")
+		report := p.under("link/" + name)
+		s.need(report, "", KindRegion, from)
+		s.need(report, "", KindRegion, to)
+		if from == to {
+			report("", "links a region to itself")
+		}
+	}
+	for name, w := range s.Weights {
+		service, region, _ := strings.Cut(name, "/")
+		report := p.under("weight/" + name)
+		s.need(report, "", KindService, service)
+		s.need(report, "", KindRegion, region)
+		for other := range w.Shares {
+			s.need(report, "shares."+other, KindRegion, other)
+		}
+	}
+	for name := range s.Drains {
+		kind, target, _ := strings.Cut(name, "/")
+		report := p.under("drain/" + name)
+		if kind != KindUpstream && kind != KindDomain && kind != KindRegion {
+			report("", "only an upstream, a domain or a region can be drained")
+			continue
+		}
+		s.need(report, "", kind, target)
+	}
+	for name, b := range s.Blocks {
+		report := p.under("blocks/" + name)
+		for region := range b.Regions {
+			s.need(report, "regions."+region, KindRegion, region)
+		}
+	}
+}
+
+func (s State) need(report reporter, field, kind, name string) {
+	if name == "" {
+		report(field, "is missing")
+		return
+	}
+	if _, ok := tables[kind].get(&s, name); !ok {
+		report(field, "%s/%s does not exist", kind, name)
+	}
+}
+
+func (s State) checkAddresses() (p Problems) {
+	owners := make(map[string]string, len(s.Upstreams))
+	for _, name := range slices.Sorted(maps.Keys(s.Upstreams)) {
+		address := s.Upstreams[name].Address
+		if owner, ok := owners[address]; ok && address != "" {
+			p.add("upstream/"+name+".address", "%s is already used by upstream/%s", address, owner)
+			continue
+		}
+		owners[address] = name
+	}
+	return p
+}
+
+func (s State) checkPrefixes() (p Problems) {
+	owners := map[string]string{}
+	for _, name := range slices.Sorted(maps.Keys(s.Blocks)) {
+		regions := s.Blocks[name].Regions
+		for _, region := range slices.Sorted(maps.Keys(regions)) {
+			for i, prefix := range regions[region] {
+				path := item("blocks/"+name+".regions."+region, i)
+				if owner, ok := owners[prefix]; ok {
+					p.add(path, "%s is already listed at %s", prefix, owner)
+					continue
+				}
+				owners[prefix] = path
+			}
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/core/loader/ticket.go
@@ -0,0 +1,112 @@
+package loader
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// ParseTicket reads a ticket from YAML with the keys base, author, reason and
+// objects; name is the file's name in errors. Number, nonce and time are not in
+// the file. All problems are returned at once as Problems. A ticket with base 0
+// is checked as the whole state, any other one object by object: see
+// ParseTicketFor.
+func ParseTicket(name string, data []byte) (Ticket, error) {
+	t, d := parseTicket(name, data)
+	if d.root != nil && t.Base == 0 {
+		d.check(State{}, t)
+	}
+	return t, d.err()
+}
+
+// ParseTicketFor is like ParseTicket and also checks the result of applying the
+// ticket to s, which must be at the ticket's base.
+func ParseTicketFor(s State, name string, data []byte) (Ticket, error) {
+	t, d := parseTicket(name, data)
+	if d.root != nil {
+		d.check(s, t)
+	}
+	return t, d.err()
+}
+
+func (d *document) check(s State, t Ticket) {
+	if t.Base != s.Version {
+		d.locate(Problems{{Key: "base", Text: fmt.Sprintf("is %d, but the state is at version %d", t.Base, s.Version)}})
+		return
+	}
+	_, problems := s.change(t)
+	d.locate(problems)
+}
+
+func parseTicket(name string, data []byte) (t Ticket, d *document) {
+	d = newDocument(name, data)
+	if d.root == nil {
+		return t, d
+	}
+	t.Objects = map[string]json.RawMessage{}
+	d.pairs(d.root, "", func(key, value *yaml.Node) {
+		switch key.Value {
+		case "base":
+			d.decode(value, key.Value, reflect.ValueOf(&t.Base).Elem())
+		case "author":
+			d.decode(value, key.Value, reflect.ValueOf(&t.Author).Elem())
+		case "reason":
+			d.decode(value, key.Value, reflect.ValueOf(&t.Reason).Elem())
+		case "objects":
+			d.lines[key.Value] = key.Line
+			d.pairs(value, key.Value, func(key, value *yaml.Node) { d.object(&t, key, value) })
+		default:
+			d.report(key.Value, key.Line, "is not a known key")
+		}
+	})
+	t.Number = t.Base + 1
+	d.required(t)
+	d.locate(t.checkHead())
+	return t, d
+}
+
+// required reports the keys that have no value.
+func (d *document) required(t Ticket) {
+	var p Problems
+	if _, ok := d.lines["base"]; !ok {
+		p.add("base", "is missing")
+	}
+	if t.Author == "" {
+		p.add("author", "is missing")
+	}
+	if t.Reason == "" {
+		p.add("reason", "is missing")
+	}
+	if _, ok := d.lines["objects"]; !ok {
+		p.add("objects", "is missing")
+	}
+	d.locate(p)
+}
+
+// object reads one object of a ticket.
+func (d *document) object(t *Ticket, key, value *yaml.Node) {
+	d.lines[key.Value] = key.Line
+	kind, _, ok := SplitKey(key.Value)
+	if !ok {
+		d.report(key.Value, key.Line, "is not a valid object key")
+		return
+	}
+	if value.ShortTag() == "!!null" {
+		t.Objects[key.Value] = json.RawMessage("null")
+		return
+	}
+	o := reflect.ValueOf(tables[kind].blank())
+	d.decode(value, key.Value, o.Elem())
+	d.lines[key.Value] = key.Line
+	var p Problems
+	o.Elem().Interface().(object).check(p.under(key.Value))
+	d.locate(p)
+	raw, err := json.Marshal(o.Interface())
+	if err != nil {
+		d.report(key.Value, key.Line, "%v", err)
+		return
+	}
+	t.Objects[key.Value] = raw
+}
