--- a/core/loader/state.go
+++ b/core/loader/state.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -101,6 +100,26 @@
 	return s, s.Check().err()
 }
 
+// Restore puts the values that ticket t has for the keys back into a state that
+// was stored without them. It replaces maps and changes no shared one.
+func (s *State) Restore(t Ticket, keys []string) error {
+	for _, key := range keys {
+		kind, name, ok := SplitKey(key)
+		raw, found := t.Objects[key]
+		if !ok || !found {
+			return fmt.Errorf("ticket %d has no %s", t.Number, key)
+		}
+		if isNull(raw) {
+			continue
+		}
+		tables[kind].clone(s)
+		if err := tables[kind].put(s, name, raw); err != nil {
+			return fmt.Errorf("%s: %w", key, err)
+		}
+	}
+	return nil
+}
+
 // EncodeTicket returns the ticket as JSON.
 func EncodeTicket(t Ticket) ([]byte, error) { return json.Marshal(t) }
 
@@ -135,9 +154,3 @@
 	TicketPrefix = "ticket/"
 	SnapshotKey  = "snapshot"
 )
-
-// Clone returns a ticket that shares nothing with t.
-func (t Ticket) Clone() Ticket {
-	t.Objects = maps.Clone(t.Objects)
-	return t
-}
