connector: HTTP adapter of the platform's object API

A failed dial or a 4xx answer means that nothing was written; any other failure of a write is an unknown outcome. Calls are never repeated, end by the deadline of their context and are counted by kind. Passes the Store contract and a table of faults under go test -race.

--- /dev/null
+++ b/core/connector/connector.go
@@ -0,0 +1,198 @@
+// Package connector speaks the platform's HTTP/JSON interface: the object store,
+// its watch, and the list of instances.
+package connector
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"hornbeamstream.example/core/submitter"
+)
+
+const (
+	// defaultTimeout bounds a call whose context has no deadline.
+	defaultTimeout = 5 * time.Second
+	// waitSlack is the time that the answer of a watch may take after its wait.
+	waitSlack = 2 * time.Second
+	// idleTime is how long a connection may be idle before it is replaced.
+	idleTime = 10 * time.Second
+	maxConns = 64
+	// maxAnswer bounds the memory of one answer, which may list many objects.
+	maxAnswer = 64 << 20
+)
+
+// Client is a connection to the platform. It implements submitter.Store. It
+// never repeats a call by itself.
+type Client struct {
+	base   string
+	host   *fasthttp.HostClient
+	counts [kinds]atomic.Uint64
+}
+
+var _ submitter.Store = (*Client)(nil)
+
+// New returns a client for the platform at base, such as http://127.0.0.1:7500.
+func New(base string) (*Client, error) {
+	u, err := url.Parse(base)
+	if err != nil || u.Scheme != "http" || u.Host == "" {
+		return nil, fmt.Errorf("platform %q is not an http URL", base)
+	}
+	return &Client{
+		base: "http://" + u.Host,
+		host: &fasthttp.HostClient{
+			Addr:                      u.Host,
+			DialTimeout:               dial,
+			MaxConns:                  maxConns,
+			MaxIdleConnDuration:       idleTime,
+			MaxResponseBodySize:       maxAnswer,
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr:                noRetry,
+			NoDefaultUserAgentHeader:  true,
+		},
+	}, nil
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.host.CloseIdleConnections() }
+
+func noRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
+
+// dialError marks an error that occurred before any byte was sent.
+type dialError struct{ error }
+
+func (e dialError) Unwrap() error { return e.error }
+
+func dial(address string, timeout time.Duration) (net.Conn, error) {
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	conn, err := net.DialTimeout("tcp", address, timeout)
+	if err != nil {
+		return nil, dialError{err}
+	}
+	return conn, nil
+}
+
+// answer is what came back for a call.
+type answer struct {
+	status int
+	body   []byte
+}
+
+// call sends one request. Its error matches ErrUnavailable when no byte can have
+// been sent, and ErrUnknown otherwise.
+func (c *Client) call(ctx context.Context, kind Kind, method, path string, body []byte) (a answer, err error) {
+	c.counts[kind].Add(1)
+	if err := ctx.Err(); err != nil {
+		return a, fmt.Errorf("%w: %w", submitter.ErrUnavailable, err)
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(defaultTimeout)
+	}
+	type result struct {
+		answer
+		err error
+	}
+	// The client has no cancellation, so the exchange ends in its own goroutine,
+	// at the deadline at the latest.
+	done := make(chan result, 1)
+	go func() {
+		a, err := c.exchange(method, path, body, deadline)
+		done <- result{a, err}
+	}()
+	select {
+	case r := <-done:
+		return r.answer, r.err
+	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			// The exchange has the same deadline and knows whether it sent anything.
+			r := <-done
+			return r.answer, r.err
+		}
+		return a, fmt.Errorf("%w: %w", submitter.ErrUnknown, ctx.Err())
+	}
+}
+
+func (c *Client) exchange(method, path string, body []byte, deadline time.Time) (a answer, err error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI(c.base + path)
+	if body != nil {
+		request.Header.SetContentType("application/json")
+		request.SetBody(body)
+	}
+	if err := c.host.DoDeadline(request, response, deadline); err != nil {
+		return a, c.failed(err)
+	}
+	return answer{response.StatusCode(), bytes.Clone(response.Body())}, nil
+}
+
+// failed also drops the idle connections, because a path that went silent keeps
+// all of its connections silent.
+func (c *Client) failed(err error) error {
+	c.host.CloseIdleConnections()
+	unsent := dialError{}
+	if errors.As(err, &unsent) || errors.Is(err, fasthttp.ErrNoFreeConns) || errors.Is(err, fasthttp.ErrDialTimeout) {
+		return fmt.Errorf("%w: %w", submitter.ErrUnavailable, err)
+	}
+	return fmt.Errorf("%w: %w", submitter.ErrUnknown, err)
+}
+
+// read performs a call that changes nothing, so that every failure is
+// ErrUnavailable.
+func (c *Client) read(ctx context.Context, kind Kind, path string, into any) error {
+	a, err := c.call(ctx, kind, fasthttp.MethodGet, path, nil)
+	switch {
+	case errors.Is(err, submitter.ErrUnknown):
+		return fmt.Errorf("%w: no answer: %v", submitter.ErrUnavailable, err)
+	case err != nil:
+		return err
+	case a.status == fasthttp.StatusNotFound:
+		return submitter.ErrAbsent
+	case a.status != fasthttp.StatusOK:
+		return fmt.Errorf("%w: status %d", submitter.ErrUnavailable, a.status)
+	}
+	if err := json.Unmarshal(a.body, into); err != nil {
+		return fmt.Errorf("%w: %v", submitter.ErrUnavailable, err)
+	}
+	return nil
+}
+
+// write performs a call that changes something. A server error may have come
+// after the change.
+func (c *Client) write(ctx context.Context, kind Kind, method, path string, body []byte) (a answer, err error) {
+	a, err = c.call(ctx, kind, method, path, body)
+	switch {
+	case err != nil:
+		return a, err
+	case a.status == fasthttp.StatusConflict:
+		return a, conflict(a.body)
+	case a.status == fasthttp.StatusNotFound:
+		return a, submitter.ErrAbsent
+	case a.status >= 500:
+		return a, fmt.Errorf("%w: status %d", submitter.ErrUnknown, a.status)
+	case a.status >= 300:
+		return a, fmt.Errorf("%w: status %d", submitter.ErrUnavailable, a.status)
+	}
+	return a, nil
+}
+
+func conflict(body []byte) error {
+	c := &submitter.Conflict{}
+	if err := json.Unmarshal(body, &c.Current); err != nil {
+		return fmt.Errorf("%w: %v", submitter.ErrConflict, err)
+	}
+	return c
+}
--- /dev/null
+++ b/core/connector/connector_test.go
@@ -0,0 +1,255 @@
+package connector_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamstream.example/core/connector"
+	"hornbeamstream.example/core/submitter"
+	"hornbeamstream.example/core/submitter/verifier"
+)
+
+// platform is a stand-in that serves a submitter.Memory.
+type platform struct {
+	store     submitter.Memory
+	instances map[string]connector.Instance
+	calls     atomic.Int64
+	// fault handles a request instead of the platform, unless it is nil.
+	fault http.HandlerFunc
+}
+
+func (p *platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.calls.Add(1)
+	if p.fault != nil {
+		p.fault(w, r)
+		return
+	}
+	q := r.URL.Query()
+	key, isObject := strings.CutPrefix(r.URL.Path, "/v1/objects/")
+	name, isInstance := strings.CutPrefix(r.URL.Path, "/v1/instances/")
+	switch {
+	case isObject && r.Method == http.MethodPut:
+		p.put(w, r, key)
+	case isObject:
+		o, err := p.store.Get(r.Context(), key)
+		reply(w, o, err)
+	case r.URL.Path == "/v1/objects":
+		found, err := p.store.List(r.Context(), q.Get("prefix"), q.Get("after"))
+		reply(w, map[string]any{"objects": found}, err)
+	case r.URL.Path == "/v1/watch":
+		after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+		wait, _ := strconv.Atoi(q.Get("wait"))
+		c, err := p.store.Watch(r.Context(), q.Get("prefix"), after, time.Now().Add(time.Duration(wait)*time.Millisecond))
+		reply(w, c, err)
+	case isInstance && r.Method == http.MethodPut:
+		var i connector.Instance
+		_ = json.NewDecoder(r.Body).Decode(&i)
+		p.instances[name] = i
+	case isInstance:
+		if _, ok := p.instances[name]; !ok {
+			w.WriteHeader(http.StatusNotFound)
+		}
+		delete(p.instances, name)
+	default:
+		list := []connector.Instance{}
+		for _, i := range p.instances {
+			list = append(list, i)
+		}
+		reply(w, list, nil)
+	}
+}
+
+func (p *platform) put(w http.ResponseWriter, r *http.Request, key string) {
+	var value json.RawMessage
+	if err := json.NewDecoder(r.Body).Decode(&value); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	var version uint64
+	var err error
+	if r.URL.Query().Get("create") == "1" {
+		version, err = p.store.Create(r.Context(), key, value)
+	} else {
+		old, _ := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
+		version, err = p.store.Update(r.Context(), key, old, value)
+	}
+	reply(w, map[string]uint64{"version": version}, err)
+}
+
+func reply(w http.ResponseWriter, body any, err error) {
+	conflict := (*submitter.Conflict)(nil)
+	switch {
+	case errors.As(err, &conflict):
+		w.WriteHeader(http.StatusConflict)
+		body = conflict.Current
+	case errors.Is(err, submitter.ErrAbsent):
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func start(t *testing.T, p *platform) *connector.Client {
+	t.Helper()
+	p.instances = map[string]connector.Instance{}
+	server := httptest.NewServer(p)
+	t.Cleanup(server.Close)
+	return connect(t, server.URL)
+}
+
+func connect(t *testing.T, base string) *connector.Client {
+	t.Helper()
+	c, err := connector.New(base)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+func TestContract(t *testing.T) {
+	verifier.Verify(t, func(t *testing.T) submitter.Store {
+		p := &platform{}
+		p.store.Page = 3
+		return start(t, p)
+	})
+}
+
+// hangUp closes the connection without an answer.
+func hangUp(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
+
+// silent reads the request, so that the server notices when the client leaves.
+func silent(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
+func text(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}
+}
+
+// TestFaults guards against writes that may have taken effect and are reported
+// as failed, against calls that are repeated, and against calls without an end.
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		name        string
+		fault       http.HandlerFunc
+		write, read error
+	}{
+		{"hang up", hangUp, submitter.ErrUnknown, submitter.ErrUnavailable},
+		{"silent", silent, submitter.ErrUnknown, submitter.ErrUnavailable},
+		{"server error", text(http.StatusInternalServerError, ""), submitter.ErrUnknown, submitter.ErrUnavailable},
+		{"refused", text(http.StatusTooManyRequests, ""), submitter.ErrUnavailable, submitter.ErrUnavailable},
+		{"empty answer", text(http.StatusOK, ""), submitter.ErrUnknown, submitter.ErrUnavailable},
+		{"no JSON", text(http.StatusOK, "<html>"), submitter.ErrUnknown, submitter.ErrUnavailable},
+		{"conflict without object", text(http.StatusConflict, ""), submitter.ErrConflict, submitter.ErrUnavailable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			p := &platform{fault: tt.fault}
+			c := start(t, p)
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			_, err := c.Create(ctx, "ticket/00000001", []byte(`{}`))
+			is.True(errors.Is(err, tt.write))
+			is.Equal(p.calls.Load(), int64(1))
+			ctx, cancel = context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			_, err = c.Get(ctx, "snapshot")
+			is.True(errors.Is(err, tt.read))
+			is.Equal(p.calls.Load(), int64(2))
+			is.Equal(c.Counts()["create"], uint64(1))
+			is.Equal(c.Counts()["get"], uint64(1))
+		})
+	}
+}
+
+// TestUnreachable guards against a refused connection that is reported as an
+// unknown outcome.
+func TestUnreachable(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(l.Close())
+	c := connect(t, "http://"+l.Addr().String())
+	_, err = c.Update(t.Context(), "snapshot", 1, []byte(`{}`))
+	is.True(errors.Is(err, submitter.ErrUnavailable))
+	is.True(!errors.Is(err, submitter.ErrUnknown))
+	_, err = connector.New("ftp://127.0.0.1:1")
+	is.True(err != nil)
+}
+
+// TestClosedIdle guards against a kept connection that the platform closed
+// meanwhile and that fails the next calls for good.
+func TestClosedIdle(t *testing.T) {
+	is := is.New(t)
+	p := &platform{instances: map[string]connector.Instance{}}
+	server := httptest.NewServer(p)
+	t.Cleanup(server.Close)
+	c := connect(t, server.URL)
+	_, err := c.Create(t.Context(), "a/1", []byte(`1`))
+	is.NoErr(err)
+	server.CloseClientConnections()
+	if _, err := c.Get(t.Context(), "a/1"); err != nil {
+		is.True(errors.Is(err, submitter.ErrUnavailable))
+	}
+	_, err = c.Get(t.Context(), "a/1")
+	is.NoErr(err)
+}
+
+// TestCancel guards against a stop that has to wait for the end of a watch.
+func TestCancel(t *testing.T) {
+	is := is.New(t)
+	arrived := make(chan struct{})
+	c := start(t, &platform{fault: func(w http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		silent(w, r)
+	}})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	until := time.Now().Add(2 * time.Second)
+	go func() {
+		_, err := c.Watch(ctx, "ticket/", 0, until)
+		done <- err
+	}()
+	<-arrived
+	cancel()
+	is.True(errors.Is(<-done, submitter.ErrUnavailable))
+	is.True(time.Now().Before(until))
+}
+
+func TestInstances(t *testing.T) {
+	is := is.New(t)
+	c := start(t, &platform{})
+	i := connector.Instance{Name: "sofia-a-1", Address: "127.1.1.1:7003", Domain: "sofia-a", State: connector.Live}
+	is.NoErr(c.Register(t.Context(), i))
+	list, err := c.Instances(t.Context())
+	is.NoErr(err)
+	is.Equal(list, []connector.Instance{i})
+	is.NoErr(c.Remove(t.Context(), i.Name))
+	is.NoErr(c.Remove(t.Context(), i.Name))
+	list, err = c.Instances(t.Context())
+	is.NoErr(err)
+	is.Equal(len(list), 0)
+}
