--- a/core/loader/check.go
+++ b/core/loader/check.go
@@ -85,7 +85,10 @@
 	if h.Start.IsZero() {
 		report("start", "is missing")
 	}
-	if h.Finish.Before(h.Start) {
+	switch {
+	case h.Finish.IsZero():
+		report("finish", "is missing")
+	case h.Finish.Before(h.Start):
 		report("finish", "must not be before start")
 	}
 	if h.From == h.To {
--- a/core/loader/decode.go
+++ b/core/loader/decode.go
@@ -108,7 +108,9 @@
 			continue
 		}
 		if first, ok := seen[key.Value]; ok {
-			d.report(join(path, key.Value), key.Line, "occurs twice, first on line %d", first)
+			// The first value is checked as usual.
+			text := fmt.Sprintf("occurs twice, first on line %d", first)
+			d.problems = append(d.problems, Problem{d.file, key.Line, join(path, key.Value), text})
 			continue
 		}
 		seen[key.Value] = key.Line
@@ -118,7 +120,9 @@
 
 // decode fills into, which must be settable, from node.
 func (d *document) decode(node *yaml.Node, path string, into reflect.Value) {
-	d.lines[path] = node.Line
+	if _, ok := d.lines[path]; !ok {
+		d.lines[path] = node.Line
+	}
 	if node.Kind == yaml.AliasNode {
 		d.report(path, node.Line, "aliases are not allowed")
 		return
@@ -151,6 +155,7 @@
 			d.report(join(path, key.Value), key.Line, "is not a known key")
 			return
 		}
+		d.lines[join(path, key.Value)] = key.Line
 		d.decode(value, join(path, key.Value), into.Field(i))
 	})
 }
@@ -158,6 +163,7 @@
 func (d *document) decodeMap(node *yaml.Node, path string, into reflect.Value) {
 	into.Set(reflect.MakeMap(into.Type()))
 	d.pairs(node, path, func(key, value *yaml.Node) {
+		d.lines[join(path, key.Value)] = key.Line
 		element := reflect.New(into.Type().Elem()).Elem()
 		d.decode(value, join(path, key.Value), element)
 		into.SetMapIndex(reflect.ValueOf(key.Value), element)
--- a/core/loader/problems.go
+++ b/core/loader/problems.go
@@ -10,12 +10,12 @@
 // Problem is one fault in a file, a ticket or a state.
 type Problem struct {
 	// File and Line are set when the fault was found in a file.
-	File string
-	Line int
+	File string `json:"file,omitempty"`
+	Line int    `json:"line,omitempty"`
 	// Key is the path to the value, such as "upstream/lookup-sofia-a-1.slots".
-	Key string
+	Key string `json:"key,omitempty"`
 	// Text is one short sentence.
-	Text string
+	Text string `json:"text"`
 }
 
 // String returns "file:line: key: text", without the parts that are unknown.
--- a/core/loader/ticket.go
+++ b/core/loader/ticket.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"reflect"
@@ -56,7 +57,7 @@
 			d.decode(value, key.Value, reflect.ValueOf(&t.Reason).Elem())
 		case "objects":
 			d.lines[key.Value] = key.Line
-			d.pairs(value, key.Value, func(key, value *yaml.Node) { d.object(&t, key, value) })
+			d.pairs(value, "", func(key, value *yaml.Node) { d.object(&t, key, value) })
 		default:
 			d.report(key.Value, key.Line, "is not a known key")
 		}
@@ -79,9 +80,6 @@
 	if t.Reason == "" {
 		p.add("reason", "is missing")
 	}
-	if _, ok := d.lines["objects"]; !ok {
-		p.add("objects", "is missing")
-	}
 	d.locate(p)
 }
 
@@ -99,7 +97,6 @@
 	}
 	o := reflect.ValueOf(tables[kind].blank())
 	d.decode(value, key.Value, o.Elem())
-	d.lines[key.Value] = key.Line
 	var p Problems
 	o.Elem().Interface().(object).check(p.under(key.Value))
 	d.locate(p)
@@ -110,3 +107,15 @@
 	}
 	t.Objects[key.Value] = raw
 }
+
+// IsTicket tells whether a YAML file is meant as a ticket rather than as
+// settings: it has the key objects or base.
+func IsTicket(data []byte) bool {
+	var keys map[string]yaml.Node
+	if err := yaml.Unmarshal(data, &keys); err != nil {
+		return bytes.Contains(data, []byte("objects:"))
+	}
+	_, objects := keys["objects"]
+	_, base := keys["base"]
+	return objects || base
+}
