hornctl: check, ticket, drain, shift, status, timeline and completion

All connections have deadlines; a dead or silent platform ends in one line and exit code 4, a lost answer in exit code 5. Outputs are compared with golden files under go test -race.

--- a/core/connector/connector_test.go
+++ b/core/connector/connector_test.go
@@ -5,10 +5,11 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strconv"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -21,7 +22,7 @@
 	"hornbeamstream.example/core/submitter/verifier"
 )
 
-// platform is a stand-in that serves a submitter.Memory.
+// platform is a stand-in that serves a submitter.Memory and a list of instances.
 type platform struct {
 	store     submitter.Memory
 	instances map[string]connector.Instance
@@ -32,27 +33,10 @@
 
 func (p *platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.calls.Add(1)
-	if p.fault != nil {
-		p.fault(w, r)
-		return
-	}
-	q := r.URL.Query()
-	key, isObject := strings.CutPrefix(r.URL.Path, "/v1/objects/")
 	name, isInstance := strings.CutPrefix(r.URL.Path, "/v1/instances/")
 	switch {
-	case isObject && r.Method == http.MethodPut:
-		p.put(w, r, key)
-	case isObject:
-		o, err := p.store.Get(r.Context(), key)
-		reply(w, o, err)
-	case r.URL.Path == "/v1/objects":
-		found, err := p.store.List(r.Context(), q.Get("prefix"), q.Get("after"))
-		reply(w, map[string]any{"objects": found}, err)
-	case r.URL.Path == "/v1/watch":
-		after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
-		wait, _ := strconv.Atoi(q.Get("wait"))
-		c, err := p.store.Watch(r.Context(), q.Get("prefix"), after, time.Now().Add(time.Duration(wait)*time.Millisecond))
-		reply(w, c, err)
+	case p.fault != nil:
+		p.fault(w, r)
 	case isInstance && r.Method == http.MethodPut:
 		var i connector.Instance
 		_ = json.NewDecoder(r.Body).Decode(&i)
@@ -62,43 +46,11 @@
 			w.WriteHeader(http.StatusNotFound)
 		}
 		delete(p.instances, name)
+	case r.URL.Path == "/v1/instances":
+		_ = json.NewEncoder(w).Encode(slices.Collect(maps.Values(p.instances)))
 	default:
-		list := []connector.Instance{}
-		for _, i := range p.instances {
-			list = append(list, i)
-		}
-		reply(w, list, nil)
-	}
-}
-
-func (p *platform) put(w http.ResponseWriter, r *http.Request, key string) {
-	var value json.RawMessage
-	if err := json.NewDecoder(r.Body).Decode(&value); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	var version uint64
-	var err error
-	if r.URL.Query().Get("create") == "1" {
-		version, err = p.store.Create(r.Context(), key, value)
-	} else {
-		old, _ := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
-		version, err = p.store.Update(r.Context(), key, old, value)
-	}
-	reply(w, map[string]uint64{"version": version}, err)
-}
-
-func reply(w http.ResponseWriter, body any, err error) {
-	conflict := (*submitter.Conflict)(nil)
-	switch {
-	case errors.As(err, &conflict):
-		w.WriteHeader(http.StatusConflict)
-		body = conflict.Current
-	case errors.Is(err, submitter.ErrAbsent):
-		w.WriteHeader(http.StatusNotFound)
-		return
+		verifier.Handler{Store: &p.store}.ServeHTTP(w, r)
 	}
-	_ = json.NewEncoder(w).Encode(body)
 }
 
 func start(t *testing.T, p *platform) *connector.Client {
--- /dev/null
+++ b/hornctl/commands/commands_test.go
@@ -0,0 +1,223 @@
+package commands
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamstream.example/core/granter"
+	"hornbeamstream.example/core/recorder"
+	"hornbeamstream.example/core/reporter"
+	"hornbeamstream.example/core/submitter"
+	"hornbeamstream.example/core/submitter/verifier"
+)
+
+var update = flag.Bool("update", false, "rewrite golden files")
+
+var masks = []struct {
+	pattern *regexp.Regexp
+	text    string
+}{
+	{regexp.MustCompile(`\b[A-Z2-7]{26}\b`), "NONCE"},
+	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDRESS"},
+	{regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?Z( {2,}op)`), "TIME$2"},
+	{regexp.MustCompile(`("?time"?: +"?)\d{4}[^"\n]*`), "${1}TIME"},
+}
+
+// step is one command line with its expected exit code.
+type step struct {
+	line string
+	code int
+}
+
+// transcript runs command lines and compares all output with a golden file.
+func transcript(t *testing.T, file, flags string, steps []step) {
+	t.Helper()
+	var all bytes.Buffer
+	for _, s := range steps {
+		var out, errOut bytes.Buffer
+		args := append([]string{"hornctl"}, strings.Fields(flags+" "+s.line)...)
+		code := Run(t.Context(), args, &out, &errOut)
+		if code != s.code {
+			t.Errorf("%s: exit code %d, want %d: %s", s.line, code, s.code, &errOut)
+		}
+		fmt.Fprintf(&all, "$ hornctl %s\n%s%s(%d)\n", s.line, &out, &errOut, code)
+	}
+	got := all.String()
+	for _, m := range masks {
+		got = m.pattern.ReplaceAllString(got, m.text)
+	}
+	path := filepath.Join("testdata", file)
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	is.New(t).Equal(got, string(want))
+}
+
+func serve(t *testing.T, h http.Handler) (address string) {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server.Listener.Addr().String()
+}
+
+const kasa = "../../examples/kasa/"
+
+// TestTickets guards against wrong outputs and exit codes of commands that write
+// tickets.
+func TestTickets(t *testing.T) {
+	t.Setenv("HORNCTL_AUTHOR", "operations")
+	platform := serve(t, verifier.Handler{Store: &submitter.Memory{Page: 2}})
+	transcript(t, "tickets.golden", "--platform http://"+platform, []step{
+		{"drain region sofia", ExitUsage},
+		{"ticket submit " + kasa + "drain.yaml", ExitUsage},
+		{"ticket submit " + kasa + "ticket.yaml", ExitOK},
+		{"ticket submit testdata/reference.yaml", ExitUsage},
+		{"ticket submit " + kasa + "shift.yaml", ExitOK},
+		{"ticket submit " + kasa + "drain.yaml", ExitRefused},
+		{"drain upstream lookup-sofia-a-1 --until 2027-01-31T12:00:00Z", ExitOK},
+		{"drain upstream lookup-sofia-a-1 --undo --json", ExitOK},
+		{"drain upstream lookup-sofia-a-1 --undo", ExitUsage},
+		{"drain domain burgas-a", ExitUsage},
+		{"drain rack seven", ExitUsage},
+		{"shift lookup --from sofia --to varna --share 0.5 --cap 50 --start 2027-01-31T08:00:00Z --finish 2027-01-31T09:00:00Z", ExitOK},
+		{"shift lookup --from sofia --to sofia --share 2 --cap 50 --finish 2020-01-31T09:00:00Z --start 2021-01-31T08:00:00Z", ExitUsage},
+		{"shift lookup --from sofia", ExitUsage},
+		{"shift lookup --undo", ExitOK},
+		{"ticket list --last 3", ExitOK},
+		{"ticket show 5", ExitOK},
+		{"ticket show 9", ExitFailed},
+		{"ticket show x", ExitUsage},
+	})
+}
+
+func TestCheck(t *testing.T) {
+	transcript(t, "check.golden", "", []step{
+		{"check " + kasa + "ticket.yaml " + kasa + "shift.yaml " + kasa + "settings/sofia-a-1.yaml", ExitOK},
+		{"check " + kasa + "ticket.yaml testdata/reference.yaml", ExitUsage},
+		{"check " + kasa + "settings/sofia-a-1.yaml " + kasa + "settings/sofia-a-1.yaml --json", ExitUsage},
+		{"check missing.yaml", ExitUsage},
+		{"check", ExitUsage},
+	})
+}
+
+func TestHelp(t *testing.T) {
+	steps := []step{{"--help", ExitOK}, {"bogus", ExitUsage}, {"--bogus", ExitUsage}, {"status --timeout 0s", ExitUsage}}
+	for _, name := range []string{"check", "ticket", "ticket submit", "ticket list", "ticket show", "ticket wait", "drain", "drain upstream", "shift", "status", "timeline", "completion"} {
+		steps = append(steps, step{name + " --help", ExitOK})
+	}
+	t.Setenv("USER", "")
+	transcript(t, "help.golden", "", steps)
+}
+
+// TestPlatformFaults guards against commands that hang, print more than one line
+// or report a wrong outcome when the platform is down or loses answers.
+func TestPlatformFaults(t *testing.T) {
+	hang := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	store := &submitter.Memory{}
+	lossy := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/v1/objects/ticket/") {
+			panic(http.ErrAbortHandler)
+		}
+		verifier.Handler{Store: store}.ServeHTTP(w, r)
+	})
+	tests := []struct {
+		name, platform string
+		code           int
+	}{
+		{"refused", "127.0.0.1:1", ExitUnreachable},
+		{"silent", serve(t, hang), ExitUnreachable},
+		{"answers lost", serve(t, lossy), ExitUnknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var out, errOut bytes.Buffer
+			start := time.Now()
+			args := []string{"hornctl", "--timeout", "300ms", "--platform", "http://" + tt.platform, "ticket", "submit", kasa + "ticket.yaml"}
+			is.Equal(Run(t.Context(), args, &out, &errOut), tt.code)
+			is.Equal(out.String(), "")
+			is.Equal(strings.Count(errOut.String(), "\n"), 1)
+			is.True(time.Since(start) < 5*time.Second)
+		})
+	}
+}
+
+// instance is a stand-in for the admin address of an instance.
+type instance struct {
+	status reporter.Status
+	events []recorder.Event
+}
+
+func (i *instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/status" {
+		_ = json.NewEncoder(w).Encode(i.status)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(i.events)
+}
+
+// startFleet starts two instances that answer; a third one does not.
+func startFleet(t *testing.T, versions ...uint64) (entry string) {
+	t.Helper()
+	names := []string{"sofia-a-1", "sofia-b-1"}
+	instances := make([]*instance, len(names))
+	members := []granter.Member{{Name: "varna-a-1", Domain: "varna-a", Admin: "127.0.0.1:1"}}
+	const base = 1_700_000_000_000 << stampShift
+	for i, name := range names {
+		instances[i] = &instance{}
+		domain := strings.TrimSuffix(name, "-1")
+		m := granter.Member{Name: name, Domain: domain, Admin: serve(t, instances[i]), Leaving: i == 1}
+		members = append(members, m)
+		instances[i].status = reporter.Status{
+			Instance: m, Region: "sofia", Version: versions[i], Leader: name, Epoch: 3, Platform: i == 0,
+			Upstreams: []reporter.Upstream{{Name: "lookup-1", Service: "lookup", Slots: 3, Limit: 2, Busy: 1}},
+		}
+		instances[i].events = []recorder.Event{
+			{Stamp: base + uint64(i), Instance: name, Domain: domain, Kind: recorder.Configured, Version: 7},
+			{Stamp: base + 1<<stampShift, Instance: name, Domain: domain, Kind: recorder.Elected, Version: 7, Cause: "lease expired"},
+			{Stamp: base + 2<<stampShift - uint64(i), Instance: name, Domain: domain, Kind: recorder.Limited, Upstream: "lookup-1", Cause: "slow"},
+		}
+	}
+	for _, i := range instances {
+		i.status.Members = members
+	}
+	return instances[0].status.Instance.Admin
+}
+
+// TestFleet guards against wrong merging and filtering of what instances say,
+// and against instances that are left out silently.
+func TestFleet(t *testing.T) {
+	transcript(t, "fleet.golden", "--timeout 600ms --entry "+startFleet(t, 7, 6), []step{
+		{"status", ExitOK},
+		{"ticket wait 6", ExitOK},
+		{"ticket wait 6 --json", ExitOK},
+		{"ticket wait 7", ExitFailed},
+		{"timeline", ExitOK},
+		{"timeline --ticket 7", ExitOK},
+		{"timeline --domain sofia-b --upstream lookup-1 --json", ExitOK},
+		{"timeline --since 1ms", ExitOK},
+		{"--entry 127.0.0.1:1 status", ExitUnreachable},
+		{"--entry somewhere status", ExitUsage},
+	})
+}
--- /dev/null
+++ b/hornctl/commands/timeline.go
@@ -0,0 +1,159 @@
+package commands
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"hornbeamstream.example/core/recorder"
+	"hornbeamstream.example/core/reporter"
+)
+
+const (
+	// stampShift separates the milliseconds of a stamp from its counter.
+	stampShift = 16
+	timeLayout = "2006-01-02T15:04:05.000Z"
+)
+
+func (p *program) timelineCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "timeline",
+		Usage:     "show the events of all instances in one order",
+		ArgsUsage: " ",
+		Description: `Needs --entry. With --json, each line is one event. With --follow, new events
+are printed until the command is interrupted; --timeout then bounds each round.`,
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "ticket", Usage: "only events of ticket `NUMBER`"},
+			&cli.StringFlag{Name: "upstream", Usage: "only events of the upstream `NAME`"},
+			&cli.StringFlag{Name: "domain", Usage: "only events of the failure domain `NAME`"},
+			&cli.DurationFlag{Name: "since", Usage: "only events of the last `TIME`, such as 10m"},
+			&cli.BoolFlag{Name: "follow", Usage: "keep printing new events"},
+		},
+		Action: p.act(0, p.timeline),
+	}
+}
+
+func (p *program) timeline(ctx context.Context, c *cli.Command) error {
+	y, err := newSurveyor(c)
+	if err != nil {
+		return err
+	}
+	seen := map[string]uint64{}
+	silent, err := p.round(ctx, c, y, seen)
+	if err != nil {
+		return err
+	}
+	if len(silent) > 0 {
+		fmt.Fprintf(p.errOut, "hornctl: no answer from %s\n", strings.Join(silent, ", "))
+	}
+	if !c.Bool("follow") {
+		return nil
+	}
+	// The time limit of the command applies to each round instead.
+	ctx = context.WithoutCancel(ctx)
+	for pause(ctx) {
+		round, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+		_, err := p.round(round, c, y, seen)
+		cancel()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// round prints the events after those in seen, which has the newest stamp of
+// each instance, and returns the instances that did not answer.
+func (p *program) round(ctx context.Context, c *cli.Command, y *surveyor, seen map[string]uint64) (silent []string, err error) {
+	f, err := y.survey(ctx)
+	if err != nil {
+		return nil, err
+	}
+	rings, missing := fetch(ctx, f.Instances, seen)
+	for _, ring := range rings {
+		for _, e := range ring {
+			seen[e.Instance] = max(seen[e.Instance], e.Stamp)
+		}
+	}
+	match := p.filter(c)
+	for _, e := range merge(rings...) {
+		if match(e) {
+			p.printEvent(c, e)
+		}
+	}
+	silent = append(f.Unreachable, missing...)
+	slices.Sort(silent)
+	return silent, nil
+}
+
+// fetch reads the rings of the instances.
+func fetch(ctx context.Context, instances []reporter.Status, seen map[string]uint64) (rings [][]recorder.Event, missing []string) {
+	rings = make([][]recorder.Event, len(instances))
+	failed := make([]bool, len(instances))
+	each(len(instances), func(i int) {
+		m := instances[i].Instance
+		path := "/timeline?after=" + strconv.FormatUint(seen[m.Name], 10)
+		failed[i] = ask(ctx, m.Admin, path, &rings[i]) != nil
+	})
+	for i, m := range instances {
+		if failed[i] {
+			missing = append(missing, m.Instance.Name)
+		}
+	}
+	return rings, missing
+}
+
+// merge joins rings by stamp, then by instance.
+func merge(rings ...[]recorder.Event) []recorder.Event {
+	all := slices.Concat(rings...)
+	slices.SortStableFunc(all, func(a, b recorder.Event) int {
+		return cmp.Or(cmp.Compare(a.Stamp, b.Stamp), cmp.Compare(a.Instance, b.Instance))
+	})
+	return all
+}
+
+// filter returns the condition that the flags describe.
+func (p *program) filter(c *cli.Command) func(recorder.Event) bool {
+	var after time.Time
+	if c.IsSet("since") {
+		after = p.now().Add(-c.Duration("since"))
+	}
+	ticket, upstream, domain := c.Uint64("ticket"), c.String("upstream"), c.String("domain")
+	return func(e recorder.Event) bool {
+		return (ticket == 0 || e.Version == ticket && ofTicket(e.Kind)) &&
+			(upstream == "" || e.Upstream == upstream) &&
+			(domain == "" || e.Domain == domain) &&
+			!stampTime(e.Stamp).Before(after)
+	}
+}
+
+// ofTicket tells whether the version of such an event is a ticket's number.
+func ofTicket(k recorder.Kind) bool {
+	return k == recorder.Submitted || k == recorder.Configured || k == recorder.Rejected
+}
+
+func stampTime(stamp uint64) time.Time { return time.UnixMilli(int64(stamp >> stampShift)).UTC() }
+
+func (p *program) printEvent(c *cli.Command, e recorder.Event) {
+	if c.Bool("json") {
+		_ = json.NewEncoder(p.out).Encode(e)
+		return
+	}
+	line := fmt.Sprintf("%s  %-12s %-10s", stampTime(e.Stamp).Format(timeLayout), e.Instance, e.Kind)
+	if e.Version > 0 {
+		line += " " + strconv.FormatUint(e.Version, 10)
+	}
+	for _, part := range []string{e.Upstream, e.Peer, e.Cause} {
+		if part != "" {
+			line += "  " + part
+		}
+	}
+	p.printf("%s\n", strings.TrimRight(line, " "))
+}
