--- a/core/loader/apply.go
+++ b/core/loader/apply.go
@@ -74,6 +74,7 @@
 		s.set(&p, kind, name, t.Objects[key])
 		s.Touched[key] = t.Number
 	}
+	p = append(p, s.checkTouched(t)...)
 	p = append(p, s.checkChange(kinds)...)
 	p.sort()
 	return s, p
@@ -93,10 +94,21 @@
 	tables[kind].remove(s, name)
 }
 
-// checkChange skips the prefixes when no blocks changed, because there are many.
+// checkTouched checks the values of the ticket's objects; all others were
+// checked with their own ticket.
+func (s State) checkTouched(t Ticket) (p Problems) {
+	for key := range t.Objects {
+		if o, ok := s.Object(key); ok {
+			o.(object).check(p.under(key))
+		}
+	}
+	return p
+}
+
+// checkChange checks all references. It skips the prefixes when no blocks
+// changed, because there are many.
 func (s State) checkChange(kinds map[string]bool) Problems {
-	p := s.checkValues(slices.Collect(maps.Keys(kinds)))
-	p = append(p, s.checkReferences()...)
+	p := s.checkReferences()
 	if kinds[KindUpstream] {
 		p = append(p, s.checkAddresses()...)
 	}
--- a/core/loader/check.go
+++ b/core/loader/check.go
@@ -131,7 +131,7 @@
 // Check returns all problems of the state: bad values, references to objects
 // that don't exist, and conflicts between objects.
 func (s State) Check() Problems {
-	p := s.checkValues(slices.Collect(maps.Keys(tables)))
+	p := s.checkValues()
 	p = append(p, s.checkReferences()...)
 	p = append(p, s.checkAddresses()...)
 	p = append(p, s.checkPrefixes()...)
@@ -139,9 +139,9 @@
 	return p
 }
 
-func (s State) checkValues(kinds []string) (p Problems) {
-	for _, kind := range kinds {
-		tables[kind].each(&s, func(name string, o object) {
+func (s State) checkValues() (p Problems) {
+	for kind, t := range tables {
+		t.each(&s, func(name string, o object) {
 			key := kind + "/" + name
 			if _, _, ok := SplitKey(key); !ok {
 				p.add(key, "is not a valid object key")
@@ -237,17 +237,28 @@
 }
 
 func (s State) checkPrefixes() (p Problems) {
-	owners := map[string]string{}
+	type place struct {
+		name, region string
+		index        int
+	}
+	path := func(l place) string { return item("blocks/"+l.name+".regions."+l.region, l.index) }
+	count := 0
+	for _, b := range s.Blocks {
+		for _, prefixes := range b.Regions {
+			count += len(prefixes)
+		}
+	}
+	owners := make(map[string]place, count)
 	for _, name := range slices.Sorted(maps.Keys(s.Blocks)) {
 		regions := s.Blocks[name].Regions
 		for _, region := range slices.Sorted(maps.Keys(regions)) {
 			for i, prefix := range regions[region] {
-				path := item("blocks/"+name+".regions."+region, i)
+				here := place{name, region, i}
 				if owner, ok := owners[prefix]; ok {
-					p.add(path, "%s is already listed at %s", prefix, owner)
+					p.add(path(here), "%s is already listed at %s", prefix, path(owner))
 					continue
 				}
-				owners[prefix] = path
+				owners[prefix] = here
 			}
 		}
 	}
--- a/core/loader/examples_test.go
+++ b/core/loader/examples_test.go
@@ -1,6 +1,7 @@
 package loader_test
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -79,3 +80,23 @@
 	}
 	return data
 }
+
+func ExampleParseTicket() {
+	_, err := loader.ParseTicket("drain.yaml", []byte(`
+base: 17
+author: operations
+objects:
+  upstream/lookup-1:
+    service: lookup
+    domain: sofia-a
+    address: 127.2.1.1
+    slots: 0
+    conns: many
+`))
+	fmt.Println(err)
+	// Output:
+	// drain.yaml:1: reason: is missing
+	// drain.yaml:8: upstream/lookup-1.address: "127.2.1.1" is not an ip:port
+	// drain.yaml:9: upstream/lookup-1.slots: must be above 0
+	// drain.yaml:10: upstream/lookup-1.conns: must be a whole number
+}
--- a/core/submitter/submit.go
+++ b/core/submitter/submit.go
@@ -114,7 +114,8 @@
 		if c := (*Conflict)(nil); errors.As(err, &c) {
 			return owned(t, c.Current)
 		}
-		lost = lost || errors.Is(err, ErrUnknown)
+		// A conflict that doesn't show the object is resolved like a lost answer.
+		lost = lost || errors.Is(err, ErrUnknown) || errors.Is(err, ErrConflict)
 		if err == nil || !lost {
 			return err
 		}
--- a/core/submitter/submitter_test.go
+++ b/core/submitter/submitter_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -225,3 +226,64 @@
 	is.Equal(len(tail), 0)
 	is.Equal(s, last)
 }
+
+// TestSubmitRace guards against two accepted tickets with one number, or none,
+// when writers race while answers and requests are lost.
+func TestSubmitRace(t *testing.T) {
+	is := is.New(t)
+	const writers = 8
+	store := &submitter.Memory{}
+	store.Set(submitter.Faults{Lose: 3, Drop: 3, Delay: 2})
+	errs := make([]error, writers)
+	var group sync.WaitGroup
+	for i := range writers {
+		group.Go(func() {
+			_, errs[i] = submitter.Submit(t.Context(), deliverer{store}, region(0, fmt.Sprintf("r%d", i), fmt.Sprintf("n%d", i)))
+		})
+	}
+	group.Wait()
+	stored, err := submitter.Show(t.Context(), store, 1)
+	is.NoErr(err)
+	for i, err := range errs {
+		if stored.Nonce == fmt.Sprintf("n%d", i) {
+			is.NoErr(err)
+			continue
+		}
+		is.True(errors.As(err, new(*submitter.Refused)))
+	}
+}
+
+// TestConflictWithoutObject guards against a lost race that is not explained
+// when the platform's answer doesn't show the object.
+func TestConflictWithoutObject(t *testing.T) {
+	is := is.New(t)
+	store := &submitter.Memory{}
+	_, err := submitter.Submit(t.Context(), store, region(0, "sofia", "rival"))
+	is.NoErr(err)
+	_, err = submitter.Submit(t.Context(), terse{store}, region(0, "sofia", "mine"))
+	is.True(errors.As(err, new(*submitter.Refused)))
+}
+
+type terse struct{ *submitter.Memory }
+
+func (s terse) Create(ctx context.Context, key string, value []byte) (uint64, error) {
+	version, err := s.Memory.Create(ctx, key, value)
+	if errors.Is(err, submitter.ErrConflict) {
+		err = submitter.ErrConflict
+	}
+	return version, err
+}
+
+func ExampleSubmit() {
+	store := &submitter.Memory{}
+	ctx := context.Background()
+	first := loader.Ticket{Author: "ana", Reason: "start", Objects: map[string]json.RawMessage{"region/sofia": []byte(`{}`)}}
+	second := loader.Ticket{Author: "boris", Reason: "start", Objects: map[string]json.RawMessage{"region/varna": []byte(`{}`)}}
+	r, err := submitter.Submit(ctx, store, first)
+	fmt.Println(r.State.Version, err)
+	_, err = submitter.Submit(ctx, store, second)
+	fmt.Println(err)
+	// Output:
+	// 1 <nil>
+	// submit ticket: ticket 1 was refused: ana was first; version is 1 now; changed since 0: region/sofia
+}
