--- a/core/connector/connector.go
+++ b/core/connector/connector.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/url"
 	"sync/atomic"
@@ -88,12 +89,30 @@
 	body   []byte
 }
 
-// call sends one request. Its error matches ErrUnavailable when no byte can have
-// been sent, and ErrUnknown otherwise.
+// failure is the error of a call without an answer.
+type failure struct {
+	// sent tells that the request may have reached the platform.
+	sent  bool
+	cause error
+}
+
+func (f *failure) Error() string {
+	switch {
+	case errors.Is(f.cause, fasthttp.ErrTimeout):
+		return "no answer in time"
+	case errors.Is(f.cause, fasthttp.ErrConnectionClosed), errors.Is(f.cause, io.EOF):
+		return "connection closed without an answer"
+	}
+	return f.cause.Error()
+}
+
+func (f *failure) Unwrap() error { return f.cause }
+
+// call sends one request. Its error is a *failure.
 func (c *Client) call(ctx context.Context, kind Kind, method, path string, body []byte) (a answer, err error) {
 	c.counts[kind].Add(1)
 	if err := ctx.Err(); err != nil {
-		return a, fmt.Errorf("%w: %w", submitter.ErrUnavailable, err)
+		return a, &failure{cause: err}
 	}
 	deadline, ok := ctx.Deadline()
 	if !ok {
@@ -119,7 +138,7 @@
 			r := <-done
 			return r.answer, r.err
 		}
-		return a, fmt.Errorf("%w: %w", submitter.ErrUnknown, ctx.Err())
+		return a, &failure{sent: true, cause: ctx.Err()}
 	}
 }
 
@@ -143,11 +162,8 @@
 // all of its connections silent.
 func (c *Client) failed(err error) error {
 	c.host.CloseIdleConnections()
-	unsent := dialError{}
-	if errors.As(err, &unsent) || errors.Is(err, fasthttp.ErrNoFreeConns) || errors.Is(err, fasthttp.ErrDialTimeout) {
-		return fmt.Errorf("%w: %w", submitter.ErrUnavailable, err)
-	}
-	return fmt.Errorf("%w: %w", submitter.ErrUnknown, err)
+	unsent := errors.As(err, new(dialError)) || errors.Is(err, fasthttp.ErrNoFreeConns) || errors.Is(err, fasthttp.ErrDialTimeout)
+	return &failure{sent: !unsent, cause: err}
 }
 
 // read performs a call that changes nothing, so that every failure is
@@ -155,10 +171,8 @@
 func (c *Client) read(ctx context.Context, kind Kind, path string, into any) error {
 	a, err := c.call(ctx, kind, fasthttp.MethodGet, path, nil)
 	switch {
-	case errors.Is(err, submitter.ErrUnknown):
-		return fmt.Errorf("%w: no answer: %v", submitter.ErrUnavailable, err)
 	case err != nil:
-		return err
+		return fmt.Errorf("%w: %w", submitter.ErrUnavailable, err)
 	case a.status == fasthttp.StatusNotFound:
 		return submitter.ErrAbsent
 	case a.status != fasthttp.StatusOK:
@@ -174,9 +188,12 @@
 // after the change.
 func (c *Client) write(ctx context.Context, kind Kind, method, path string, body []byte) (a answer, err error) {
 	a, err = c.call(ctx, kind, method, path, body)
+	failed := (*failure)(nil)
 	switch {
+	case errors.As(err, &failed) && failed.sent:
+		return a, fmt.Errorf("%w: %w", submitter.ErrUnknown, err)
 	case err != nil:
-		return a, err
+		return a, fmt.Errorf("%w: %w", submitter.ErrUnavailable, err)
 	case a.status == fasthttp.StatusConflict:
 		return a, conflict(a.body)
 	case a.status == fasthttp.StatusNotFound:
--- a/hornctl/commands/commands.go
+++ b/hornctl/commands/commands.go
@@ -78,6 +78,9 @@
 		code = ExitUsage
 		err = fmt.Errorf("%w (see hornctl --help)", err)
 	}
+	if u := (*submitter.Unresolved)(nil); errors.As(err, &u) {
+		err = fmt.Errorf("%w (hornctl ticket show %d tells)", err, u.Number)
+	}
 	text := strings.TrimSpace(err.Error())
 	if problems := loader.Problems(nil); errors.As(err, &problems) {
 		text = problems.Error()
