hornctl: following the timeline goes on past the time limit

The limit of the command cancelled the interrupt as well. It now bounds each round, and an instance that stops no longer ends the command. A test follows two instances over several rounds.

--- a/hornctl/commands/commands.go
+++ b/hornctl/commands/commands.go
@@ -153,20 +153,30 @@
 	}
 }
 
-// act wraps an action: it limits the time and checks the number of arguments.
-// A negative count means one or more.
-func (p *program) act(count int, run func(ctx context.Context, c *cli.Command) error) cli.ActionFunc {
+// act is like guard and also limits the time of the action.
+func (p *program) act(count int, run cli.ActionFunc) cli.ActionFunc {
+	return p.guard(count, func(ctx context.Context, c *cli.Command) error {
+		ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+		defer cancel()
+		return run(ctx, c)
+	})
+}
+
+// guard checks the number of arguments before an action. A negative count means
+// one or more.
+func (p *program) guard(count int, run cli.ActionFunc) cli.ActionFunc {
 	return func(ctx context.Context, c *cli.Command) error {
 		n := c.Args().Len()
-		if count >= 0 && n != count || count < 0 && n == 0 {
+		if count > 0 && n != count || count < 0 && n == 0 {
 			return usagef("%s needs %s", c.FullName(), c.ArgsUsage)
 		}
+		if count == 0 && n > 0 {
+			return usagef("%s takes no argument", c.FullName())
+		}
 		if c.Duration("timeout") <= 0 {
 			return usagef("--timeout must be above 0")
 		}
 		p.acted = true
-		ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
-		defer cancel()
 		return run(ctx, c)
 	}
 }
--- a/hornctl/commands/commands_test.go
+++ b/hornctl/commands/commands_test.go
@@ -2,15 +2,20 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -167,6 +172,7 @@
 type instance struct {
 	status reporter.Status
 	events []recorder.Event
+	step   bool
 }
 
 func (i *instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -174,18 +180,24 @@
 		_ = json.NewEncoder(w).Encode(i.status)
 		return
 	}
-	_ = json.NewEncoder(w).Encode(i.events)
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	fresh := slices.DeleteFunc(slices.Clone(i.events), func(e recorder.Event) bool { return e.Stamp <= after })
+	if i.step {
+		// Each answer has one more event.
+		fresh = fresh[:min(1, len(fresh))]
+	}
+	_ = json.NewEncoder(w).Encode(fresh)
 }
 
 // startFleet starts two instances that answer; a third one does not.
-func startFleet(t *testing.T, versions ...uint64) (entry string) {
+func startFleet(t *testing.T, step bool, versions ...uint64) (entry string) {
 	t.Helper()
 	names := []string{"sofia-a-1", "sofia-b-1"}
 	instances := make([]*instance, len(names))
 	members := []granter.Member{{Name: "varna-a-1", Domain: "varna-a", Admin: "127.0.0.1:1"}}
 	const base = 1_700_000_000_000 << stampShift
 	for i, name := range names {
-		instances[i] = &instance{}
+		instances[i] = &instance{step: step}
 		domain := strings.TrimSuffix(name, "-1")
 		m := granter.Member{Name: name, Domain: domain, Admin: serve(t, instances[i]), Leaving: i == 1}
 		members = append(members, m)
@@ -208,7 +220,7 @@
 // TestFleet guards against wrong merging and filtering of what instances say,
 // and against instances that are left out silently.
 func TestFleet(t *testing.T) {
-	transcript(t, "fleet.golden", "--timeout 600ms --entry "+startFleet(t, 7, 6), []step{
+	transcript(t, "fleet.golden", "--timeout 600ms --entry "+startFleet(t, false, 7, 6), []step{
 		{"status", ExitOK},
 		{"ticket wait 6", ExitOK},
 		{"ticket wait 6 --json", ExitOK},
@@ -219,5 +231,32 @@
 		{"timeline --since 1ms", ExitOK},
 		{"--entry 127.0.0.1:1 status", ExitUnreachable},
 		{"--entry somewhere status", ExitUsage},
+		{"status now", ExitUsage},
 	})
 }
+
+// stopAfter cancels the command when it has printed a number of lines.
+type stopAfter struct {
+	lines  atomic.Int64
+	cancel func()
+}
+
+func (s *stopAfter) Write(b []byte) (int, error) {
+	if s.lines.Add(-int64(bytes.Count(b, []byte("\n")))) == 0 {
+		s.cancel()
+	}
+	return len(b), nil
+}
+
+// TestFollow guards against events that are lost or repeated between rounds, and
+// against following that ends at --timeout.
+func TestFollow(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	out := &stopAfter{cancel: cancel}
+	out.lines.Store(6)
+	args := []string{"hornctl", "--timeout", "150ms", "--entry", startFleet(t, true, 7, 7), "timeline", "--follow"}
+	is.Equal(Run(ctx, args, out, io.Discard), ExitOK)
+	is.Equal(out.lines.Load(), int64(0))
+}
--- a/hornctl/commands/timeline.go
+++ b/hornctl/commands/timeline.go
@@ -36,7 +36,7 @@
 			&cli.DurationFlag{Name: "since", Usage: "only events of the last `TIME`, such as 10m"},
 			&cli.BoolFlag{Name: "follow", Usage: "keep printing new events"},
 		},
-		Action: p.act(0, p.timeline),
+		Action: p.guard(0, p.timeline),
 	}
 }
 
@@ -45,28 +45,34 @@
 	if err != nil {
 		return err
 	}
-	seen := map[string]uint64{}
-	silent, err := p.round(ctx, c, y, seen)
-	if err != nil {
-		return err
-	}
-	if len(silent) > 0 {
-		fmt.Fprintf(p.errOut, "hornctl: no answer from %s\n", strings.Join(silent, ", "))
-	}
-	if !c.Bool("follow") {
-		return nil
-	}
-	// The time limit of the command applies to each round instead.
-	ctx = context.WithoutCancel(ctx)
-	for pause(ctx) {
+	seen, noted := map[string]uint64{}, ""
+	for first := true; ; first = false {
 		round, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
-		_, err := p.round(round, c, y, seen)
+		silent, err := p.round(round, c, y, seen)
 		cancel()
-		if err != nil {
+		if err != nil && (first || ctx.Err() != nil) {
 			return err
 		}
+		note := silentText(silent, err)
+		if note != "" && note != noted {
+			fmt.Fprintf(p.errOut, "hornctl: %s\n", note)
+		}
+		noted = note
+		if !c.Bool("follow") || !pause(ctx) {
+			return nil
+		}
+	}
+}
+
+// silentText describes a round in which some or all instances did not answer.
+func silentText(silent []string, err error) string {
+	switch {
+	case err != nil:
+		return err.Error()
+	case len(silent) > 0:
+		return "no answer from " + strings.Join(silent, ", ")
 	}
-	return nil
+	return ""
 }
 
 // round prints the events after those in seen, which has the newest stamp of
