forwarder, server: traffic path between callers, instances and upstreams

Cause: nothing carried requests yet. Change: own connections on top of the fasthttp codec, typed outcomes, record of request ids, hops, retries within the budget, probes of idle connections, and the HTTP servers for callers and for other instances.

--- /dev/null
+++ b/hornbeamd/forwarder/conn.go
@@ -0,0 +1,60 @@
+package forwarder
+
+import (
+	"bufio"
+	"net"
+	"syscall"
+)
+
+// headSize bounds the head of an answer in bytes.
+const headSize = 8 << 10
+
+// conn is a connection with what is known about it. It belongs to one exchange
+// at a time.
+type conn struct {
+	net.Conn
+	br *bufio.Reader
+	// proven is the time at which the last byte arrived, or of the dial.
+	proven int64
+	// ended is the time at which the last exchange of a request ended.
+	ended int64
+	// used tells that an exchange has ended on this connection.
+	used bool
+
+	raw   syscall.RawConn
+	peek  func(fd uintptr)
+	clean bool
+	one   [1]byte
+}
+
+func newConn(nc net.Conn, now int64) *conn {
+	c := &conn{Conn: nc, br: bufio.NewReaderSize(nc, headSize), proven: now, ended: now}
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return c
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return c
+	}
+	c.raw = raw
+	c.peek = func(fd uintptr) {
+		_, _, err := syscall.Recvfrom(int(fd), c.one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		c.clean = err == syscall.EAGAIN
+	}
+	return c
+}
+
+// quiet tells whether the connection is open and nothing has arrived on it. A
+// byte that nobody asked for would be taken for part of the next answer.
+func (c *conn) quiet() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	if c.raw == nil {
+		return true
+	}
+	c.clean = false
+	err := c.raw.Control(c.peek)
+	return err == nil && c.clean
+}
--- /dev/null
+++ b/hornbeamd/forwarder/forward.go
@@ -0,0 +1,279 @@
+package forwarder
+
+import (
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"hornbeamstream.example/core/hornpb"
+	"hornbeamstream.example/core/limiter"
+	"hornbeamstream.example/core/router"
+)
+
+const (
+	// maxTries bounds the tries of one request, within router.Tried.
+	maxTries = 4
+	// maxMisses bounds the extra hops of a request that other instances refuse
+	// for lack of a free slot. They cost no upstream anything.
+	maxMisses = 2
+	// settleTime is how long a slot stays taken after its request was cancelled,
+	// because the upstream learns of it later.
+	settleTime = 50 * time.Millisecond
+)
+
+// call is a request on its way.
+type call struct {
+	ctx   *fasthttp.RequestCtx
+	req   *Request
+	q     router.Request
+	tried router.Tried
+	// key is set for once-services.
+	key entryKey
+	// repeat tells that this request is a repeat which may run.
+	repeat bool
+	head   bool
+	// base is the request's head without the fields that differ between tries.
+	base []byte
+	// body is a small body, which can be sent again; stream a large one.
+	body   []byte
+	stream io.Reader
+	size   int64
+	// spent tells that stream has been read from.
+	spent  bool
+	tries  int
+	misses int
+	// next is the place of a retry that is already paid for.
+	next   router.Choice
+	waited bool
+	// doubt tells that an earlier try may have run.
+	doubt   bool
+	hasNext bool
+}
+
+// result is the end of a try.
+type result struct {
+	outcome Outcome
+	reason  router.Reason
+	// miss tells that another instance had no free slot.
+	miss bool
+	// again tells that the try may be repeated elsewhere.
+	again bool
+	// x has an answer to pass on.
+	x *exchange
+	// end runs when x has been passed on.
+	end  func(whole bool)
+	link *limiter.Link
+	// first is the kept answer to an earlier send of the request.
+	first Account
+	kept  bool
+}
+
+// Forward carries a request and writes its answer.
+func (f *Forwarder) Forward(ctx *fasthttp.RequestCtx, r *Request) {
+	c := acquireCall(ctx, r)
+	defer c.release()
+	if err := c.load(); err != nil {
+		f.refuseBody(c, err)
+		return
+	}
+	f.answer(c, f.place(c))
+}
+
+// place runs a request, after it has settled whether it may run.
+func (f *Forwarder) place(c *call) result {
+	r := c.req
+	if !r.Service.Once {
+		return f.run(c)
+	}
+	c.key = entryKey{r.Service.Name, string(r.ID)}
+	c.repeat = r.Attempt > 1
+	if r.Hop || !r.Given {
+		return f.run(c)
+	}
+	if !c.repeat {
+		seen, ok := f.record.note(c.key, f.now(), r.Deadline)
+		if !ok {
+			return result{outcome: NotRun, reason: Busy}
+		}
+		if !seen {
+			return f.runNoted(c)
+		}
+		c.repeat = true
+		r.Attempt = 2
+	}
+	return f.runRepeat(c)
+}
+
+func (f *Forwarder) runNoted(c *call) result {
+	res := f.run(c)
+	if res.outcome == NotRun && !f.record.unnote(c.key) {
+		return result{outcome: Unknown, reason: Fenced}
+	}
+	return res
+}
+
+func (f *Forwarder) runRepeat(c *call) result {
+	v, a := f.inquire(c)
+	switch {
+	case v == answered && a.Kept:
+		return result{outcome: Ran, first: a, kept: true}
+	case v != mayRun:
+		return result{outcome: Unknown, reason: Repeated}
+	}
+	res := f.run(c)
+	if res.outcome == NotRun {
+		f.record.giveBack(c.key, f.now())
+	}
+	return res
+}
+
+// run tries places until one has answered or no further try is safe and paid
+// for.
+func (f *Forwarder) run(c *call) result {
+	last := result{outcome: NotRun}
+	for {
+		choice, reason := f.choose(c)
+		if reason != router.Placed {
+			if last.reason == "" {
+				last.reason = reason
+			}
+			return c.conclude(last)
+		}
+		c.tries++
+		c.tried.Add(choice)
+		res := f.try(c, choice)
+		c.doubt = c.doubt || res.outcome == Unknown
+		if !res.again || c.spent || !f.mayRetry(c, res) {
+			return c.conclude(res)
+		}
+		last = res
+	}
+}
+
+// conclude makes the outcome of the last try that of the request.
+func (c *call) conclude(res result) result {
+	if res.outcome == NotRun && c.doubt {
+		res.outcome = Unknown
+	}
+	return res
+}
+
+// choose returns the next place, waiting a little for a slot if none is free.
+func (f *Forwarder) choose(c *call) (router.Choice, router.Reason) {
+	if c.hasNext {
+		c.hasNext = false
+		return c.next, router.Placed
+	}
+	choice, reason := c.req.Table.Choose(&c.q, f.now(), &c.tried)
+	if reason != router.Full || c.req.Hop || c.waited || c.tries > c.misses {
+		return choice, reason
+	}
+	c.waited = true
+	return f.queue(c.req.Service.Name).wait(f, c)
+}
+
+// mayRetry tells whether another try is allowed after res. A hop is tried once
+// here, because its origin tries again.
+func (f *Forwarder) mayRetry(c *call, res result) bool {
+	switch {
+	case c.hasNext:
+		return true
+	case c.req.Hop || c.tries >= maxTries:
+		return false
+	case res.miss:
+		c.misses++
+		return c.misses <= maxMisses
+	}
+	return f.payRetry(c)
+}
+
+func (f *Forwarder) payRetry(c *call) bool {
+	s := c.req.Service
+	if s.Retries == nil || !s.Retries.Take() {
+		return false
+	}
+	f.metrics.Retried(s.Name)
+	return true
+}
+
+// abandon decides whether to give up a silent exchange, for which a better
+// place must be free and paid for.
+func (f *Forwarder) abandon(c *call) bool {
+	r := c.req
+	if r.Service.Once || r.Hop || c.spent || c.tries >= maxTries || c.hasNext {
+		return false
+	}
+	choice, reason := r.Table.Choose(&c.q, f.now(), &c.tried)
+	if reason != router.Placed {
+		return false
+	}
+	if !f.payRetry(c) {
+		f.free(c.req.Service.Name, choice.Target)
+		return false
+	}
+	c.next, c.hasNext = choice, true
+	return true
+}
+
+// free gives the slot of a target back.
+func (f *Forwarder) free(service string, t *router.Target) {
+	if t == nil {
+		return
+	}
+	t.Gate.Release()
+	f.queue(service).wake()
+}
+
+func (f *Forwarder) try(c *call, choice router.Choice) result {
+	if choice.Peer != nil {
+		return f.tryPeer(c, choice)
+	}
+	if !c.req.Service.Once {
+		return f.tryTarget(c, choice, nil)
+	}
+	e, ok := f.record.start(c.key, c.repeat, f.now(), c.req.Deadline)
+	if !ok {
+		f.free(c.req.Service.Name, choice.Target)
+		return f.first(c, e != nil)
+	}
+	res := f.tryTarget(c, choice, e)
+	if res.x == nil || res.x.whole {
+		f.record.end(c.key, e, res.outcome, res.account(), f.now())
+	}
+	return res
+}
+
+// first answers a request that has been started here before.
+func (f *Forwarder) first(c *call, room bool) result {
+	if !room {
+		return result{outcome: NotRun, reason: Busy}
+	}
+	a, done := f.record.account(c.key, false, c.req.Sent, f.now())
+	if done != nil {
+		timer := time.NewTimer(time.Duration(c.req.Deadline - f.now()))
+		defer timer.Stop()
+		select {
+		case <-done:
+		case <-timer.C:
+		}
+		a, _ = f.record.account(c.key, false, c.req.Sent, f.now())
+	}
+	if a.Fate == hornpb.Fate_FATE_RAN && a.Kept {
+		return result{outcome: Ran, first: a, kept: true}
+	}
+	return result{outcome: Unknown, reason: Repeated}
+}
+
+// account is what is kept of an answer.
+func (r *result) account() Account {
+	if r.outcome != Ran || r.x == nil || !r.x.whole {
+		return Account{}
+	}
+	return Account{
+		Status: r.x.header.StatusCode(),
+		Type:   string(r.x.header.ContentType()),
+		Body:   append([]byte(nil), r.x.body...),
+		Kept:   true,
+	}
+}
--- /dev/null
+++ b/hornbeamd/forwarder/headers.go
@@ -0,0 +1,153 @@
+package forwarder
+
+import (
+	"errors"
+	"net/netip"
+
+	"hornbeamstream.example/core/router"
+)
+
+// Headers of requests and answers, in the form that the codec gives them.
+const (
+	HeaderID       = "Horn-Id"
+	HeaderDeadline = "Horn-Deadline"
+	HeaderAttempt  = "Horn-Attempt"
+	HeaderPriority = "Horn-Priority"
+	HeaderSent     = "Horn-Sent"
+	HeaderBlock    = "Horn-Block"
+	HeaderHop      = "Horn-Hop"
+	HeaderOutcome  = "Horn-Outcome"
+	HeaderReason   = "Horn-Reason"
+	HeaderRetry    = "Horn-Retry"
+	HeaderFree     = "Horn-Free"
+	HeaderRefused  = "Horn-Refused"
+	HeaderState    = "Horn-State"
+)
+
+// MaxID is the largest length of a request id in bytes.
+const MaxID = 64
+
+const (
+	maxTime  = 1<<63 - 1
+	millisec = int64(1e6)
+)
+
+// Outcome tells whether a request ran.
+type Outcome uint8
+
+// Outcomes. The zero value is the one that promises nothing.
+const (
+	Unknown Outcome = iota
+	NotRun
+	Ran
+)
+
+// String returns the value of the Horn-Outcome header.
+func (o Outcome) String() string {
+	switch o {
+	case Ran:
+		return "ran"
+	case NotRun:
+		return "notrun"
+	default:
+		return "unknown"
+	}
+}
+
+// ParseOutcome reads the value of the Horn-Outcome header.
+func ParseOutcome(v []byte) (o Outcome, ok bool) {
+	switch string(v) {
+	case "ran":
+		return Ran, true
+	case "notrun":
+		return NotRun, true
+	case "unknown":
+		return Unknown, true
+	}
+	return Unknown, false
+}
+
+// Reasons that the forwarder adds to the router's.
+const (
+	// Refused is the documented refusal of an upstream.
+	Refused router.Reason = "refused"
+	// Unreachable means that no connection could be used.
+	Unreachable router.Reason = "unreachable"
+	// Conns means that the limit of connections is reached.
+	Conns router.Reason = "conns"
+	// Broken means that the exchange failed after bytes were sent.
+	Broken router.Reason = "broken"
+	// Silent means that no byte of an answer came in time.
+	Silent router.Reason = "silent"
+	// Repeated means that the request has run or may have run before.
+	Repeated router.Reason = "repeated"
+	// Fenced means that a repeat of the request has been given precedence.
+	Fenced router.Reason = "fenced"
+	// Busy means that the table of request ids is full.
+	Busy router.Reason = "busy"
+	// Cut means that the caller's body ended early.
+	Cut router.Reason = "cut"
+)
+
+// Request is one request as the server has parsed and checked it.
+type Request struct {
+	Table   *router.Table
+	Service *router.Service
+	// ID identifies repeats. Given tells that the caller has chosen it.
+	ID    []byte
+	Given bool
+	// Attempt is 1 for a first send.
+	Attempt  int
+	Priority int
+	// Arrived, Deadline and Sent, the time of the first attempt, are in Unix
+	// nanoseconds. A Sent of 0 is not known.
+	Arrived, Deadline, Sent int64
+	Block                   netip.Addr
+	// Region is the home region of Block.
+	Region string
+	// Hop tells that another instance forwarded the request.
+	Hop bool
+}
+
+var (
+	errID     = errors.New("the request id is not 1 to 64 visible ASCII characters")
+	errNumber = errors.New("the value is not a decimal number in range")
+)
+
+// CheckID tells whether v can be a request id.
+func CheckID(v []byte) error {
+	if len(v) == 0 || len(v) > MaxID {
+		return errID
+	}
+	for _, c := range v {
+		if c <= ' ' || c >= 0x7f {
+			return errID
+		}
+	}
+	return nil
+}
+
+// ParseMillis reads a time in Unix ms and returns it in Unix nanoseconds.
+func ParseMillis(v []byte) (int64, error) {
+	n, err := ParseNumber(v, maxTime/millisec)
+	return n * millisec, err
+}
+
+// ParseNumber reads a decimal number from 0 to limit.
+func ParseNumber(v []byte, limit int64) (int64, error) {
+	if len(v) == 0 || len(v) > 19 {
+		return 0, errNumber
+	}
+	var n int64
+	for _, c := range v {
+		if c < '0' || c > '9' {
+			return 0, errNumber
+		}
+		d := int64(c - '0')
+		if n > (limit-d)/10 {
+			return 0, errNumber
+		}
+		n = n*10 + d
+	}
+	return n, nil
+}
--- /dev/null
+++ b/hornbeamd/forwarder/pool.go
@@ -0,0 +1,216 @@
+package forwarder
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"hornbeamstream.example/core/observer"
+)
+
+const (
+	// provenTime is how long a connection counts as working after a byte has
+	// arrived. A once-request uses no connection that has been silent longer.
+	provenTime = time.Second
+	// idleTime is how long a connection is kept without use.
+	idleTime = 10 * time.Second
+	// maxIdle bounds the idle connections for one address.
+	maxIdle = 64
+	// dialTime bounds the opening of a connection. A lost SYN is sent again
+	// after 1 s only, so that waiting longer rarely helps.
+	dialTime = 500 * time.Millisecond
+	// defaultConns bounds the connections to another instance.
+	defaultConns = 512
+)
+
+var (
+	errConns   = errors.New("the limit of connections is reached")
+	errExpired = errors.New("the deadline has passed")
+)
+
+type poolKey struct{ name, address string }
+
+// pool holds the connections to one address.
+type pool struct {
+	key   poolKey
+	now   func() int64
+	limit atomic.Int64
+
+	mu sync.Mutex
+	// idle has the connection used last at its end.
+	idle []*conn
+	open int64
+	last int64
+
+	pinging atomic.Bool
+	typical quantile
+	stats   stats
+}
+
+func newPool(key poolKey, now func() int64) *pool {
+	p := &pool{key: key, now: now, last: now()}
+	p.limit.Store(defaultConns)
+	return p
+}
+
+// get returns an idle connection or opens one. When proven is set, the
+// connection is fresh or a byte has arrived on it within provenTime.
+func (p *pool) get(proven bool, deadline int64) (*conn, error) {
+	now := p.now()
+	for {
+		c, err := p.take(proven, now)
+		if err != nil {
+			return nil, err
+		}
+		if c == nil {
+			return p.dial(now, deadline)
+		}
+		if c.quiet() {
+			return c, nil
+		}
+		p.discard(c)
+	}
+}
+
+// take returns an idle connection, or nil after it has counted the connection
+// that the caller opens.
+func (p *pool) take(proven bool, now int64) (*conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.last = now
+	if n := len(p.idle); n > 0 {
+		c := p.idle[n-1]
+		if !proven || now-c.proven < int64(provenTime) {
+			p.idle[n-1] = nil
+			p.idle = p.idle[:n-1]
+			return c, nil
+		}
+	}
+	if p.open >= p.limit.Load() {
+		if len(p.idle) == 0 {
+			return nil, errConns
+		}
+		// The unproven connection makes room for a fresh one.
+		_ = p.idle[0].Close()
+		p.idle = append(p.idle[:0], p.idle[1:]...)
+		p.open--
+	}
+	p.open++
+	return nil, nil
+}
+
+func (p *pool) dial(now, deadline int64) (c *conn, err error) {
+	defer func() {
+		if err != nil {
+			p.forget()
+		}
+	}()
+	left := time.Duration(deadline - now)
+	if left <= 0 {
+		return nil, errExpired
+	}
+	nc, err := net.DialTimeout("tcp", p.key.address, min(left, dialTime))
+	if err != nil {
+		return nil, err
+	}
+	return newConn(nc, p.now()), nil
+}
+
+func (p *pool) forget() {
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// put takes a connection back on which the last exchange has ended cleanly.
+func (p *pool) put(c *conn) {
+	c.used = true
+	if c.SetDeadline(time.Time{}) != nil {
+		p.discard(c)
+		return
+	}
+	p.mu.Lock()
+	if len(p.idle) < maxIdle && p.open <= p.limit.Load() {
+		p.idle = append(p.idle, c)
+		c = nil
+	}
+	p.mu.Unlock()
+	if c != nil {
+		p.discard(c)
+	}
+}
+
+// discard closes a connection, which cancels what runs on it.
+func (p *pool) discard(c *conn) {
+	_ = c.Close()
+	p.forget()
+}
+
+// dropIdle closes the idle connections that have not proven to work since the
+// given time.
+func (p *pool) dropIdle(since int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeIdle(func(c *conn) bool { return c.proven < since })
+}
+
+// closeIdle closes some idle connections. The pool is locked.
+func (p *pool) closeIdle(drop func(*conn) bool) {
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if !drop(c) {
+			kept = append(kept, c)
+			continue
+		}
+		_ = c.Close()
+		p.open--
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+}
+
+// stats counts what traffic saw of an upstream.
+type stats struct {
+	ok, shed, refused, failed, latency atomic.Int64
+	leaving                            atomic.Bool
+}
+
+// sample returns the counts since the last call, and whether there are any.
+func (p *pool) sample() (observer.Sample, bool) {
+	s := &p.stats
+	out := observer.Sample{
+		Upstream: p.key.name,
+		OK:       int(s.ok.Swap(0)),
+		Shed:     int(s.shed.Swap(0)),
+		Refused:  int(s.refused.Swap(0)),
+		Failed:   int(s.failed.Swap(0)),
+		Leaving:  s.leaving.Swap(false),
+	}
+	sum := s.latency.Swap(0)
+	if out.OK > 0 {
+		out.Latency = time.Duration(sum / int64(out.OK))
+	}
+	seen := out.OK+out.Shed+out.Refused+out.Failed > 0 || out.Leaving
+	return out, seen && p.key.name != ""
+}
+
+func refusedDial(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// quantile follows the 99th percentile of recent values without keeping them:
+// it rises by 99 parts for a value above it and falls by one for each below.
+type quantile struct{ value atomic.Int64 }
+
+func (q *quantile) add(v int64) {
+	old := q.value.Load()
+	switch {
+	case old == 0:
+		q.value.Store(2 * v)
+	case v > old:
+		q.value.Store(min(old+old*99/400+1, 2*v))
+	default:
+		q.value.Store(max(old-old/400, 1))
+	}
+}
--- /dev/null
+++ b/hornbeamd/forwarder/try.go
@@ -0,0 +1,210 @@
+package forwarder
+
+import (
+	"errors"
+	"time"
+
+	"hornbeamstream.example/core/limiter"
+	"hornbeamstream.example/core/router"
+)
+
+// tryTarget sends a request to an upstream whose slot has been taken. The slot
+// is given back when the upstream is done with the request.
+func (f *Forwarder) tryTarget(c *call, choice router.Choice, e *entry) result {
+	t, service, key := choice.Target, c.req.Service.Name, c.key
+	p := f.pool(t.Upstream, t.Address, t.Conns)
+	x := acquireExchange()
+	x.wire = c.appendUpstream(x.wire[:0])
+	err := f.exchange(c, p, t.Path, x)
+	if err != nil {
+		res := f.failed(c, x, err)
+		f.count(p, err, res)
+		f.freeLater(service, t, x.sent)
+		x.release()
+		return res
+	}
+	if string(x.header.Peek(HeaderState)) == "leaving" {
+		p.stats.leaving.Store(true)
+	}
+	if x.whole {
+		x.settle()
+		f.free(service, t)
+	}
+	if x.header.StatusCode() == 503 && len(x.header.Peek(HeaderRefused)) > 0 {
+		p.stats.shed.Add(1)
+		if !x.whole {
+			x.abort()
+			f.freeLater(service, t, true)
+		}
+		x.release()
+		return result{outcome: NotRun, reason: Refused, again: true}
+	}
+	p.stats.ok.Add(1)
+	p.stats.latency.Add(x.first - x.start)
+	res := result{outcome: Ran, x: x, link: choice.Link}
+	if !x.whole {
+		res.end = func(whole bool) {
+			f.freeLater(service, t, !whole)
+			if e != nil {
+				f.record.end(key, e, Ran, Account{}, f.now())
+			}
+		}
+	}
+	return res
+}
+
+// freeLater gives a slot back, after a cancellation not before the upstream
+// can have learned of it.
+func (f *Forwarder) freeLater(service string, t *router.Target, cancelled bool) {
+	if !cancelled {
+		f.free(service, t)
+		return
+	}
+	q := f.queue(service)
+	time.AfterFunc(settleTime, func() {
+		t.Gate.Release()
+		q.wake()
+	})
+}
+
+// tryPeer sends a request to another instance.
+func (f *Forwarder) tryPeer(c *call, choice router.Choice) result {
+	peer := choice.Peer
+	x := acquireExchange()
+	x.wire = c.appendHop(x.wire[:0])
+	if err := f.exchange(c, f.pool("", peer.Data, 0), peer.Path, x); err != nil {
+		res := f.failed(c, x, err)
+		x.release()
+		return res
+	}
+	c.credit(peer, x, f.now())
+	outcome, ok := ParseOutcome(x.header.Peek(HeaderOutcome))
+	if x.whole {
+		x.settle()
+	}
+	if ok && outcome == Ran {
+		return result{outcome: Ran, x: x, end: func(bool) {}}
+	}
+	res := result{outcome: outcome, reason: peerReason(x.header.Peek(HeaderReason))}
+	res.miss = outcome == NotRun && (res.reason == router.Full || res.reason == router.NoUpstream)
+	res.again = outcome == NotRun && res.reason != router.TooLate || outcome == Unknown && !c.req.Service.Once
+	x.abort()
+	x.release()
+	return res
+}
+
+// peerReason reads a reason without keeping the codec's memory.
+func peerReason(v []byte) router.Reason {
+	switch string(v) {
+	case string(router.Full):
+		return router.Full
+	case string(router.NoUpstream):
+		return router.NoUpstream
+	case string(router.TooLate):
+		return router.TooLate
+	case string(Refused):
+		return Refused
+	case string(Unreachable):
+		return Unreachable
+	case string(Conns):
+		return Conns
+	case string(Silent):
+		return Silent
+	case string(Repeated):
+		return Repeated
+	case string(Fenced):
+		return Fenced
+	case string(Busy):
+		return Busy
+	}
+	return Broken
+}
+
+// credit notes the free slots that an instance reports.
+func (c *call) credit(peer *router.Peer, x *exchange, now int64) {
+	credit := peer.Credits[c.req.Service.Name]
+	if credit == nil {
+		return
+	}
+	if n, err := ParseNumber(x.header.Peek(HeaderFree), 1<<31); err == nil {
+		credit.Set(int(n), now)
+	}
+}
+
+// exchange sends the request in x.wire and reads the answer. After an error the
+// connection is closed.
+func (f *Forwarder) exchange(c *call, p *pool, path *limiter.Path, x *exchange) (err error) {
+	once := c.req.Service.Once
+	x.pool, x.deadline = p, c.req.Deadline
+	for range 2 {
+		if x.conn, err = p.get(once, x.deadline); err != nil {
+			if !errors.Is(err, errConns) && !errors.Is(err, errExpired) {
+				path.Suspect(f.now())
+			}
+			return err
+		}
+		x.fresh = !x.conn.used
+		err = x.send(c.reader(), c.size)
+		// A used connection that takes no byte has been closed by the other
+		// end, so that a fresh one may do.
+		if err == nil || x.sent || x.fresh || c.spent {
+			break
+		}
+		x.abort()
+	}
+	if err == nil {
+		err = x.await(func(x *exchange) bool { return f.abandon(c) })
+	}
+	if err == nil {
+		x.first = f.now()
+		path.Proven(x.first)
+		p.typical.add(x.first - x.start)
+		err = x.receive(c.req.ID, c.head)
+	}
+	if err != nil {
+		if x.fresh && errors.Is(err, errSilent) {
+			path.Suspect(f.now())
+		}
+		x.abort()
+	}
+	return err
+}
+
+// failed judges an exchange that ended without an answer.
+func (f *Forwarder) failed(c *call, x *exchange, err error) result {
+	res := result{outcome: Unknown, reason: Broken, again: !c.req.Service.Once}
+	switch {
+	case errors.Is(err, errCut):
+		res.reason = Cut
+		res.again = false
+	case errors.Is(err, errSilent):
+		res.reason = Silent
+	case errors.Is(err, errLate), isTimeout(err):
+		res.reason = router.TooLate
+		res.again = false
+	}
+	if x.sent {
+		return res
+	}
+	res = result{outcome: NotRun, reason: Unreachable, again: true}
+	switch {
+	case errors.Is(err, errConns):
+		res.reason = Conns
+	case errors.Is(err, errExpired):
+		res.reason = router.TooLate
+		res.again = false
+	}
+	return res
+}
+
+// count adds a failed try to the upstream's sample. Limits of this instance say
+// nothing about the upstream.
+func (f *Forwarder) count(p *pool, err error, res result) {
+	switch {
+	case errors.Is(err, errConns), errors.Is(err, errExpired), res.reason == Cut:
+	case refusedDial(err):
+		p.stats.refused.Add(1)
+	default:
+		p.stats.failed.Add(1)
+	}
+}
--- /dev/null
+++ b/hornbeamd/server/handle.go
@@ -0,0 +1,138 @@
+package server
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"hornbeamstream.example/hornbeamd/forwarder"
+)
+
+const (
+	servicePrefix = "/s/"
+	lookupPath    = "/v1/lookup"
+	healthPath    = "/health"
+	// lookupTime is how long callers may keep the answer to a look-up.
+	lookupTime = 5 * time.Second
+)
+
+// reply is a bad request's status and sentence.
+type reply struct {
+	status   int
+	sentence string
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if s.closing.Load() {
+		defer ctx.Response.SetConnectionClose()
+	}
+	uri := ctx.Request.Header.RequestURI()
+	if bytes.HasPrefix(uri, []byte(servicePrefix)) {
+		s.request(ctx, uri[len(servicePrefix):])
+		return
+	}
+	path := uri
+	if i := bytes.IndexByte(uri, '?'); i >= 0 {
+		path = uri[:i]
+	}
+	switch string(path) {
+	case healthPath:
+		s.health(ctx)
+	case lookupPath:
+		s.lookup(ctx)
+	default:
+		forwarder.Reject(ctx, fasthttp.StatusNotFound, "There is nothing at this path.")
+	}
+}
+
+func (s *Server) health(ctx *fasthttp.RequestCtx) {
+	state := "ready"
+	if s.leaving.Load() {
+		state = "leaving"
+		ctx.Response.Header.Set(forwarder.HeaderState, state)
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBodyString(`{"state":"` + state + "\"}\n")
+}
+
+var lists = sync.Pool{New: func() any { return new([]string) }}
+
+// lookup tells a caller which instances to use.
+func (s *Server) lookup(ctx *fasthttp.RequestCtx) {
+	addr := source(ctx)
+	if v := ctx.QueryArgs().Peek("block"); len(v) > 0 {
+		var err error
+		if addr, err = netip.ParseAddr(string(v)); err != nil {
+			forwarder.Reject(ctx, fasthttp.StatusBadRequest, "The block is not an IP address.")
+			return
+		}
+	}
+	list := lists.Get().(*[]string)
+	defer lists.Put(list)
+	*list = s.cfg.Resolver.Append((*list)[:0], addr.Unmap())
+	ctx.SetContentType("application/json")
+	b := append(ctx.Response.Body()[:0], `{"entries":[`...)
+	for i, entry := range *list {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = append(append(append(b, '"'), entry...), '"')
+	}
+	b = append(b, `],"until":`...)
+	b = strconv.AppendInt(b, (s.cfg.Now()+int64(lookupTime))/1e6, 10)
+	ctx.Response.SetBodyRaw(append(b, "}\n"...))
+}
+
+// source is the address that a connection comes from.
+func source(ctx *fasthttp.RequestCtx) netip.Addr {
+	if a, ok := ctx.RemoteAddr().(*net.TCPAddr); ok {
+		return a.AddrPort().Addr().Unmap()
+	}
+	return netip.Addr{}
+}
+
+// inbound is a request with room for an id.
+type inbound struct {
+	forwarder.Request
+	id [32]byte
+}
+
+var requests = sync.Pool{New: func() any { return new(inbound) }}
+
+// request checks a request for a service and has it forwarded.
+func (s *Server) request(ctx *fasthttp.RequestCtx, rest []byte) {
+	in := requests.Get().(*inbound)
+	defer requests.Put(in)
+	r := &in.Request
+	*r = forwarder.Request{Table: s.cfg.Tables.Table(), Arrived: s.cfg.Now(), Hop: s.cfg.Hops}
+	if bad := s.parse(ctx, rest, in); bad.status != 0 {
+		forwarder.Reject(ctx, bad.status, bad.sentence)
+		return
+	}
+	if s.cfg.Now() >= r.Deadline {
+		forwarder.Refuse(ctx, forwarder.NotRun, "toolate", s.cfg.Now())
+		ctx.Response.Header.SetBytesV(forwarder.HeaderID, r.ID)
+		return
+	}
+	s.cfg.Handler.Forward(ctx, r)
+}
+
+// badRequest answers what the codec could not read.
+func badRequest(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	var netErr net.Error
+	switch {
+	case errors.As(err, &small):
+		forwarder.Reject(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "The header is larger than 8 KB.")
+	case errors.As(err, &netErr) && netErr.Timeout():
+		forwarder.Reject(ctx, fasthttp.StatusRequestTimeout, "The request did not arrive in time.")
+	default:
+		forwarder.Reject(ctx, fasthttp.StatusBadRequest, "The request is malformed.")
+	}
+}
--- /dev/null
+++ b/hornbeamd/server/parse.go
@@ -0,0 +1,169 @@
+package server
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/hex"
+	"math/rand/v2"
+	"net/netip"
+
+	"github.com/valyala/fasthttp"
+
+	"hornbeamstream.example/hornbeamd/forwarder"
+)
+
+// maxAttempt bounds the number that a caller may give to a repeat.
+const maxAttempt = 1 << 20
+
+// fields are the values of a request's Horn headers.
+type fields struct {
+	id, deadline, attempt, priority, sent, block, hop []byte
+}
+
+// collect reads the headers in one pass. A header that is given twice has no
+// certain meaning.
+func collect(h *fasthttp.RequestHeader) (f fields, ok bool) {
+	ok = true
+	for k, v := range h.All() {
+		if !bytes.HasPrefix(k, []byte("Horn-")) {
+			continue
+		}
+		var p *[]byte
+		switch string(k) {
+		case forwarder.HeaderID:
+			p = &f.id
+		case forwarder.HeaderDeadline:
+			p = &f.deadline
+		case forwarder.HeaderAttempt:
+			p = &f.attempt
+		case forwarder.HeaderPriority:
+			p = &f.priority
+		case forwarder.HeaderSent:
+			p = &f.sent
+		case forwarder.HeaderBlock:
+			p = &f.block
+		case forwarder.HeaderHop:
+			p = &f.hop
+		default:
+			continue
+		}
+		if *p != nil {
+			ok = false
+		}
+		*p = v
+	}
+	return f, ok
+}
+
+// parse fills in from a request whose path follows "/s/".
+func (s *Server) parse(ctx *fasthttp.RequestCtx, rest []byte, in *inbound) reply {
+	r := &in.Request
+	name := rest
+	if i := bytes.IndexAny(rest, "/?"); i >= 0 {
+		name = rest[:i]
+	}
+	if r.Table != nil {
+		r.Service = r.Table.Services[string(name)]
+	}
+	if r.Service == nil {
+		return reply{fasthttp.StatusNotFound, "The service is unknown."}
+	}
+	f, ok := collect(&ctx.Request.Header)
+	if !ok {
+		return reply{fasthttp.StatusBadRequest, "A Horn header is given more than once."}
+	}
+	sentence := check(&f, r)
+	if sentence == "" {
+		sentence = s.locate(ctx, &f, r)
+	}
+	if sentence != "" {
+		return reply{fasthttp.StatusBadRequest, sentence}
+	}
+	if r.ID == nil {
+		r.ID = in.newID()
+	}
+	return reply{}
+}
+
+// check fills r from the headers. It returns what is wrong with them.
+func check(f *fields, r *forwarder.Request) string {
+	if f.id != nil {
+		if forwarder.CheckID(f.id) != nil {
+			return "Horn-Id is not 1 to 64 visible ASCII characters."
+		}
+		r.ID, r.Given = f.id, true
+	}
+	if !checkTimes(f, r) {
+		return "Horn-Deadline or Horn-Sent is not a time in Unix ms."
+	}
+	r.Attempt = 1
+	if f.attempt != nil {
+		n, err := forwarder.ParseNumber(f.attempt, maxAttempt)
+		if err != nil || n == 0 {
+			return "Horn-Attempt is not a number from 1."
+		}
+		r.Attempt = int(n)
+	}
+	r.Priority = r.Service.Priority
+	if f.priority != nil {
+		n, err := forwarder.ParseNumber(f.priority, 9)
+		if err != nil {
+			return "Horn-Priority is not a number from 0 to 9."
+		}
+		r.Priority = max(r.Priority, int(n))
+	}
+	return ""
+}
+
+// checkTimes bounds the deadline by the service's limit. A caller that gives no
+// time of its first send is taken to have set the deadline by the limit.
+func checkTimes(f *fields, r *forwarder.Request) bool {
+	r.Deadline = r.Arrived + r.Service.Limit
+	if f.deadline != nil {
+		t, err := forwarder.ParseMillis(f.deadline)
+		if err != nil {
+			return false
+		}
+		r.Deadline = min(r.Deadline, t)
+		r.Sent = max(t-r.Service.Limit, 0)
+	}
+	if f.sent != nil {
+		t, err := forwarder.ParseMillis(f.sent)
+		if err != nil {
+			return false
+		}
+		r.Sent = t
+	}
+	return true
+}
+
+// locate finds the caller's block and region. Only another instance may name
+// the block.
+func (s *Server) locate(ctx *fasthttp.RequestCtx, f *fields, r *forwarder.Request) string {
+	r.Block = source(ctx)
+	if r.Hop {
+		if _, err := forwarder.ParseNumber(f.hop, 1<<63-1); err != nil {
+			return "Horn-Hop is not a version."
+		}
+		if f.block != nil {
+			block, err := netip.ParseAddr(string(f.block))
+			if err != nil {
+				return "Horn-Block is not an IP address."
+			}
+			r.Block = block
+		}
+	}
+	if s.cfg.Resolver != nil {
+		r.Region = s.cfg.Resolver.Region(r.Block)
+	}
+	return ""
+}
+
+// newID makes an id for a request that has none.
+func (in *inbound) newID() []byte {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], rand.Uint64())
+	binary.LittleEndian.PutUint64(b[8:], rand.Uint64())
+	hex.Encode(in.id[:], b[:])
+	return in.id[:]
+}
