forwarder: tests of faults, repeats, outage and large bodies

Cause: the traffic path had only a test of the plain path. Change: stand-ins that inject one fault each; a full shard of the record is searched for expired ids at most once a second, because a search at every insertion took minutes on a full record; a slot is free at once when the upstream itself has closed the connection.

--- a/hornbeamd/forwarder/exchange.go
+++ b/hornbeamd/forwarder/exchange.go
@@ -23,9 +23,14 @@
 	maxSuspicion   = 2 * time.Second
 	firstSuspicion = time.Second
 	suspicionShare = 5
-	// finalShare is the multiple of the suspicion time after which the exchange
-	// of a request that cannot be repeated is given up.
+	// finalShare is the multiple of the suspicion time after which an exchange
+	// is given up that cannot be repeated elsewhere, but not before minFinal:
+	// a pause of an upstream should not make outcomes unknown.
 	finalShare = 4
+	minFinal   = time.Second
+	// maxFinal is longer than any request may run. The deadline ends exchanges
+	// with upstreams whose usual time is not known.
+	maxFinal = time.Hour
 )
 
 var (
@@ -125,29 +130,18 @@
 	return nil
 }
 
-// await waits for the first byte of the answer. When none has come within the
-// suspicion time, it drops the connections that may be silent too and asks
-// abandon whether to give up.
-func (x *exchange) await(abandon func(*exchange) bool) error {
-	p := x.pool
-	wait := p.suspicion()
+// await waits for the first byte of the answer for some time or until the
+// deadline. On silence it drops the idle connections that may be silent too.
+func (x *exchange) await(wait time.Duration) error {
 	err := x.peek(x.start + int64(wait))
 	if !isTimeout(err) {
 		return err
 	}
-	if p.now() < x.deadline {
-		p.dropIdle(x.start)
-		if abandon(x) {
-			return errSilent
-		}
-		if err = x.peek(x.start + finalShare*int64(max(wait, minSuspicion))); !isTimeout(err) {
-			return err
-		}
-	}
-	if p.now() < x.deadline {
-		return errSilent
+	if x.pool.now() >= x.deadline {
+		return errLate
 	}
-	return errLate
+	x.pool.dropIdle(x.start)
+	return errSilent
 }
 
 // peek waits for a byte until the given time or the deadline.
@@ -167,7 +161,15 @@
 	if usual == 0 {
 		return firstSuspicion
 	}
-	return min(max(suspicionShare*usual, minSuspicion), maxSuspicion)
+	return min(max(suspicionShare*usual, minSuspicion), max(maxSuspicion, 2*usual))
+}
+
+// final is the time after which silence ends an exchange.
+func (p *pool) final() time.Duration {
+	if p.typical.value.Load() == 0 {
+		return maxFinal
+	}
+	return max(finalShare*p.suspicion(), minFinal)
 }
 
 // receive reads the answer's head, and its body when that is small.
--- /dev/null
+++ b/hornbeamd/forwarder/export_test.go
@@ -0,0 +1,18 @@
+package forwarder
+
+// Idle returns the number of idle connections.
+func (f *Forwarder) Idle() int {
+	n := 0
+	for _, p := range *f.pools.Load() {
+		p.mu.Lock()
+		n += len(p.idle)
+		p.mu.Unlock()
+	}
+	return n
+}
+
+// Waiting returns the number of requests that wait for a slot.
+func (f *Forwarder) Waiting(service string) int { return int(f.queue(service).waiting.Load()) }
+
+// Wake tells a waiting request that a slot is free.
+func (f *Forwarder) Wake(service string) { f.queue(service).wake() }
--- a/hornbeamd/forwarder/kit_test.go
+++ b/hornbeamd/forwarder/kit_test.go
@@ -244,6 +244,9 @@
 	if err != nil {
 		return answer{err: err}
 	}
+	if s, ok := body.(*sized); ok {
+		r.ContentLength = s.size
+	}
 	for i := 0; i+1 < len(headers); i += 2 {
 		r.Header.Set(headers[i], headers[i+1])
 	}
--- /dev/null
+++ b/hornbeamd/forwarder/load_test.go
@@ -0,0 +1,251 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// zeros gives n bytes.
+func zeros(n int64) io.Reader { return io.LimitReader(zero{}, n) }
+
+type zero struct{}
+
+func (zero) Read(p []byte) (int, error) { return len(p), nil }
+
+// Guards against holding large bodies in memory, on one instance and over a hop.
+func TestLargeBodies(t *testing.T) {
+	const size = 48 << 20
+	u := newUpstream(t, func(c net.Conn, a arrival) bool {
+		if a.method == "POST" {
+			return reply(c, a.id, "ok")
+		}
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nHorn-Id: %s\r\nContent-Length: %d\r\n\r\n", a.id, size)
+		_, err := io.Copy(c, zeros(size))
+		return err == nil
+	})
+	b := newNode(t, "b", service("statement", false, u))
+	s := service("statement", false)
+	s.Peers = append(s.Peers, b.peer("statement"))
+	a := newNode(t, "a", s)
+	is := is.New(t)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	got := send(a.front, "POST", "/s/statement/", &sized{zeros(size), size}, "Horn-Id", "up")
+	is.Equal(got.outcome, "ran")
+	is.Equal(u.arrivals()[0].body, int64(size))
+	resp, err := client.Get("http://" + a.front + "/s/statement/")
+	is.NoErr(err)
+	n, err := io.Copy(io.Discard, resp.Body)
+	is.NoErr(err)
+	is.Equal(n, int64(size))
+	runtime.ReadMemStats(&after)
+	is.True(after.TotalAlloc-before.TotalAlloc < size/4) // all allocations together are far less than one body
+}
+
+// sized is a body of known length.
+type sized struct {
+	io.Reader
+	size int64
+}
+
+// Guards against slots that stay taken, and work that goes on, after a caller
+// has gone away in the middle of a large answer.
+func TestCancelDownload(t *testing.T) {
+	gone := make(chan error, 1)
+	u := newUpstream(t, func(c net.Conn, a arrival) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nHorn-Id: %s\r\nContent-Length: %d\r\n\r\n", a.id, 1<<40)
+		_, err := io.Copy(c, zeros(1<<40))
+		gone <- err
+		return false
+	})
+	n := newNode(t, "a", service("statement", false, u))
+	is := is.New(t)
+	resp, err := client.Get("http://" + n.front + "/s/statement/")
+	is.NoErr(err)
+	_, err = io.CopyN(io.Discard, resp.Body, 1<<20)
+	is.NoErr(err)
+	is.Equal(n.Table().Services["statement"].Targets[0].Gate.Busy(), 1)
+	_ = resp.Body.Close()
+	is.True(<-gone != nil) // the upstream's connection was closed
+	until(t, "slot given back", func() bool { return n.Table().Services["statement"].Targets[0].Gate.Busy() == 0 })
+}
+
+// Guards against lost requests and repeats when established connections go
+// silent while new ones work.
+func TestSilent(t *testing.T) {
+	for _, once := range []bool{true, false} {
+		t.Run(strconv.FormatBool(once), func(t *testing.T) {
+			is := is.New(t)
+			u := newUpstream(t, nil)
+			n := newNode(t, "a", earn(service("posting", once, u), 10))
+			var wg sync.WaitGroup
+			for i := range 8 {
+				wg.Go(func() { call(n.front, "POST", "/s/posting/", "", "Horn-Id", fmt.Sprint("warm", i)) })
+			}
+			wg.Wait()
+			u.deaf.Store(int64(u.open()))
+			start := time.Now()
+			seen := u.open()
+			until(t, "a fresh connection is used", func() bool {
+				got := call(n.front, "POST", "/s/posting/", "", "Horn-Id", fmt.Sprint("try", time.Now().UnixNano()))
+				return got.outcome == "ran"
+			})
+			is.True(u.open() > seen)
+			is.True(time.Since(start) < 4*time.Second)
+			for i := range 20 {
+				is.Equal(call(n.front, "POST", "/s/posting/", "", "Horn-Id", fmt.Sprint("after", i)).outcome, "ran")
+			}
+			ids := map[string]int{}
+			for _, a := range u.arrivals() {
+				ids[a.id]++
+				is.Equal(ids[a.id], 1)
+			}
+		})
+	}
+}
+
+// Guards against silent connections that are found only by requests: without
+// any request, probes find them within one interval.
+func TestProbe(t *testing.T) {
+	is := is.New(t)
+	u := newUpstream(t, nil)
+	n := newNode(t, "a", service("posting", true, u))
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() { call(n.front, "POST", "/s/posting/", "", "Horn-Id", fmt.Sprint("warm", i)) })
+	}
+	wg.Wait()
+	until(t, "an idle connection is probed", func() bool { return u.probes.Load() > 0 })
+	u.deaf.Store(int64(u.open()))
+	opened := u.open()
+	start := time.Now()
+	until(t, "silent connections are closed", func() bool { return n.fwd.Idle() == 0 })
+	is.True(time.Since(start) < 3*time.Second)
+	is.Equal(call(n.front, "POST", "/s/posting/", "", "Horn-Id", "next").outcome, "ran")
+	is.Equal(u.open(), opened+1)
+}
+
+// Guards against retries that multiply load in a full outage.
+func TestOutage(t *testing.T) {
+	const requests = 300
+	tests := []struct {
+		name   string
+		answer func(c net.Conn, a arrival) bool
+	}{
+		{"refusing", func(c net.Conn, a arrival) bool { return refuse(c, a.id) }},
+		{"closing", func(net.Conn, arrival) bool { return false }},
+	}
+	for _, tt := range tests {
+		for _, once := range []bool{true, false} {
+			t.Run(fmt.Sprint(tt.name, once), func(t *testing.T) {
+				is := is.New(t)
+				ups := []*upstream{newUpstream(t, tt.answer), newUpstream(t, tt.answer), newUpstream(t, tt.answer)}
+				b := newNode(t, "b", earn(service("posting", once, ups...), 2))
+				s := earn(service("posting", once), 2)
+				s.Peers = append(s.Peers, b.peer("posting"))
+				for range requests {
+					s.Peers[0].Credits["posting"].Set(100, 1)
+				}
+				a := newNode(t, "a", s)
+				for i := range requests {
+					got := call([]string{a.front, b.front}[i%2], "POST", "/s/posting/", "", "Horn-Id", fmt.Sprint(i))
+					is.True(got.outcome != "ran")
+				}
+				tries := 0
+				for _, u := range ups {
+					tries += len(u.arrivals())
+				}
+				is.True(tries <= requests*11/10)
+				is.True(tries >= requests)
+			})
+		}
+	}
+}
+
+// Guards against more connections than an upstream allows, and against
+// requests that wait long for a slot.
+func TestFull(t *testing.T) {
+	is := is.New(t)
+	hold := make(chan struct{})
+	u := newUpstream(t, func(c net.Conn, a arrival) bool {
+		<-hold
+		return reply(c, a.id, "ok")
+	})
+	s := service("posting", true, u)
+	s.Targets[0].Conns = 3
+	n := newNode(t, "a", s)
+	var wg sync.WaitGroup
+	outcomes := make(chan answer, 12)
+	for i := range 12 {
+		wg.Go(func() { outcomes <- call(n.front, "POST", "/s/posting/", "", "Horn-Id", fmt.Sprint(i)) })
+	}
+	for range 9 {
+		got := <-outcomes
+		is.Equal(got.outcome, "notrun")
+		is.Equal(got.status, 503)
+		is.Equal(got.header.Get("Retry-After"), "1")
+		at, err := strconv.ParseInt(got.header.Get("Horn-Retry"), 10, 64)
+		is.NoErr(err)
+		is.True(at > time.Now().Add(-time.Minute).UnixMilli())
+	}
+	close(hold)
+	wg.Wait()
+	is.Equal(u.open(), 3)
+	is.Equal(len(u.arrivals()), 3)
+}
+
+// Guards against a queue that lets nobody through: a request that finds no slot
+// runs when one becomes free in time.
+func TestQueue(t *testing.T) {
+	is := is.New(t)
+	u := newUpstream(t, nil)
+	s := service("posting", true, u)
+	s.Targets[0].Gate.Set(1, far)
+	n := newNode(t, "a", s)
+	ran := 0
+	for range 50 {
+		is.True(s.Targets[0].Gate.Acquire(1))
+		got := make(chan answer, 1)
+		go func() { got <- call(n.front, "POST", "/s/posting/", "") }()
+		until(t, "request waits", func() bool { return n.fwd.Waiting("posting") == 1 || len(got) > 0 })
+		s.Targets[0].Gate.Release()
+		n.fwd.Wake("posting")
+		if (<-got).outcome == "ran" {
+			ran++
+		}
+	}
+	is.True(ran > 0)
+}
+
+// Guards against a caller's body that ends early being taken for a whole one.
+func TestCutUpload(t *testing.T) {
+	for _, size := range []int{100, 1 << 20} {
+		is := is.New(t)
+		u := newUpstream(t, nil)
+		n := newNode(t, "a", service("posting", true, u))
+		c, err := net.Dial("tcp", n.front)
+		is.NoErr(err)
+		_, _ = fmt.Fprintf(c, "POST /s/posting/ HTTP/1.1\r\nHost: x\r\nHorn-Id: one\r\nContent-Length: %d\r\n\r\n", size)
+		_, _ = io.Copy(c, zeros(int64(size-1)))
+		_ = c.(*net.TCPConn).CloseWrite()
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err == nil {
+			is.True(resp.Header.Get("Horn-Outcome") != "ran")
+			_ = resp.Body.Close()
+		}
+		_ = c.Close()
+		for _, a := range u.arrivals() {
+			is.True(a.body < int64(size))
+		}
+	}
+}
--- a/hornbeamd/forwarder/record.go
+++ b/hornbeamd/forwarder/record.go
@@ -19,6 +19,8 @@
 	// are refused, because a dropped id could run twice.
 	shards    = 64
 	shardSize = 8 << 10
+	// sweepTime is the least time between two searches for expired ids.
+	sweepTime = time.Second
 	// shardKept bounds the bytes of kept answers in a shard.
 	shardKept = 1 << 20
 )
@@ -91,7 +93,7 @@
 
 // add inserts an entry unless the shard is full. The shard is locked.
 func (s *shard) add(k entryKey, st state, now, until int64) *entry {
-	if len(s.entries) >= shardSize {
+	if len(s.entries) >= shardSize && now-s.swept > int64(sweepTime) {
 		s.sweep(now)
 	}
 	if len(s.entries) >= shardSize {
--- a/hornbeamd/forwarder/try.go
+++ b/hornbeamd/forwarder/try.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"io"
+	"syscall"
 	"time"
 
 	"hornbeamstream.example/core/limiter"
@@ -19,7 +21,7 @@
 	if err != nil {
 		res := f.failed(c, x, err)
 		f.count(p, err, res)
-		f.freeLater(service, t, x.sent)
+		f.freeLater(service, t, x.sent && !ended(err))
 		x.release()
 		return res
 	}
@@ -53,6 +55,13 @@
 	return res
 }
 
+// ended tells whether the other end has closed the connection, so that it is
+// done with the request.
+func ended(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // freeLater gives a slot back, after a cancellation not before the upstream
 // can have learned of it.
 func (f *Forwarder) freeLater(service string, t *router.Target, cancelled bool) {
@@ -153,7 +162,10 @@
 		x.abort()
 	}
 	if err == nil {
-		err = x.await(func(x *exchange) bool { return f.abandon(c) })
+		err = x.await(p.suspicion())
+		if err == errSilent && !f.abandon(c) {
+			err = x.await(p.final())
+		}
 	}
 	if err == nil {
 		x.first = f.now()
