forwarder: hedges, off by default; connections to instances by service

Cause: a slow upstream delays requests that another could answer; a rush of one service must not use up or slow down the connections of others. Change: a second try after the service's 95th percentile when a place is free and the budget pays, the loser is cancelled; one pool for each service and instance; unknown outcomes carry the time at which to retry.

--- a/hornbeamd/forwarder/answer.go
+++ b/hornbeamd/forwarder/answer.go
@@ -116,23 +116,24 @@
 }
 
 // Refuse answers that a request did not run, with the time at which to retry,
-// or that it may have run.
+// or that it may have run. A repeat of the latter gets the outcome once it is
+// known.
 func Refuse(ctx *fasthttp.RequestCtx, o Outcome, reason router.Reason, now int64) {
 	out := &ctx.Response
 	out.Reset()
 	out.Header.SetContentType("text/plain; charset=utf-8")
 	out.Header.Set(HeaderOutcome, o.String())
 	out.Header.Set(HeaderReason, string(reason))
-	if o != NotRun {
-		out.SetStatusCode(fasthttp.StatusGatewayTimeout)
-		out.SetBodyString("The request may have run.\n")
-		return
-	}
 	at := now + int64(retryTime) + rand.Int64N(int64(retrySpread))
-	out.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	out.Header.Set(fasthttp.HeaderRetryAfter, "1")
 	out.Header.Set(HeaderRetry, strconv.FormatInt(at/millisec, 10))
-	out.SetBodyString("The request did not run.\n")
+	if o == NotRun {
+		out.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		out.SetBodyString("The request did not run.\n")
+		return
+	}
+	out.SetStatusCode(fasthttp.StatusGatewayTimeout)
+	out.SetBodyString("The request may have run.\n")
 }
 
 // refuseBody answers a request whose body cannot be used. Nothing was sent.
--- a/hornbeamd/forwarder/forward.go
+++ b/hornbeamd/forwarder/forward.go
@@ -46,6 +46,9 @@
 	// next is the place of a retry that is already paid for.
 	next   router.Choice
 	waited bool
+	// hedge is set for a second try, won is what it has brought to the first.
+	hedge *hedge
+	won   result
 	// doubt tells that an earlier try may have run.
 	doubt   bool
 	hasNext bool
--- a/hornbeamd/forwarder/forwarder.go
+++ b/hornbeamd/forwarder/forwarder.go
@@ -99,9 +99,8 @@
 	return list
 }
 
-// pool returns the connections to an address. The name is empty for instances.
-func (f *Forwarder) pool(name, address string, conns int) *pool {
-	key := poolKey{name: name, address: address}
+// pool returns the connections to an address.
+func (f *Forwarder) pool(key poolKey, conns int) *pool {
 	p := (*f.pools.Load())[key]
 	if p == nil {
 		p = f.addPool(key)
--- /dev/null
+++ b/hornbeamd/forwarder/hedge.go
@@ -0,0 +1,149 @@
+package forwarder
+
+import (
+	"bytes"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hornbeamstream.example/core/router"
+)
+
+// hedgeLeast is the least wait before a hedge, below which timers are too coarse
+// to tell slow requests from others.
+const hedgeLeast = 2 * time.Millisecond
+
+var errHedged = errors.New("the second try answered first")
+
+const (
+	racing int32 = iota
+	// hedgeWon and hedgeLost are final.
+	hedgeWon
+	hedgeLost
+)
+
+// hedge is a second try that runs while the first one goes on. It works on
+// copies, because the first try's memory may be given back before it ends.
+type hedge struct {
+	f      *Forwarder
+	call   *call
+	choice router.Choice
+	state  atomic.Int32
+	done   chan result
+
+	mu sync.Mutex
+	// live is the connection that the second try uses now.
+	live      *conn
+	cancelled bool
+}
+
+// awaitHedge waits for the answer to begin, and sends a second try if that
+// takes longer than nearly all answers of the service. It returns errSilent when
+// no second try is possible.
+func (f *Forwarder) awaitHedge(c *call, x *exchange) error {
+	r := c.req
+	usual := f.queue(r.Service.Name).usual.value.Load()
+	if !f.hedge || usual == 0 || r.Service.Once || r.Hop || c.stream != nil || c.tries > 1 {
+		return errSilent
+	}
+	err := x.peek(x.start + max(usual, int64(hedgeLeast)))
+	if !isTimeout(err) || x.pool.now() >= x.deadline {
+		return err
+	}
+	choice, reason := r.Table.Choose(&c.q, f.now(), &c.tried)
+	if reason != router.Placed {
+		return errSilent
+	}
+	if !f.payRetry(c) {
+		f.free(r.Service.Name, choice.Target)
+		return errSilent
+	}
+	c.tries++
+	c.tried.Add(choice)
+	return f.newHedge(c, choice).race(c, x)
+}
+
+func (f *Forwarder) newHedge(c *call, choice router.Choice) *hedge {
+	h := &hedge{f: f, choice: choice, done: make(chan result, 1)}
+	req := *c.req
+	req.ID = bytes.Clone(req.ID)
+	h.call = &call{req: &req, q: c.q, head: c.head, base: bytes.Clone(c.base), body: bytes.Clone(c.body), size: c.size, hedge: h, tries: maxTries}
+	return h
+}
+
+// race waits for the first of both tries. It returns nil when x has an answer
+// and errHedged when the second try has, which is then in c.won.
+func (h *hedge) race(c *call, x *exchange) error {
+	until := min(x.start+int64(x.pool.final()), x.deadline)
+	if err := x.conn.SetReadDeadline(time.Unix(0, until)); err != nil {
+		return err
+	}
+	go h.run(x.conn)
+	_, err := x.conn.br.Peek(1)
+	if err == nil && h.state.CompareAndSwap(racing, hedgeLost) {
+		h.cancel()
+		return nil
+	}
+	res := <-h.done
+	if res.outcome == Ran {
+		c.won = res
+		return errHedged
+	}
+	if isTimeout(err) {
+		return errLate
+	}
+	return err
+}
+
+// run sends the second try. If it wins, it wakes the first one, whose connection
+// is not given back before that has seen the result.
+func (h *hedge) run(first *conn) {
+	res := h.f.try(h.call, h.choice)
+	if res.outcome != Ran {
+		h.done <- res
+		return
+	}
+	if h.state.CompareAndSwap(racing, hedgeWon) {
+		_ = first.SetReadDeadline(time.Unix(1, 0))
+		h.done <- res
+		return
+	}
+	if !res.x.whole {
+		res.x.abort()
+		res.end(false)
+	}
+	res.x.release()
+}
+
+// attach notes the connection that a cancellation closes.
+func (h *hedge) attach(c *conn) {
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.live = c
+	if h.cancelled {
+		_ = c.Close()
+	}
+}
+
+// detach protects a connection that others may use from now on.
+func (h *hedge) detach() {
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	h.live = nil
+	h.mu.Unlock()
+}
+
+func (h *hedge) cancel() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cancelled = true
+	if h.live != nil {
+		_ = h.live.Close()
+	}
+}
--- a/hornbeamd/forwarder/kit_test.go
+++ b/hornbeamd/forwarder/kit_test.go
@@ -194,7 +194,7 @@
 	return list
 }
 
-func newNode(t *testing.T, name string, services ...*router.Service) *node {
+func newNode(t testing.TB, name string, services ...*router.Service) *node {
 	t.Helper()
 	n := &node{name: name}
 	n.set(services...)
@@ -205,7 +205,7 @@
 	return n
 }
 
-func (n *node) serve(t *testing.T, hops bool) string {
+func (n *node) serve(t testing.TB, hops bool) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	s := server.New(server.Config{Tables: n, Handler: n.fwd, Resolver: n, Hops: hops})
--- a/hornbeamd/forwarder/load_test.go
+++ b/hornbeamd/forwarder/load_test.go
@@ -9,10 +9,13 @@
 	"runtime"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"hornbeamstream.example/hornbeamd/forwarder"
 )
 
 // zeros gives n bytes.
@@ -216,7 +219,7 @@
 
 // Guards against a caller's body that ends early being taken for a whole one.
 func TestCutUpload(t *testing.T) {
-	for _, size := range []int{100, 1 << 20} {
+	for _, size := range []int{100, 30 << 10, 1 << 20} {
 		is := is.New(t)
 		u := newUpstream(t, nil)
 		n := newNode(t, "a", service("posting", true, u))
@@ -236,3 +239,85 @@
 		}
 	}
 }
+
+// Guards against hedges that are not cancelled, lose slots or repeat a
+// once-request.
+func TestHedge(t *testing.T) {
+	for _, once := range []bool{false, true} {
+		t.Run(strconv.FormatBool(once), func(t *testing.T) {
+			is := is.New(t)
+			var slow atomic.Bool
+			cut := make(chan struct{}, 100)
+			first := newUpstream(t, func(c net.Conn, a arrival) bool {
+				if slow.Load() {
+					_, _ = c.Read(make([]byte, 1)) // until the connection is closed
+					cut <- struct{}{}
+					return false
+				}
+				return reply(c, a.id, "first")
+			})
+			second := newUpstream(t, func(c net.Conn, a arrival) bool { return reply(c, a.id, "second") })
+			s := earn(service("posting", once, first, second), 5)
+			s.Limit = int64(500 * time.Millisecond)
+			n := &node{name: "a"}
+			n.set(s)
+			n.fwd = forwarder.New(forwarder.Config{Tables: n, Metrics: n, Hedge: true})
+			t.Cleanup(n.fwd.Close)
+			n.front = n.serve(t, false)
+			for i := range 20 {
+				is.Equal(call(n.front, "POST", "/s/posting/", "", "Horn-Id", fmt.Sprint(i)).body, "first")
+			}
+			before := len(second.arrivals())
+			slow.Store(true)
+			for i := range 3 {
+				got := call(n.front, "POST", "/s/posting/", "", "Horn-Id", fmt.Sprint("h", i))
+				if once {
+					is.Equal(got.outcome, "unknown")
+				} else {
+					is.Equal(got.body, "second")
+				}
+				<-cut // the slow try was cancelled
+			}
+			if once {
+				is.Equal(len(second.arrivals()), before)
+			}
+			until(t, "slots given back", func() bool { return s.Targets[0].Gate.Busy()+s.Targets[1].Gate.Busy() == 0 })
+		})
+	}
+}
+
+// Guards against forwarding any part of a body that is larger than the service
+// allows, whether or not its length is announced.
+func TestBodyLimit(t *testing.T) {
+	u := newUpstream(t, nil)
+	s := service("posting", true, u)
+	s.Body = 100 << 10
+	n := newNode(t, "a", s)
+	for i, tt := range []struct {
+		name   string
+		body   io.Reader
+		status int
+	}{
+		{"limit", &sized{zeros(100 << 10), 100 << 10}, 200},
+		{"above", &sized{zeros(100<<10 + 1), 100<<10 + 1}, 413},
+		{"chunked", zeros(1000), 200},
+		{"chunked, largest", zeros(64 << 10), 200},
+		{"chunked, above", zeros(64<<10 + 1), 413},
+		{"chunked, far above", zeros(10 << 20), 413},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			before := len(u.arrivals())
+			got := send(n.front, "POST", "/s/posting/", tt.body, "Horn-Id", strconv.Itoa(i))
+			if tt.status == 200 {
+				is.Equal(got.outcome, "ran")
+				return
+			}
+			is.Equal(len(u.arrivals()), before)
+			if got.status != 0 { // the answer may be lost when the body is still being sent
+				is.Equal(got.status, tt.status)
+				is.Equal(got.outcome, "notrun")
+			}
+		})
+	}
+}
--- a/hornbeamd/forwarder/pool.go
+++ b/hornbeamd/forwarder/pool.go
@@ -31,7 +31,10 @@
 	errExpired = errors.New("the deadline has passed")
 )
 
-type poolKey struct{ name, address string }
+// poolKey names connections. Those to an instance are kept apart by service, so
+// that a rush of one service leaves the others' connections and usual times
+// alone; for these upstream is empty.
+type poolKey struct{ upstream, service, address string }
 
 // pool holds the connections to one address.
 type pool struct {
@@ -182,7 +185,7 @@
 func (p *pool) sample() (observer.Sample, bool) {
 	s := &p.stats
 	out := observer.Sample{
-		Upstream: p.key.name,
+		Upstream: p.key.upstream,
 		OK:       int(s.ok.Swap(0)),
 		Shed:     int(s.shed.Swap(0)),
 		Refused:  int(s.refused.Swap(0)),
@@ -194,22 +197,23 @@
 		out.Latency = time.Duration(sum / int64(out.OK))
 	}
 	seen := out.OK+out.Shed+out.Refused+out.Failed > 0 || out.Leaving
-	return out, seen && p.key.name != ""
+	return out, seen && p.key.upstream != ""
 }
 
 func refusedDial(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
-// quantile follows the 99th percentile of recent values without keeping them:
-// it rises by 99 parts for a value above it and falls by one for each below.
+// quantile follows a high percentile of recent values without keeping them: it
+// rises by some parts for a value above it and falls by one for each below, 99
+// parts for the 99th percentile.
 type quantile struct{ value atomic.Int64 }
 
-func (q *quantile) add(v int64) {
+func (q *quantile) add(v, parts int64) {
 	old := q.value.Load()
 	switch {
 	case old == 0:
 		q.value.Store(2 * v)
 	case v > old:
-		q.value.Store(min(old+old*99/400+1, 2*v))
+		q.value.Store(min(old+old*parts/400+1, 2*v))
 	default:
 		q.value.Store(max(old-old/400, 1))
 	}
--- a/hornbeamd/forwarder/queue.go
+++ b/hornbeamd/forwarder/queue.go
@@ -22,6 +22,8 @@
 type queue struct {
 	waiting atomic.Int64
 	woken   chan struct{}
+	// usual is the 95th percentile of the service's time to the first byte.
+	usual quantile
 }
 
 func (f *Forwarder) queue(service string) *queue {
--- a/hornbeamd/forwarder/record_test.go
+++ b/hornbeamd/forwarder/record_test.go
@@ -139,4 +139,12 @@
 		a, _ := r.account(entryKey{"posting", "never"}, false, tt.sent, now)
 		is.Equal(a.Fate, tt.want)
 	}
+	young := newRecord(now - int64(time.Second))
+	for sent, want := range map[int64]hornpb.Fate{
+		now - int64(2*time.Second): hornpb.Fate_FATE_UNKNOWN,
+		now:                        hornpb.Fate_FATE_NEVER,
+	} {
+		a, _ := young.account(first, false, sent, now)
+		is.Equal(a.Fate, want)
+	}
 }
--- a/hornbeamd/forwarder/try.go
+++ b/hornbeamd/forwarder/try.go
@@ -14,13 +14,15 @@
 // is given back when the upstream is done with the request.
 func (f *Forwarder) tryTarget(c *call, choice router.Choice, e *entry) result {
 	t, service, key := choice.Target, c.req.Service.Name, c.key
-	p := f.pool(t.Upstream, t.Address, t.Conns)
+	p := f.pool(poolKey{t.Upstream, service, t.Address}, t.Conns)
 	x := acquireExchange()
 	x.wire = c.appendUpstream(x.wire[:0])
 	err := f.exchange(c, p, t.Path, x)
 	if err != nil {
 		res := f.failed(c, x, err)
-		f.count(p, err, res)
+		if err != errHedged {
+			f.count(p, err, res)
+		}
 		f.freeLater(service, t, x.sent && !ended(err))
 		x.release()
 		return res
@@ -81,7 +83,7 @@
 	peer := choice.Peer
 	x := acquireExchange()
 	x.wire = c.appendHop(x.wire[:0])
-	if err := f.exchange(c, f.pool("", peer.Data, 0), peer.Path, x); err != nil {
+	if err := f.exchange(c, f.pool(poolKey{"", c.req.Service.Name, peer.Data}, 0), peer.Path, x); err != nil {
 		res := f.failed(c, x, err)
 		x.release()
 		return res
@@ -143,6 +145,7 @@
 // exchange sends the request in x.wire and reads the answer. After an error the
 // connection is closed.
 func (f *Forwarder) exchange(c *call, p *pool, path *limiter.Path, x *exchange) (err error) {
+	defer c.hedge.detach()
 	once := c.req.Service.Once
 	x.pool, x.deadline = p, c.req.Deadline
 	for range 2 {
@@ -153,6 +156,7 @@
 			return err
 		}
 		x.fresh = !x.conn.used
+		c.hedge.attach(x.conn)
 		err = x.send(c.reader(), c.size)
 		// A used connection that takes no byte has been closed by the other
 		// end, so that a fresh one may do.
@@ -162,15 +166,13 @@
 		x.abort()
 	}
 	if err == nil {
-		err = x.await(p.suspicion())
-		if err == errSilent && !f.abandon(c) {
-			err = x.await(p.final())
-		}
+		err = f.await(c, x)
 	}
 	if err == nil {
 		x.first = f.now()
 		path.Proven(x.first)
-		p.typical.add(x.first - x.start)
+		p.typical.add(x.first-x.start, 99)
+		f.queue(c.req.Service.Name).usual.add(x.first-x.start, 19)
 		err = x.receive(c.req.ID, c.head)
 	}
 	if err != nil {
@@ -182,8 +184,25 @@
 	return err
 }
 
+// await waits for the answer to begin. A silent exchange is given up for a
+// better place, or otherwise after a longer time.
+func (f *Forwarder) await(c *call, x *exchange) error {
+	err := f.awaitHedge(c, x)
+	if err != errSilent {
+		return err
+	}
+	err = x.await(x.pool.suspicion())
+	if err == errSilent && !f.abandon(c) {
+		err = x.await(x.pool.final())
+	}
+	return err
+}
+
 // failed judges an exchange that ended without an answer.
 func (f *Forwarder) failed(c *call, x *exchange, err error) result {
+	if err == errHedged {
+		return c.won
+	}
 	res := result{outcome: Unknown, reason: Broken, again: !c.req.Service.Once}
 	switch {
 	case errors.Is(err, errCut):
