forwarder: callers that go away, link budget of bodies, region of entry

Cause: an upstream kept working for a caller that had closed its connection; a late copy, an untold repeat and a losing hedge had no test. Change: while an answer is awaited, the caller's connection is looked at every 50 ms, also over hops, except for once-services; request bodies to another region are charged to the link; hops name the region of the entry instance.

--- a/hornbeamd/forwarder/call.go
+++ b/hornbeamd/forwarder/call.go
@@ -6,6 +6,7 @@
 	"io"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -167,7 +168,26 @@
 // Read notes that the body cannot be sent again.
 func (s *spender) Read(p []byte) (int, error) {
 	s.spent = true
-	return s.stream.Read(p)
+	n, err := s.stream.Read(p)
+	(*call)(s).charge(n, time.Now().UnixNano())
+	return n, err
+}
+
+// charge counts bytes of a body that leaves the region, and waits as the link's
+// budget tells.
+func (c *call) charge(n int, now int64) {
+	if c.link == nil || n <= 0 {
+		return
+	}
+	if wait := c.link.Charge(now, n, c.req.Service.Bulk); wait > 0 {
+		time.Sleep(min(wait, time.Duration(max(c.req.Deadline-now, 0))))
+	}
+}
+
+// gone tells whether the caller has closed its connection. A once-request goes
+// on, so that a repeat can get its answer.
+func (c *call) gone() bool {
+	return c.ctx != nil && !c.req.Service.Once && closed(c.ctx.Conn())
 }
 
 // appendUpstream builds the request for an upstream.
@@ -187,6 +207,8 @@
 	b = strconv.AppendInt(b, int64(r.Attempt), 10)
 	b = append(b, "\r\n"+HeaderPriority+": "...)
 	b = strconv.AppendInt(b, int64(r.Priority), 10)
+	b = append(b, "\r\n"+HeaderEntry+": "...)
+	b = append(b, r.Table.Region...)
 	if r.Block.IsValid() {
 		b = append(b, "\r\n"+HeaderBlock+": "...)
 		b = r.Block.AppendTo(b)
--- a/hornbeamd/forwarder/conn.go
+++ b/hornbeamd/forwarder/conn.go
@@ -21,28 +21,33 @@
 	// used tells that an exchange has ended on this connection.
 	used bool
 
-	raw   syscall.RawConn
-	peek  func(fd uintptr)
-	clean bool
+	raw  syscall.RawConn
+	peek func(fd uintptr)
+	// count and err are what peek has found.
+	count int
+	err   error
 	one   [1]byte
 }
 
 func newConn(nc net.Conn, now int64) *conn {
 	c := &conn{Conn: nc, br: bufio.NewReaderSize(nc, headSize), proven: now, ended: now}
+	c.raw = rawConn(nc)
+	c.peek = func(fd uintptr) {
+		c.count, _, c.err = syscall.Recvfrom(int(fd), c.one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}
+	return c
+}
+
+func rawConn(nc net.Conn) syscall.RawConn {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
-		return c
+		return nil
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return c
-	}
-	c.raw = raw
-	c.peek = func(fd uintptr) {
-		_, _, err := syscall.Recvfrom(int(fd), c.one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		c.clean = err == syscall.EAGAIN
+		return nil
 	}
-	return c
+	return raw
 }
 
 // quiet tells whether the connection is open and nothing has arrived on it. A
@@ -54,7 +59,21 @@
 	if c.raw == nil {
 		return true
 	}
-	c.clean = false
 	err := c.raw.Control(c.peek)
-	return err == nil && c.clean
+	return err == nil && c.err == syscall.EAGAIN
+}
+
+// closed tells whether the other end of a connection has closed it.
+func closed(nc net.Conn) bool {
+	raw := rawConn(nc)
+	if raw == nil {
+		return false
+	}
+	var n int
+	var rerr error
+	err := raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, rerr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err != nil || rerr != nil && rerr != syscall.EAGAIN || rerr == nil && n == 0
 }
--- a/hornbeamd/forwarder/exchange.go
+++ b/hornbeamd/forwarder/exchange.go
@@ -28,6 +28,8 @@
 	// a pause of an upstream should not make outcomes unknown.
 	finalShare = 4
 	minFinal   = time.Second
+	// checkTime is the time between two looks at the caller's connection.
+	checkTime = 50 * time.Millisecond
 	// maxFinal is longer than any request may run. The deadline ends exchanges
 	// with upstreams whose usual time is not known.
 	maxFinal = time.Hour
@@ -38,6 +40,7 @@
 	errLate     = errors.New("no whole answer came before the deadline")
 	errOther    = errors.New("the answer names another request")
 	errUnframed = errors.New("the answer does not tell its length")
+	errGone     = errors.New("the caller has closed its connection")
 	errCut      = errors.New("the caller's body ended early")
 )
 
@@ -132,16 +135,26 @@
 
 // await waits for the first byte of the answer for some time or until the
 // deadline. On silence it drops the idle connections that may be silent too.
-func (x *exchange) await(wait time.Duration) error {
-	err := x.peek(x.start + int64(wait))
-	if !isTimeout(err) {
-		return err
-	}
-	if x.pool.now() >= x.deadline {
-		return errLate
+// From time to time it asks gone whether anybody still wants the answer.
+func (x *exchange) await(c *call, wait time.Duration) error {
+	until := min(x.start+int64(wait), x.deadline)
+	for {
+		err := x.peek(min(until, x.pool.now()+int64(checkTime)))
+		if !isTimeout(err) {
+			return err
+		}
+		now := x.pool.now()
+		if now >= x.deadline {
+			return errLate
+		}
+		if now >= until {
+			x.pool.dropIdle(x.start)
+			return errSilent
+		}
+		if c.gone() {
+			return errGone
+		}
 	}
-	x.pool.dropIdle(x.start)
-	return errSilent
 }
 
 // peek waits for a byte until the given time or the deadline.
--- a/hornbeamd/forwarder/forward.go
+++ b/hornbeamd/forwarder/forward.go
@@ -48,7 +48,9 @@
 	waited bool
 	// hedge is set for a second try, won is what it has brought to the first.
 	hedge *hedge
-	won   result
+	// link is charged with the request's body.
+	link *limiter.Link
+	won  result
 	// doubt tells that an earlier try may have run.
 	doubt   bool
 	hasNext bool
--- /dev/null
+++ b/hornbeamd/forwarder/fuzz_test.go
@@ -0,0 +1,68 @@
+package forwarder
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http/httputil"
+	"strings"
+	"testing"
+	"time"
+)
+
+// script is a connection from which an answer is read.
+type script struct {
+	net.Conn
+	io.Reader
+}
+
+func (s *script) Read(p []byte) (int, error)    { return s.Reader.Read(p) }
+func (*script) SetReadDeadline(time.Time) error { return nil }
+func (*script) SetDeadline(time.Time) error     { return nil }
+func (*script) Close() error                    { return nil }
+
+// FuzzAnswer guards against answers that are taken for whole or for this
+// request's although they are not.
+func FuzzAnswer(f *testing.F) {
+	f.Add("HTTP/1.1 200 OK\r\nHorn-Id: a\r\nContent-Length: 2\r\n\r\nok")
+	f.Add("HTTP/1.1 200 OK\r\nHorn-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n")
+	f.Add("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No\r\nHorn-Id: a\r\n\r\nx")
+	f.Add("HTTP/1.1 200 OK\r\nHorn-Id: a\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		now := func() int64 { return 1 }
+		p := newPool(poolKey{}, now)
+		p.open = 1
+		x := acquireExchange()
+		x.pool, x.conn, x.deadline = p, newConn(&script{Reader: strings.NewReader(text)}, 1), maxTime
+		if x.receive([]byte("a"), false) != nil {
+			x.abort()
+			x.release()
+			return
+		}
+		if !bytes.Contains([]byte(text), []byte(":")) || string(x.header.Peek(HeaderID)) != "a" {
+			t.Fatal("an answer without this id was taken")
+		}
+		if x.whole && x.chunks == nil && x.length > 0 && len(x.body) != x.length {
+			t.Fatalf("%d bytes instead of %d", len(x.body), x.length)
+		}
+		if x.whole && x.chunks != nil && !ends(text) {
+			t.Fatal("an answer without its last chunk was taken")
+		}
+		if x.whole {
+			x.settle()
+		} else {
+			x.abort()
+		}
+		x.release()
+	})
+}
+
+// ends tells whether some suffix of a text is a chunked body with its end.
+func ends(text string) bool {
+	for i := range len(text) {
+		if _, err := io.ReadAll(httputil.NewChunkedReader(strings.NewReader(text[i:]))); err == nil {
+			return true
+		}
+	}
+	return false
+}
--- a/hornbeamd/forwarder/headers.go
+++ b/hornbeamd/forwarder/headers.go
@@ -15,6 +15,7 @@
 	HeaderPriority = "Horn-Priority"
 	HeaderSent     = "Horn-Sent"
 	HeaderBlock    = "Horn-Block"
+	HeaderEntry    = "Horn-Entry"
 	HeaderHop      = "Horn-Hop"
 	HeaderOutcome  = "Horn-Outcome"
 	HeaderReason   = "Horn-Reason"
@@ -85,6 +86,8 @@
 	Fenced router.Reason = "fenced"
 	// Busy means that the table of request ids is full.
 	Busy router.Reason = "busy"
+	// Gone means that the caller has closed its connection.
+	Gone router.Reason = "gone"
 	// Cut means that the caller's body ended early.
 	Cut router.Reason = "cut"
 )
@@ -105,6 +108,8 @@
 	Block                   netip.Addr
 	// Region is the home region of Block.
 	Region string
+	// Entry is the region of the instance that forwarded the request here.
+	Entry string
 	// Hop tells that another instance forwarded the request.
 	Hop bool
 }
--- a/hornbeamd/forwarder/load_test.go
+++ b/hornbeamd/forwarder/load_test.go
@@ -83,6 +83,33 @@
 	until(t, "slot given back", func() bool { return n.Table().Services["statement"].Targets[0].Gate.Busy() == 0 })
 }
 
+// Guards against work that goes on for a caller that has gone away, through two
+// instances, and against giving up a once-request.
+func TestCallerGone(t *testing.T) {
+	for _, once := range []bool{false, true} {
+		t.Run(strconv.FormatBool(once), func(t *testing.T) {
+			is := is.New(t)
+			cancelled := make(chan bool, 1)
+			u := newUpstream(t, func(c net.Conn, _ arrival) bool {
+				_ = c.SetReadDeadline(time.Now().Add(700 * time.Millisecond))
+				_, err := c.Read(make([]byte, 1))
+				cancelled <- err == io.EOF
+				return false
+			})
+			b := newNode(t, "b", service("lookup", once, u))
+			s := service("lookup", once)
+			s.Peers = append(s.Peers, b.peer("lookup"))
+			a := newNode(t, "a", s)
+			c, err := net.Dial("tcp", a.front)
+			is.NoErr(err)
+			_, _ = io.WriteString(c, "GET /s/lookup/ HTTP/1.1\r\nHost: x\r\n\r\n")
+			until(t, "request runs", func() bool { return len(u.arrivals()) == 1 })
+			_ = c.Close()
+			is.Equal(<-cancelled, !once)
+		})
+	}
+}
+
 // Guards against lost requests and repeats when established connections go
 // silent while new ones work.
 func TestSilent(t *testing.T) {
@@ -321,3 +348,36 @@
 		})
 	}
 }
+
+// Guards against a second try that goes on after the first one has answered.
+func TestHedgeLoses(t *testing.T) {
+	is := is.New(t)
+	var slow atomic.Bool
+	started, cut := make(chan struct{}), make(chan error, 1)
+	first := newUpstream(t, func(c net.Conn, a arrival) bool {
+		if slow.Load() {
+			<-started
+		}
+		return reply(c, a.id, "first")
+	})
+	second := newUpstream(t, func(c net.Conn, _ arrival) bool {
+		close(started)
+		_ = c.SetReadDeadline(time.Now().Add(time.Second))
+		_, err := c.Read(make([]byte, 1))
+		cut <- err
+		return false
+	})
+	n := &node{name: "a"}
+	n.set(earn(service("lookup", false, first, second), 5))
+	n.fwd = forwarder.New(forwarder.Config{Tables: n, Hedge: true})
+	t.Cleanup(n.fwd.Close)
+	n.front = n.serve(t, false)
+	for range 20 {
+		is.Equal(call(n.front, "GET", "/s/lookup/", "").body, "first")
+	}
+	slow.Store(true)
+	is.Equal(call(n.front, "GET", "/s/lookup/", "").body, "first")
+	is.Equal(<-cut, io.EOF)
+	targets := n.Table().Services["lookup"].Targets
+	until(t, "slots given back", func() bool { return targets[0].Gate.Busy()+targets[1].Gate.Busy() == 0 })
+}
--- a/hornbeamd/forwarder/repeat_test.go
+++ b/hornbeamd/forwarder/repeat_test.go
@@ -173,3 +173,42 @@
 	}
 	is.Equal(len(u.arrivals()), 1)
 }
+
+// Guards against a copy that arrives at an owner twice or after a repeat has
+// fenced the id there.
+func TestLateCopy(t *testing.T) {
+	is := is.New(t)
+	u := newUpstream(t, func(c net.Conn, a arrival) bool { return reply(c, a.id, "first") })
+	nodes := cluster(t, u, 2)
+	for range 2 {
+		got := call(nodes[0].data, "POST", "/s/posting/", "x", "Horn-Id", "twice", "Horn-Hop", "1")
+		is.Equal(got.body, "first")
+	}
+	is.Equal(len(u.arrivals()), 1)
+	nodes[0].fwd.Account("posting", "late", true, time.Now().UnixMilli())
+	for _, addr := range []string{nodes[1].front, nodes[0].front, nodes[0].data} {
+		got := call(addr, "POST", "/s/posting/", "x", "Horn-Id", "late", "Horn-Hop", "1")
+		is.Equal(got.outcome, "unknown")
+		is.Equal(got.status, 504)
+		is.Equal(len(u.arrivals()), 1)
+	}
+}
+
+// Guards against a second run at another owner when a caller sends a request
+// again without telling.
+func TestUntoldRepeat(t *testing.T) {
+	is := is.New(t)
+	answer := func(c net.Conn, a arrival) bool { return reply(c, a.id, "first") }
+	u, v := newUpstream(t, answer), newUpstream(t, answer)
+	b, c := newNode(t, "b", service("posting", true, u)), newNode(t, "c", service("posting", true, v))
+	s := service("posting", true)
+	s.Peers = []*router.Peer{b.peer("posting"), c.peer("posting")}
+	a := newNode(t, "a", s)
+	a.witnesses = []*node{b, c}
+	for range 2 {
+		got := call(a.front, "POST", "/s/posting/", "x", "Horn-Id", "one", "Horn-Sent", now())
+		is.Equal(got.body, "first")
+		s.Peers[0].Path.Suspect(far)
+	}
+	is.Equal(len(u.arrivals())+len(v.arrivals()), 1)
+}
--- a/hornbeamd/forwarder/try.go
+++ b/hornbeamd/forwarder/try.go
@@ -83,6 +83,9 @@
 	peer := choice.Peer
 	x := acquireExchange()
 	x.wire = c.appendHop(x.wire[:0])
+	c.link = choice.Link
+	c.charge(len(c.body), f.now())
+	defer func() { c.link = nil }()
 	if err := f.exchange(c, f.pool(poolKey{"", c.req.Service.Name, peer.Data}, 0), peer.Path, x); err != nil {
 		res := f.failed(c, x, err)
 		x.release()
@@ -191,9 +194,9 @@
 	if err != errSilent {
 		return err
 	}
-	err = x.await(x.pool.suspicion())
+	err = x.await(c, x.pool.suspicion())
 	if err == errSilent && !f.abandon(c) {
-		err = x.await(x.pool.final())
+		err = x.await(c, x.pool.final())
 	}
 	return err
 }
@@ -210,6 +213,9 @@
 		res.again = false
 	case errors.Is(err, errSilent):
 		res.reason = Silent
+	case errors.Is(err, errGone):
+		res.reason = Gone
+		res.again = false
 	case errors.Is(err, errLate), isTimeout(err):
 		res.reason = router.TooLate
 		res.again = false
@@ -232,7 +238,7 @@
 // nothing about the upstream.
 func (f *Forwarder) count(p *pool, err error, res result) {
 	switch {
-	case errors.Is(err, errConns), errors.Is(err, errExpired), res.reason == Cut:
+	case errors.Is(err, errConns), errors.Is(err, errExpired), res.reason == Cut, res.reason == Gone:
 	case refusedDial(err):
 		p.stats.refused.Add(1)
 	default:
--- a/hornbeamd/server/parse.go
+++ b/hornbeamd/server/parse.go
@@ -17,7 +17,7 @@
 
 // fields are the values of a request's Horn headers.
 type fields struct {
-	id, deadline, attempt, priority, sent, block, hop []byte
+	id, deadline, attempt, priority, sent, block, entry, hop []byte
 }
 
 // collect reads the headers in one pass. A header that is given twice has no
@@ -42,6 +42,8 @@
 			p = &f.sent
 		case forwarder.HeaderBlock:
 			p = &f.block
+		case forwarder.HeaderEntry:
+			p = &f.entry
 		case forwarder.HeaderHop:
 			p = &f.hop
 		default:
@@ -139,7 +141,7 @@
 			return false
 		}
 		r.Deadline = min(r.Deadline, t)
-		r.Sent = max(t-r.Service.Limit, 0)
+		r.Sent = min(max(t-r.Service.Limit, 0), r.Arrived)
 	}
 	if f.sent != nil {
 		t, err := forwarder.ParseMillis(f.sent)
@@ -159,6 +161,11 @@
 		if _, err := forwarder.ParseNumber(f.hop, 1<<63-1); err != nil {
 			return "Horn-Hop is not a version."
 		}
+		if r.Table.Region != string(f.entry) {
+			r.Entry = string(f.entry)
+		} else {
+			r.Entry = r.Table.Region
+		}
 		if f.block != nil {
 			block, err := netip.ParseAddr(string(f.block))
 			if err != nil {
