--- a/core/recorder/types.go
+++ b/core/recorder/types.go
@@ -36,8 +36,10 @@
 	Instance string    `json:"instance"`
 	Domain   string    `json:"domain"`
 	Kind     Kind      `json:"kind"`
-	// Version is the configuration version or the lease epoch.
-	Version  uint64 `json:"version,omitempty"`
+	// Version is the number of the ticket that the event belongs to.
+	Version uint64 `json:"version,omitempty"`
+	// Epoch is the lease epoch that the event belongs to.
+	Epoch    uint64 `json:"epoch,omitempty"`
 	Upstream string `json:"upstream,omitempty"`
 	Peer     string `json:"peer,omitempty"`
 	// Cause is one short sentence.
