--- /dev/null
+++ b/core/reducer/control.go
@@ -0,0 +1,173 @@
+package reducer
+
+import (
+	"fmt"
+	"strings"
+
+	"hornbeamstream.example/core/follower"
+	"hornbeamstream.example/core/granter"
+	"hornbeamstream.example/core/loader"
+	"hornbeamstream.example/core/observer"
+	"hornbeamstream.example/core/recorder"
+)
+
+// grant passes on the granter's effects. Heartbeats become requests that also
+// carry news.
+func (s *State) grant(effects []granter.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case granter.SendHeartbeat:
+			s.emit(Send{To: e.To, Request: s.request(e.Epoch, e)})
+		case granter.HoldingsChanged:
+			s.held(e.Holdings)
+		case granter.ViewChanged:
+			s.merge(e.View)
+		case granter.RoleChanged:
+			s.role(e)
+		default:
+			s.emit(Grant{Effect: e})
+		}
+	}
+}
+
+func (s *State) held(h granter.Holdings) {
+	before := len(s.Holdings.Parts)
+	s.Holdings = h
+	s.changed = true
+	switch {
+	case len(h.Parts) == before:
+	case len(h.Parts) == 0:
+		s.record(recorder.Event{Kind: recorder.Lapsed, Cause: fmt.Sprintf("%d parts given up", before)})
+	default:
+		s.record(recorder.Event{Kind: recorder.Granted, Cause: fmt.Sprintf("%d parts held, %d before", len(h.Parts), before)})
+	}
+}
+
+func (s *State) role(e granter.RoleChanged) {
+	kind := recorder.Deposed
+	if e.Leader {
+		kind = recorder.Elected
+	}
+	s.record(recorder.Event{Kind: kind, Epoch: e.Epoch, Cause: e.Cause})
+}
+
+// follow passes on the follower's effects and brings a new configuration into
+// force.
+func (s *State) follow(effects []follower.Effect) {
+	for _, e := range effects {
+		if a, ok := e.(follower.Advanced); ok {
+			s.advanced(a)
+			continue
+		}
+		s.emit(Follow{Effect: e})
+	}
+}
+
+func (s *State) advanced(a follower.Advanced) {
+	s.changed = true
+	for _, t := range a.Tickets {
+		s.configured(t, a.Rejected[t.Number])
+	}
+	if len(a.Tickets) == 0 {
+		s.record(recorder.Event{Kind: recorder.Configured, Version: a.State.Version, Cause: "snapshot"})
+	}
+	s.grant(s.Granter.Step(granter.PlanChanged{Now: s.now, Plan: Plan(a.State, s.Self.Domain)}))
+	s.observe(observer.SpecsChanged{Now: s.now, Specs: specs(a.State, s.Self.Domain)})
+}
+
+func (s *State) configured(t loader.Ticket, rejected error) {
+	if rejected != nil {
+		s.record(recorder.Event{Kind: recorder.Rejected, Version: t.Number, Cause: rejected.Error()})
+		return
+	}
+	s.record(recorder.Event{Kind: recorder.Configured, Version: t.Number, Cause: t.Reason})
+}
+
+// observe passes an event to the observer and its verdicts to traffic.
+func (s *State) observe(e observer.Event) {
+	for _, effect := range s.Observer.Step(e) {
+		switch effect := effect.(type) {
+		case observer.Probe:
+			u := s.Follower.Config.Upstreams[effect.Upstream]
+			s.emit(Probe{Upstream: effect.Upstream, Address: u.Address})
+		case observer.Verdict:
+			s.judged(effect)
+		}
+	}
+}
+
+func (s *State) judged(v observer.Verdict) {
+	before := s.Verdicts[v.Upstream]
+	s.Verdicts[v.Upstream] = v
+	s.changed = true
+	if v.Leaving == before.Leaving {
+		return
+	}
+	version := drainVersion(s.Follower.Config, v.Upstream)
+	if !v.Leaving {
+		delete(s.Draining, v.Upstream)
+		s.record(recorder.Event{Kind: recorder.Found, Upstream: v.Upstream, Cause: v.Cause})
+		return
+	}
+	s.Draining[v.Upstream] = version
+	s.record(recorder.Event{Kind: recorder.Drained, Version: version, Upstream: v.Upstream, Cause: v.Cause})
+}
+
+// emptied records the end of a drain once no request is in flight here.
+func (s *State) emptied(busy []granter.Part) {
+	if len(s.Draining) == 0 {
+		return
+	}
+	inFlight := map[string]bool{}
+	for _, p := range busy {
+		inFlight[p.Upstream] = true
+	}
+	for _, u := range sortedKeys(s.Draining) {
+		if inFlight[u] {
+			continue
+		}
+		s.record(recorder.Event{Kind: recorder.Emptied, Version: s.Draining[u], Upstream: u})
+		delete(s.Draining, u)
+	}
+}
+
+// listSeen passes the platform's list on: names to the granter, leaving
+// upstreams to the observer.
+func (s *State) listSeen(e ListSeen) {
+	s.now = e.Now
+	s.grant(s.Granter.Step(granter.ListSeen{Now: e.Now, Names: e.Names}))
+	for _, name := range e.Leaving {
+		u, ok := s.Follower.Config.Upstreams[name]
+		if !ok || u.Domain != s.Self.Domain {
+			continue
+		}
+		s.signal(observer.Signaled{At: e.Now, Now: e.Now, Upstream: name, Source: observer.FromPlatform, Leaving: true})
+	}
+}
+
+// signal keeps the newest signal of each source and tells the observer.
+func (s *State) signal(g observer.Signaled) {
+	k := SignalKey{Upstream: g.Upstream, Source: g.Source}
+	if old, ok := s.Signals[k]; ok && (!g.At.After(old.At) || old.Leaving == g.Leaving) {
+		return
+	}
+	g.Now = s.now
+	s.Signals[k] = g
+	s.observe(g)
+}
+
+// drainVersion returns the number of the newest ticket that drains the
+// upstream, or zero.
+func drainVersion(config loader.State, upstream string) uint64 {
+	u := config.Upstreams[upstream]
+	var version uint64
+	for _, name := range []string{"upstream/" + upstream, "domain/" + u.Domain, "region/" + config.Domains[u.Domain].Region} {
+		if _, ok := config.Drains[name]; ok {
+			version = max(version, config.Touched[loader.KindDrain+"/"+name])
+		}
+	}
+	return version
+}
+
+// quotaName joins the parts of a quota's name.
+func quotaName(parts ...string) string { return strings.Join(parts, "/") }
--- /dev/null
+++ b/core/reducer/gossip.go
@@ -0,0 +1,265 @@
+package reducer
+
+import (
+	"slices"
+	"time"
+
+	"hornbeamstream.example/core/follower"
+	"hornbeamstream.example/core/granter"
+	"hornbeamstream.example/core/observer"
+	"hornbeamstream.example/core/recorder"
+)
+
+const (
+	// gossipTargets is the number of other failure domains that a leader asks
+	// for news in each heartbeat interval. Views travel on through the domains
+	// that have them, so the number doesn't grow with the domains.
+	gossipTargets = 2
+	// lonelyAfter is the time without an answer to a heartbeat after which a
+	// member asks other failure domains itself.
+	lonelyAfter = 2 * time.Second
+)
+
+// Gossip is the state of the exchange between failure domains.
+type Gossip struct {
+	// NotBefore is the time of the next round.
+	NotBefore time.Time
+	// Answered is the time of the last answer from the own domain's leader.
+	Answered time.Time
+	// Next counts targets, so that all get their turn.
+	Next int
+	// Lost holds the addresses that did not answer last time.
+	Lost map[string]bool
+}
+
+// gossip asks other failure domains for news. Leaders do so for their domain,
+// members only while they don't hear their leader.
+func (s *State) gossip() {
+	if s.now.Before(s.Gossip.NotBefore) {
+		return
+	}
+	s.Gossip.NotBefore = s.now.Add(granter.HeartbeatInterval)
+	if !s.Granter.Leading() && s.now.Before(s.Gossip.Answered.Add(lonelyAfter)) {
+		return
+	}
+	targets := s.targets()
+	for range min(gossipTargets, len(targets)) {
+		to := targets[s.Gossip.Next%len(targets)]
+		s.Gossip.Next++
+		s.emit(Send{To: to, Request: s.request(0, granter.SendHeartbeat{})})
+	}
+}
+
+// targets returns one address for each other failure domain, and the seeds as
+// long as some of them are not known as members.
+func (s *State) targets() []string {
+	var targets []string
+	known := map[string]bool{s.Self.Peer: true}
+	for _, d := range sortedKeys(s.Views) {
+		v := s.Views[d]
+		for _, m := range v.Members {
+			known[m.Peer] = true
+		}
+		if d == s.Self.Domain {
+			continue
+		}
+		if to := s.contact(v); to != "" {
+			targets = append(targets, to)
+		}
+	}
+	for _, seed := range s.Seeds {
+		if !known[seed] {
+			targets = append(targets, seed)
+		}
+	}
+	return targets
+}
+
+// contact returns the address of the domain's leader, or of another member
+// when the leader did not answer.
+func (s *State) contact(v granter.View) string {
+	var to string
+	for _, m := range v.Members {
+		if m.Name == v.Leader && !s.Gossip.Lost[m.Peer] {
+			return m.Peer
+		}
+		if to == "" || s.Gossip.Lost[to] {
+			to = m.Peer
+		}
+	}
+	return to
+}
+
+func (s *State) request(epoch uint64, h granter.SendHeartbeat) Request {
+	return Request{
+		From:    s.Self,
+		Epoch:   epoch,
+		Promise: h.Promise,
+		Held:    h.Held,
+		Config:  s.Follower.Config.Version,
+		Views:   s.versions(),
+		Signals: s.signals(),
+		Clock:   s.Clock.Now(s.now),
+	}
+}
+
+func (s *State) versions() []ViewVersion {
+	versions := make([]ViewVersion, 0, len(s.Views))
+	for _, v := range sortedValues(s.Views) {
+		versions = append(versions, ViewVersion{Domain: v.Domain, Epoch: v.Epoch, Sequence: v.Sequence})
+	}
+	return versions
+}
+
+func (s *State) signals() []observer.Signaled {
+	var signals []observer.Signaled
+	for _, g := range s.Signals {
+		signals = append(signals, g)
+	}
+	slices.SortFunc(signals, compareSignals)
+	return signals
+}
+
+func (s *State) requestReceived(e RequestReceived) {
+	s.now = e.Now
+	q := e.Request
+	s.Clock.Observe(q.Clock)
+	own := q.From.Domain == s.Self.Domain
+	var heartbeat granter.AnswerHeartbeat
+	if own {
+		heartbeat = s.heartbeat(e)
+		s.receive(q.Signals)
+	}
+	s.follow(s.Follower.Step(follower.PeerSeen{Now: e.Now, Peer: q.From.Peer, Version: q.Config}))
+	r := Response{
+		From:     s.Self,
+		Leader:   heartbeat.Leader,
+		Epoch:    heartbeat.Epoch,
+		Valid:    heartbeat.Valid,
+		Sequence: heartbeat.Sequence,
+		Parts:    heartbeat.Parts,
+		Quotas:   heartbeat.Quotas,
+		Config:   s.Follower.Config.Version,
+		Views:    s.newer(q.Views),
+		Clock:    s.Clock.Now(s.now),
+	}
+	if own {
+		r.Signals = s.signals()
+	}
+	s.emit(Answer{Call: e.Call, Response: r})
+}
+
+// heartbeat passes a heartbeat to the granter and returns its answer.
+func (s *State) heartbeat(e RequestReceived) (answer granter.AnswerHeartbeat) {
+	effects := s.Granter.Step(granter.HeartbeatReceived{
+		Now:     e.Now,
+		From:    e.Request.From,
+		Call:    e.Call,
+		Epoch:   e.Request.Epoch,
+		Promise: e.Request.Promise,
+		Held:    e.Request.Held,
+	})
+	others := make([]granter.Effect, 0, len(effects))
+	for _, effect := range effects {
+		if a, ok := effect.(granter.AnswerHeartbeat); ok && a.Call == e.Call {
+			answer = a
+			continue
+		}
+		others = append(others, effect)
+	}
+	s.grant(others)
+	return answer
+}
+
+// newer returns the views that are newer than those that the peer has.
+func (s *State) newer(versions []ViewVersion) []granter.View {
+	has := map[string]ViewVersion{}
+	for _, v := range versions {
+		has[v.Domain] = v
+	}
+	var views []granter.View
+	for _, v := range sortedValues(s.Views) {
+		if after(v, has[v.Domain].Epoch, has[v.Domain].Sequence) {
+			views = append(views, v)
+		}
+	}
+	return views
+}
+
+func after(v granter.View, epoch, sequence uint64) bool {
+	if v.Epoch != epoch {
+		return v.Epoch > epoch
+	}
+	return v.Sequence > sequence
+}
+
+// merge keeps the view if it is newer than the one at hand.
+func (s *State) merge(v granter.View) {
+	old, ok := s.Views[v.Domain]
+	if ok && !after(v, old.Epoch, old.Sequence) {
+		return
+	}
+	s.Views[v.Domain] = v
+	s.changed = true
+}
+
+func (s *State) responseReceived(e ResponseReceived) {
+	s.now = e.Now
+	r := e.Response
+	s.Clock.Observe(r.Clock)
+	if s.Gossip.Lost[e.To] {
+		delete(s.Gossip.Lost, e.To)
+		s.record(recorder.Event{Kind: recorder.Found, Peer: r.From.Name, Cause: "answers again"})
+	}
+	if r.From.Domain == s.Self.Domain {
+		s.heartbeatAnswered(e)
+		s.receive(r.Signals)
+	}
+	for _, v := range r.Views {
+		s.merge(v)
+	}
+	s.follow(s.Follower.Step(follower.PeerSeen{Now: e.Now, Peer: r.From.Peer, Version: r.Config}))
+}
+
+func (s *State) heartbeatAnswered(e ResponseReceived) {
+	r := e.Response
+	if r.Leader == r.From.Name {
+		s.Gossip.Answered = e.Now
+	}
+	s.grant(s.Granter.Step(granter.HeartbeatAnswered{
+		Sent:     e.Sent,
+		Now:      e.Now,
+		From:     r.From,
+		Leader:   r.Leader,
+		Epoch:    r.Epoch,
+		Valid:    r.Valid,
+		Sequence: r.Sequence,
+		Parts:    r.Parts,
+		Quotas:   r.Quotas,
+	}))
+}
+
+func (s *State) sendFailed(e SendFailed) {
+	s.now = e.Now
+	if !s.Gossip.Lost[e.To] {
+		s.Gossip.Lost[e.To] = true
+		s.record(recorder.Event{Kind: recorder.Lost, Peer: e.To, Cause: "no answer"})
+	}
+	s.grant(s.Granter.Step(granter.HeartbeatFailed{Now: e.Now, To: e.To}))
+}
+
+func (s *State) receive(signals []observer.Signaled) {
+	for _, g := range signals {
+		s.signal(g)
+	}
+}
+
+func compareSignals(a, b observer.Signaled) int {
+	if a.Upstream != b.Upstream {
+		if a.Upstream < b.Upstream {
+			return -1
+		}
+		return 1
+	}
+	return int(a.Source) - int(b.Source)
+}
--- /dev/null
+++ b/core/reducer/plan.go
@@ -0,0 +1,85 @@
+package reducer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"hornbeamstream.example/core/granter"
+	"hornbeamstream.example/core/loader"
+	"hornbeamstream.example/core/observer"
+)
+
+// defaultReserve is the share of slots that is usable without a grant when the
+// configuration has no policy.
+const defaultReserve = 0.1
+
+// Plan returns the part of the configuration that the granter of one failure
+// domain works on.
+func Plan(config loader.State, domain string) granter.Plan {
+	p := granter.Plan{Version: config.Version, Domain: domain, Reserve: defaultReserve}
+	if policy, ok := config.Policies["main"]; ok {
+		p.Reserve = policy.Reserve
+	}
+	for _, name := range sortedKeys(config.Upstreams) {
+		u := config.Upstreams[name]
+		if u.Domain == domain {
+			p.Demands = append(p.Demands, demand(name, u, config.Services[u.Service]))
+		}
+	}
+	p.Quotas = quotas(config, config.Domains[domain].Region)
+	return p
+}
+
+func demand(name string, u loader.Upstream, v loader.Service) granter.Demand {
+	return granter.Demand{
+		Upstream: name,
+		Service:  u.Service,
+		Priority: v.Priority,
+		Slots:    u.Slots,
+		Limit:    time.Duration(v.Limit) * time.Millisecond,
+	}
+}
+
+// quotas returns one failure domain's share of the caps and links that start
+// in its region. The share depends on the configuration alone, so that domains
+// need no messages to agree.
+func quotas(config loader.State, region string) []granter.Quota {
+	domains := 0
+	for _, d := range config.Domains {
+		if d.Region == region {
+			domains++
+		}
+	}
+	if domains == 0 {
+		return nil
+	}
+	var shares []granter.Quota
+	for _, service := range sortedKeys(config.Shifts) {
+		if f := config.Shifts[service]; f.From == region {
+			shares = append(shares, granter.Quota{Name: quotaName(loader.KindShift, service), Rate: f.Cap / float64(domains)})
+		}
+	}
+	for _, to := range sortedKeys(config.Regions) {
+		if l, ok := config.Links[region+"/"+to]; ok {
+			shares = append(shares, granter.Quota{Name: quotaName(loader.KindLink, region, to), Rate: float64(l.Capacity) / float64(domains)})
+		}
+	}
+	return shares
+}
+
+func specs(config loader.State, domain string) []observer.Spec {
+	var specs []observer.Spec
+	for _, name := range sortedKeys(config.Upstreams) {
+		u := config.Upstreams[name]
+		if u.Domain != domain {
+			continue
+		}
+		specs = append(specs, observer.Spec{Upstream: name, Slots: u.Slots, Drained: config.Drained(name)})
+	}
+	return specs
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
--- /dev/null
+++ b/core/reducer/reducer.go
@@ -0,0 +1,155 @@
+package reducer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hornbeamstream.example/core/follower"
+	"hornbeamstream.example/core/granter"
+	"hornbeamstream.example/core/observer"
+	"hornbeamstream.example/core/recorder"
+)
+
+// State is the control state of one instance. New makes one.
+type State struct {
+	Self   granter.Member
+	Region string
+	// Seeds are Peer addresses from the settings.
+	Seeds []string
+
+	Granter  *granter.State
+	Follower *follower.State
+	Observer *observer.State
+
+	// Views holds the newest view of every failure domain.
+	Views    map[string]granter.View
+	Holdings granter.Holdings
+	Verdicts map[string]observer.Verdict
+	// Signals are the newest signals about upstreams of the own failure
+	// domain, shared with its other members.
+	Signals map[SignalKey]observer.Signaled
+	// Draining holds, by upstream, the ticket whose drain is not yet complete.
+	Draining map[string]uint64
+	Clock    recorder.Clock
+	Gossip   Gossip
+
+	now     time.Time
+	changed bool
+	effects []Effect
+}
+
+// SignalKey names a signal: one is kept for each upstream and source.
+type SignalKey struct {
+	Upstream string
+	Source   observer.Source
+}
+
+// New returns the state of a starting instance.
+func New(self granter.Member, region string, seeds []string, now time.Time) *State {
+	seed := xxhash.Sum64String(self.Name) ^ self.Incarnation
+	s := &State{
+		Self:     self,
+		Region:   region,
+		Seeds:    slices.Clone(seeds),
+		Granter:  granter.New(self, now),
+		Follower: follower.New(now, seed),
+		Observer: observer.New(now),
+		Views:    map[string]granter.View{},
+		Verdicts: map[string]observer.Verdict{},
+		Signals:  map[SignalKey]observer.Signaled{},
+		Draining: map[string]uint64{},
+		Gossip:   Gossip{Lost: map[string]bool{}},
+		now:      now,
+	}
+	return s
+}
+
+// Step applies an event and returns the effects in order. A new table is
+// published at most once a step.
+func (s *State) Step(e Event) []Effect {
+	s.effects = nil
+	switch e := e.(type) {
+	case Tick:
+		s.tick(e)
+	case RequestReceived:
+		s.requestReceived(e)
+	case ResponseReceived:
+		s.responseReceived(e)
+	case SendFailed:
+		s.sendFailed(e)
+	case Granting:
+		s.grant(s.Granter.Step(e.Event))
+	case Following:
+		s.follow(s.Follower.Step(e.Event))
+	case Observing:
+		s.observe(e.Event)
+	case ListSeen:
+		s.listSeen(e)
+	case LeaveAsked:
+		s.leave(e)
+	}
+	s.publish()
+	return s.effects
+}
+
+func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
+
+// record adds a timeline event that happened at the time of the current step.
+func (s *State) record(e recorder.Event) {
+	e.Stamp = s.Clock.Now(s.now)
+	e.Wall = s.now
+	e.Instance = s.Self.Name
+	e.Domain = s.Self.Domain
+	s.emit(Record{Event: e})
+}
+
+func (s *State) publish() {
+	if !s.changed {
+		return
+	}
+	s.changed = false
+	s.emit(Publish{
+		Config:   s.Follower.Config,
+		Holdings: s.Holdings,
+		Views:    sortedValues(s.Views),
+		Verdicts: sortedValues(s.Verdicts),
+	})
+}
+
+func sortedValues[V any](m map[string]V) []V {
+	values := make([]V, 0, len(m))
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		values = append(values, m[k])
+	}
+	return values
+}
+
+func (s *State) tick(e Tick) {
+	gap := e.Now.Sub(s.now)
+	s.now = e.Now
+	if gap > granter.PauseGap {
+		s.record(recorder.Event{Kind: recorder.Paused, Cause: "no tick for " + gap.Round(time.Millisecond).String()})
+	}
+	// The granter comes first: after a pause it gives up its leases before
+	// anything else happens.
+	s.grant(s.Granter.Step(granter.Tick{Now: e.Now}))
+	s.grant(s.Granter.Step(granter.InFlightChanged{Now: e.Now, Busy: e.Busy}))
+	s.follow(s.Follower.Step(follower.Tick{Now: e.Now, Relay: s.Granter.Relay()}))
+	if len(e.Samples) > 0 {
+		s.observe(observer.Sampled{Now: e.Now, Samples: e.Samples})
+	}
+	s.observe(observer.Tick{Now: e.Now})
+	s.emptied(e.Busy)
+	s.gossip()
+}
+
+func (s *State) leave(e LeaveAsked) {
+	s.now = e.Now
+	s.Self.Leaving = true
+	s.record(recorder.Event{Kind: recorder.Leaving, Cause: "planned stop"})
+	s.grant(s.Granter.Step(granter.LeaveAsked{Now: e.Now}))
+	s.changed = true
+}
--- /dev/null
+++ b/core/reducer/types.go
@@ -0,0 +1,161 @@
+// Package reducer is the control logic of one instance: one pure step over all
+// events, with effects as data. It composes the granter, the follower and the
+// observer, exchanges views with other failure domains, and writes the
+// timeline. It reads no clock, network or random source.
+package reducer
+
+import (
+	"time"
+
+	"hornbeamstream.example/core/follower"
+	"hornbeamstream.example/core/granter"
+	"hornbeamstream.example/core/loader"
+	"hornbeamstream.example/core/observer"
+	"hornbeamstream.example/core/recorder"
+)
+
+// ViewVersion names the view that an instance has of a failure domain.
+type ViewVersion struct {
+	Domain   string
+	Epoch    uint64
+	Sequence uint64
+}
+
+// Request is the question of one instance to another: a heartbeat within the
+// failure domain, or news between failure domains.
+type Request struct {
+	From granter.Member
+	// Epoch is supported by the sender for Promise after sending.
+	Epoch   uint64
+	Promise time.Duration
+	Held    []granter.Part
+	Config  uint64
+	Views   []ViewVersion
+	Signals []observer.Signaled
+	Clock   uint64
+}
+
+// Response is the answer to a Request.
+type Response struct {
+	From granter.Member
+	// Leader, Epoch, Valid, Sequence, Parts and Quotas answer a heartbeat.
+	Leader   string
+	Epoch    uint64
+	Valid    time.Duration
+	Sequence uint64
+	Parts    []granter.Part
+	Quotas   []granter.Quota
+	Config   uint64
+	Views    []granter.View
+	Signals  []observer.Signaled
+	Clock    uint64
+}
+
+// Event is an input of Step.
+type Event interface{ reducerEvent() }
+
+// Tick reports the time and what traffic saw since the last one.
+type Tick struct {
+	Now     time.Time
+	Samples []observer.Sample
+	// Busy lists the parts with requests in flight.
+	Busy []granter.Part
+}
+
+// RequestReceived is a peer's request, answered by Answer with the same Call.
+type RequestReceived struct {
+	Now     time.Time
+	Call    uint64
+	Request Request
+}
+
+// ResponseReceived ends a Send effect.
+type ResponseReceived struct {
+	Sent, Now time.Time
+	To        string
+	Response  Response
+}
+
+// SendFailed ends a Send effect without an answer.
+type SendFailed struct {
+	Now time.Time
+	To  string
+}
+
+// Granting wraps an event for the granter.
+type Granting struct{ Event granter.Event }
+
+// Following wraps an event for the follower.
+type Following struct{ Event follower.Event }
+
+// Observing wraps an event for the observer.
+type Observing struct{ Event observer.Event }
+
+// ListSeen brings the platform's list of instances: the names of all, and of
+// those that it marks as leaving.
+type ListSeen struct {
+	Now     time.Time
+	Names   []string
+	Leaving []string
+}
+
+// LeaveAsked starts the planned stop of this instance.
+type LeaveAsked struct{ Now time.Time }
+
+func (Tick) reducerEvent()             {}
+func (RequestReceived) reducerEvent()  {}
+func (ResponseReceived) reducerEvent() {}
+func (SendFailed) reducerEvent()       {}
+func (Granting) reducerEvent()         {}
+func (Following) reducerEvent()        {}
+func (Observing) reducerEvent()        {}
+func (ListSeen) reducerEvent()         {}
+func (LeaveAsked) reducerEvent()       {}
+
+// Effect is an output of Step.
+type Effect interface{ reducerEffect() }
+
+// Send sends a request to the instance at the Peer address To; it ends with
+// ResponseReceived or SendFailed.
+type Send struct {
+	To      string
+	Request Request
+}
+
+// Answer answers RequestReceived.
+type Answer struct {
+	Call     uint64
+	Response Response
+}
+
+// Grant wraps an effect of the granter: ReadLease, ReadList, WriteLease,
+// SendVote or AnswerVote.
+type Grant struct{ Effect granter.Effect }
+
+// Follow wraps an effect of the follower: Fetch, Load, Watch or Compact.
+type Follow struct{ Effect follower.Effect }
+
+// Probe asks for the health answer of the upstream at an address.
+type Probe struct {
+	Upstream string
+	Address  string
+}
+
+// Publish gives traffic a new table. All values are immutable from here on.
+type Publish struct {
+	Config   loader.State
+	Holdings granter.Holdings
+	Views    []granter.View
+	Verdicts []observer.Verdict
+}
+
+// Record adds an event to the timeline.
+type Record struct{ Event recorder.Event }
+
+func (Send) reducerEffect()    {}
+func (Answer) reducerEffect()  {}
+func (Grant) reducerEffect()   {}
+func (Follow) reducerEffect()  {}
+func (Probe) reducerEffect()   {}
+func (Publish) reducerEffect() {}
+func (Record) reducerEffect()  {}
