--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -49,6 +49,9 @@
 	return max(0, int(g.limit.Load()-g.busy.Load()))
 }
 
+// Limit returns the number of slots.
+func (g *Gate) Limit() int { return int(g.limit.Load()) }
+
 // Deadline returns the time after which nothing is admitted.
 func (g *Gate) Deadline() int64 { return g.deadline.Load() }
 
--- /dev/null
+++ b/core/router/build.go
@@ -0,0 +1,269 @@
+package router
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"hornbeamstream.example/core/granter"
+	"hornbeamstream.example/core/limiter"
+	"hornbeamstream.example/core/loader"
+	"hornbeamstream.example/core/observer"
+)
+
+// Input is what a table is made of. Build keeps no reference to its maps and
+// slices.
+type Input struct {
+	Now    time.Time
+	Config *loader.State
+	// Self, Domain and Region describe this instance.
+	Self, Domain, Region string
+	Holdings             granter.Holdings
+	// Views are the newest views of all domains, the own one included.
+	Views []granter.View
+	// Verdicts are the newest ones of the upstreams of the own domain.
+	Verdicts []observer.Verdict
+	// Previous is the table in use or nil. Its counters go on in the new table.
+	Previous *Table
+}
+
+type gateKey struct {
+	upstream string
+	part     int
+}
+
+type creditKey struct{ peer, service string }
+
+// counters are the parts of a table that outlive it.
+type counters struct {
+	gates   map[gateKey]*limiter.Gate
+	paths   map[string]*limiter.Path
+	credits map[creditKey]*limiter.Credit
+	budgets map[string]*limiter.Budget
+	buckets map[string]*limiter.Bucket
+	links   map[string]*limiter.Link
+}
+
+func newCounters() counters {
+	return counters{
+		gates:   map[gateKey]*limiter.Gate{},
+		paths:   map[string]*limiter.Path{},
+		credits: map[creditKey]*limiter.Credit{},
+		budgets: map[string]*limiter.Budget{},
+		buckets: map[string]*limiter.Bucket{},
+		links:   map[string]*limiter.Link{},
+	}
+}
+
+// keep returns the value of a key: the one already in the new map, else the old
+// map's, else a new one.
+func keep[K comparable, V any](fresh, old map[K]*V, key K) *V {
+	if v := fresh[key]; v != nil {
+		return v
+	}
+	v := old[key]
+	if v == nil {
+		v = new(V)
+	}
+	fresh[key] = v
+	return v
+}
+
+// builder holds the intermediate results of one Build.
+type builder struct {
+	Input
+	old, fresh counters
+	drained    map[string]bool
+	verdicts   map[string]observer.Verdict
+	names      []string
+	services   map[string]*Service
+	// slots are the slots that a peer holds of a service.
+	slots map[creditKey]int64
+	table *Table
+}
+
+// Build makes a table. It closes the gates of parts that are no longer held;
+// Busy lists them until their requests have ended.
+func Build(in Input) *Table {
+	if in.Config == nil {
+		in.Config = &loader.State{}
+	}
+	b := &builder{Input: in, fresh: newCounters()}
+	if in.Previous != nil {
+		b.old = in.Previous.counters
+	}
+	b.table = &Table{
+		Version: in.Config.Version, Self: in.Self, Region: in.Region, Domain: in.Domain,
+	}
+	b.index()
+	b.buildServices()
+	b.buildTargets()
+	b.buildLinks()
+	b.buildPeers()
+	b.buildPlans()
+	b.buildShifts()
+	b.closeGates()
+	b.table.Services = b.services
+	b.table.counters = b.fresh
+	return b.table
+}
+
+func (b *builder) index() {
+	b.drained = map[string]bool{}
+	for key, d := range b.Config.Drains {
+		if d.Until.IsZero() || b.Now.Before(d.Until) {
+			b.drained[key] = true
+		}
+	}
+	b.verdicts = make(map[string]observer.Verdict, len(b.Verdicts))
+	for _, v := range b.Verdicts {
+		b.verdicts[v.Upstream] = v
+	}
+}
+
+// closed tells whether a drain takes the upstream out of use.
+func (b *builder) closed(name string, u loader.Upstream) bool {
+	return b.drained["upstream/"+name] || b.drained["domain/"+u.Domain] ||
+		b.drained["region/"+b.Config.Domains[u.Domain].Region]
+}
+
+func (b *builder) buildServices() {
+	b.services = make(map[string]*Service, len(b.Config.Services))
+	for name, s := range b.Config.Services {
+		b.names = append(b.names, name)
+		b.services[name] = &Service{
+			Name: name, Once: s.Once, Bulk: s.Bulk, Priority: s.Priority,
+			Limit: s.Limit * int64(time.Millisecond), Body: s.Body,
+			Retries: keep(b.fresh.budgets, b.old.budgets, name),
+		}
+	}
+	sort.Strings(b.names)
+}
+
+// held is what this instance holds of one upstream.
+type held struct {
+	parts   []granter.Part
+	reserve int
+}
+
+func (b *builder) held() map[string]*held {
+	all := map[string]*held{}
+	of := func(upstream string) *held {
+		if all[upstream] == nil {
+			all[upstream] = &held{}
+		}
+		return all[upstream]
+	}
+	for _, p := range b.Holdings.Parts {
+		h := of(p.Upstream)
+		h.parts = append(h.parts, p)
+	}
+	for _, r := range b.Holdings.Reserve {
+		if r.Member == b.Self || r.Member == "" {
+			of(r.Upstream).reserve += r.Slots
+		}
+	}
+	return all
+}
+
+func (b *builder) buildTargets() {
+	all := b.held()
+	names := make([]string, 0, len(all))
+	for name := range all {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		u, ok := b.Config.Upstreams[name]
+		s := b.services[u.Service]
+		if !ok || s == nil || u.Domain != b.Domain {
+			continue
+		}
+		b.addTargets(s, name, u, all[name])
+	}
+}
+
+// addTargets opens the gates of one upstream. Granted parts come before the
+// reserve, so that a lowered limit cuts the reserve first.
+func (b *builder) addTargets(s *Service, name string, u loader.Upstream, h *held) {
+	sort.Slice(h.parts, func(i, j int) bool { return h.parts[i].Index < h.parts[j].Index })
+	left := b.share(name, u, h)
+	slots := max(0, u.Slots-h.reserve)
+	for _, p := range h.parts {
+		n := min(p.Slots, granter.PartSlots, slots)
+		slots -= n
+		n = min(n, left)
+		left -= n
+		s.Targets = append(s.Targets, b.target(name, u, p.Index, n, b.deadline()))
+	}
+	if h.reserve > 0 {
+		n := min(h.reserve, u.Slots, left)
+		s.Targets = append(s.Targets, b.target(name, u, ReservePart, n, math.MaxInt64))
+	}
+}
+
+func (b *builder) deadline() int64 {
+	if b.Holdings.Deadline.IsZero() {
+		return 0
+	}
+	return b.Holdings.Deadline.UnixNano()
+}
+
+// share returns how many requests this instance may run at the upstream: its
+// part of the upstream's adaptive limit, which covers all slots.
+func (b *builder) share(name string, u loader.Upstream, h *held) int {
+	if b.closed(name, u) || u.Slots <= 0 {
+		return 0
+	}
+	v, ok := b.verdicts[name]
+	if !ok || v.Limit >= u.Slots && !v.Leaving {
+		return u.Slots
+	}
+	if v.Leaving || v.Limit <= 0 {
+		return 0
+	}
+	mine := h.reserve
+	for _, p := range h.parts {
+		mine += p.Slots
+	}
+	return max(1, v.Limit*min(mine, u.Slots)/u.Slots)
+}
+
+func (b *builder) target(name string, u loader.Upstream, part, limit int, deadline int64) Target {
+	g := keep(b.fresh.gates, b.old.gates, gateKey{name, part})
+	g.Set(limit, deadline)
+	return Target{
+		Upstream: name, Address: u.Address, Conns: u.Conns, Part: part, Gate: g,
+		Path: keep(b.fresh.paths, b.old.paths, u.Address),
+	}
+}
+
+// closeGates closes the gates that are no longer held and keeps them in the
+// table until they are empty.
+func (b *builder) closeGates() {
+	for key, g := range b.old.gates {
+		if b.fresh.gates[key] != nil {
+			continue
+		}
+		g.Set(0, 0)
+		if g.Busy() > 0 {
+			b.fresh.gates[key] = g
+		}
+	}
+}
+
+// Busy lists the granted parts with requests in flight, held or not, ordered by
+// upstream and index. Slots is the number of requests.
+func (t *Table) Busy() []granter.Part {
+	var parts []granter.Part
+	for key, g := range t.counters.gates {
+		if n := g.Busy(); n > 0 && key.part != ReservePart {
+			parts = append(parts, granter.Part{Upstream: key.upstream, Index: key.part, Slots: n})
+		}
+	}
+	sort.Slice(parts, func(i, j int) bool {
+		a, b := parts[i], parts[j]
+		return a.Upstream < b.Upstream || a.Upstream == b.Upstream && a.Index < b.Index
+	})
+	return parts
+}
--- a/core/router/table.go
+++ b/core/router/table.go
@@ -1,59 +1,27 @@
 package router
 
-// Table is an immutable snapshot of where requests can go.
+// Table is an immutable snapshot of where requests can go. Its counters go on
+// in the table that is built after it.
 type Table struct {
 	Version  uint64
 	Self     string
 	Region   string
 	Domain   string
 	Services map[string]*Service
-}
 
-// Tried remembers the places that a request has been to.
-type Tried struct {
-	targets [4]*Target
-	peers   [4]*Peer
-	count   int
+	counters counters
 }
 
-// Add remembers the place of a choice.
-func (t *Tried) Add(c Choice) {
-	if t.count == len(t.targets) {
-		return
-	}
-	t.targets[t.count] = c.Target
-	t.peers[t.count] = c.Peer
-	t.count++
-}
-
-func (t *Tried) has(target *Target, peer *Peer) bool {
-	for i := range t.count {
-		if (target != nil && t.targets[i] == target) || (peer != nil && t.peers[i] == peer) {
-			return true
-		}
-	}
-	return false
-}
-
-// Choose picks a place for the request. On success with a Target, its gate has
-// been acquired and the caller releases it.
-func (t *Table) Choose(q *Request, now int64, tried *Tried) (Choice, Reason) {
-	if now >= q.Deadline {
-		return Choice{}, TooLate
-	}
-	for i := range q.Service.Targets {
-		g := &q.Service.Targets[i]
-		if !tried.has(g, nil) && g.Gate.Acquire(now) {
-			return Choice{Target: g}, Placed
-		}
-	}
-	if q.Hop {
-		return Choice{}, Full
+// Free returns the number of free slots of a service at this instance, which
+// other instances take as credits.
+func (t *Table) Free(service string, now int64) int {
+	s := t.Services[service]
+	if s == nil {
+		return 0
 	}
-	for _, p := range q.Service.Peers {
-		if !tried.has(nil, p) && p.Path.Usable(now) && p.Credits[q.Service.Name].Take(now) {
-			return Choice{Peer: p}, Placed
-		}
+	free := 0
+	for i := range s.Targets {
+		free += s.Targets[i].Gate.Free(now)
 	}
-	return Choice{}, Full
+	return free
 }
--- a/core/router/types.go
+++ b/core/router/types.go
@@ -21,12 +21,16 @@
 	Path *limiter.Path
 }
 
+// ReservePart is the Part of a target whose slots need no grant.
+const ReservePart = -1
+
 // Target is one part that this instance holds.
 type Target struct {
 	Upstream string
 	Address  string
 	Conns    int
-	Part     int
+	// Part is the index of the part, or ReservePart.
+	Part int
 	// Gate admits requests within the part's limit and the grant's deadline.
 	Gate *limiter.Gate
 	// Path judges whether the path to the upstream works.
@@ -46,6 +50,13 @@
 	Targets []Target
 	Peers   []*Peer
 	Retries *limiter.Budget
+
+	// plans maps the caller's region to the order of regions; unknown is the
+	// plan of callers without a known region. Both are nil in a table that was
+	// not made by Build.
+	plans   map[string]*plan
+	unknown *plan
+	shift   *shift
 }
 
 // Request is what a decision depends on.
@@ -53,7 +64,10 @@
 	Service *Service
 	// Region is the home region of the caller's block.
 	Region string
-	Block  netip.Addr
+	// Entry is the region of the instance that forwarded the request here. It
+	// matters only with Hop; empty means Region.
+	Entry string
+	Block netip.Addr
 	// Hash is the hash of caller block and request id.
 	Hash uint64
 	// Deadline is in Unix nanoseconds.
@@ -81,8 +95,48 @@
 type Choice struct {
 	Target *Target
 	Peer   *Peer
-	// Shifted names the moved service when a shift's token was taken.
+	// Shifted tells that the request left its region by a shift and that a
+	// token of the shift's cap was taken.
 	Shifted bool
-	// Link is the bucket of the link between regions that answers use, or nil.
+	// Link is the budget of the link between regions that this instance's bytes
+	// use, or nil: the request's body at the entry instance, the answer at the
+	// instance that a request was forwarded to.
 	Link *limiter.Link
 }
+
+// Tried remembers the places that a request has been to.
+type Tried struct {
+	choices [4]Choice
+	count   int
+}
+
+// Add remembers the place of a choice.
+func (t *Tried) Add(c Choice) {
+	if t.count == len(t.choices) {
+		return
+	}
+	t.choices[t.count] = c
+	t.count++
+}
+
+// target tells whether the upstream of a target has been tried. Paths outlive
+// tables, so that a retry on a newer table recognizes the place.
+func (t *Tried) target(g *Target) bool {
+	for i := range t.count {
+		o := t.choices[i].Target
+		if o != nil && (o == g || o.Path != nil && o.Path == g.Path) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Tried) peer(p *Peer) bool {
+	for i := range t.count {
+		o := t.choices[i].Peer
+		if o != nil && (o == p || o.Path != nil && o.Path == p.Path) {
+			return true
+		}
+	}
+	return false
+}
