--- /dev/null
+++ b/core/limiter/example_test.go
@@ -0,0 +1,40 @@
+package limiter_test
+
+import (
+	"fmt"
+	"time"
+
+	"hornbeamstream.example/core/limiter"
+)
+
+func ExampleGate() {
+	now := time.Unix(1_800_000_000, 0)
+	var g limiter.Gate
+	g.Set(1, now.Add(3*time.Second).UnixNano())
+	fmt.Println(g.Acquire(now.UnixNano()), g.Acquire(now.UnixNano()))
+	g.Release()
+	fmt.Println(g.Acquire(now.Add(3 * time.Second).UnixNano()))
+	// Output:
+	// true false
+	// false
+}
+
+func ExampleLink_Charge() {
+	now := time.Unix(1_800_000_000, 0).UnixNano()
+	var l limiter.Link
+	l.Set(1_000_000, 0, now+int64(time.Minute))
+	fmt.Println(l.Charge(now, 50_000, false), l.Charge(now, 50_000, true))
+	// Output: 0s 100ms
+}
+
+func ExampleBudget() {
+	var b limiter.Budget
+	fmt.Println(b.Take(), b.Take(), b.Take(), b.Take())
+	for range 10 {
+		b.Success()
+	}
+	fmt.Println(b.Take(), b.Take())
+	// Output:
+	// true true true false
+	// true false
+}
