executor: control goroutine, peer calls, platform effects (not wired yet)

Cause: the reducer needs an executor that performs effects and stamps events at the time of the step.

--- a/core/follower/follower.go
+++ b/core/follower/follower.go
@@ -11,8 +11,10 @@
 	Config loader.State
 	// History holds the newest tickets up to Config.Version without a gap.
 	History []loader.Ticket
-	// Revision is the store revision that the next watch starts from; zero
-	// means that the platform has to be read first.
+	// Read tells that the platform has been read, so that a watch from Revision
+	// brings everything newer.
+	Read bool
+	// Revision is the store revision that the next watch starts from.
 	Revision uint64
 	// Compacted is the version of the last snapshot that this instance wrote
 	// or read.
@@ -86,7 +88,7 @@
 	if !s.Platform.ready(e.Now) {
 		return effects
 	}
-	if s.Revision == 0 {
+	if !s.Read {
 		s.Platform.begin(e.Now.Add(CallTimeout))
 		return append(effects, Load{After: s.Config.Version})
 	}
@@ -137,6 +139,7 @@
 	effects := s.advance(&e.Snapshot, e.Tickets)
 	// A stale read may end before the version that peers already gave us. The
 	// watch then starts from the stale revision and brings the rest.
+	s.Read = true
 	s.Revision = max(s.Revision, e.Revision)
 	return effects
 }
@@ -149,7 +152,7 @@
 	effects := s.advance(nil, e.Tickets)
 	if gap(s.Config.Version, e.Tickets) {
 		// The watch skipped tickets, so the store has to be read again.
-		s.Revision = 0
+		s.Read = false
 		return effects
 	}
 	s.Revision = max(s.Revision, e.Revision)
--- a/core/reducer/control.go
+++ b/core/reducer/control.go
@@ -72,7 +72,7 @@
 		s.record(recorder.Event{Kind: recorder.Configured, Version: a.State.Version, Cause: "snapshot"})
 	}
 	s.grant(s.Granter.Step(granter.PlanChanged{Now: s.now, Plan: Plan(a.State, s.Self.Domain)}))
-	s.observe(observer.SpecsChanged{Now: s.now, Specs: specs(a.State, s.Self.Domain)})
+	s.observe(observer.SpecsChanged{Now: s.now, Specs: specs(a.State, s.Self.Domain, s.now)})
 }
 
 func (s *State) configured(t loader.Ticket, rejected error) {
--- a/core/reducer/plan.go
+++ b/core/reducer/plan.go
@@ -68,14 +68,14 @@
 	return shares
 }
 
-func specs(config loader.State, domain string) []observer.Spec {
+func specs(config loader.State, domain string, now time.Time) []observer.Spec {
 	var specs []observer.Spec
 	for _, name := range sortedKeys(config.Upstreams) {
 		u := config.Upstreams[name]
 		if u.Domain != domain {
 			continue
 		}
-		specs = append(specs, observer.Spec{Upstream: name, Slots: u.Slots, Drained: config.Drained(name)})
+		specs = append(specs, observer.Spec{Upstream: name, Slots: u.Slots, Drained: config.Drained(name, now)})
 	}
 	return specs
 }
--- /dev/null
+++ b/hornbeamd/executor/executor.go
@@ -0,0 +1,266 @@
+// Package executor runs the control side of one instance. A single goroutine
+// steps the reducer over events; effects run in goroutines of their own and
+// return events.
+package executor
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
+
+	"hornbeamstream.example/core/connector"
+	"hornbeamstream.example/core/granter"
+	"hornbeamstream.example/core/hornpb"
+	"hornbeamstream.example/core/observer"
+	"hornbeamstream.example/core/recorder"
+	"hornbeamstream.example/core/reducer"
+	"hornbeamstream.example/core/resolver"
+	"hornbeamstream.example/core/router"
+	"hornbeamstream.example/core/submitter"
+)
+
+const (
+	// tickInterval is the time between two ticks. It is well below the pause
+	// gap, so that a busy machine doesn't look like a paused process.
+	tickInterval = 100 * time.Millisecond
+	// peerTimeout bounds a call to another instance; it stays below the
+	// heartbeat interval plus the time that grants leave for a second try.
+	peerTimeout = time.Second
+	// platformTimeout bounds a platform call without waiting.
+	platformTimeout = 2 * time.Second
+	// maxEffects bounds the effects that run at the same time.
+	maxEffects = 256
+	// queueLength is the number of events that wait for the control goroutine.
+	queueLength = 1024
+)
+
+// Platform is the platform's API as the executor uses it.
+type Platform interface {
+	submitter.Store
+	Instances(ctx context.Context) ([]connector.Instance, error)
+	Register(ctx context.Context, i connector.Instance) error
+	Remove(ctx context.Context, name string) error
+}
+
+// Traffic is the traffic side as the executor uses it.
+type Traffic interface {
+	// Samples returns what traffic saw of upstreams since the last call.
+	Samples() []observer.Sample
+	// Outcome tells what is known here of a request id.
+	Outcome(q *hornpb.OutcomeRequest) *hornpb.OutcomeResponse
+}
+
+// Metrics receives the control events that are counted.
+type Metrics interface {
+	Recorded(kind recorder.Kind)
+	Stepped(took time.Duration)
+	Called(kind string, failed bool)
+}
+
+// Config has the parts that an Executor needs.
+type Config struct {
+	Clock    Clock
+	Self     granter.Member
+	Region   string
+	Seeds    []string
+	Platform Platform
+	Ring     *recorder.Ring
+	Metrics  Metrics
+	Log      logr.Logger
+}
+
+// Executor runs the control side. New makes one; SetTraffic must be called
+// before Run.
+type Executor struct {
+	cfg     Config
+	traffic Traffic
+	state   *reducer.State
+
+	events  chan func(now time.Time) reducer.Event
+	queries chan func(s *reducer.State)
+	effects errgroup.Group
+	client  *http.Client
+
+	// calls are the requests of peers that wait for an answer. Only the control
+	// goroutine uses it.
+	calls    map[uint64]func(reducer.Effect)
+	lastCall uint64
+
+	table    atomic.Pointer[router.Table]
+	resolver atomic.Pointer[resolver.Table]
+	witness  atomic.Pointer[witnesses]
+}
+
+// New returns an Executor with an empty table.
+func New(cfg Config) *Executor {
+	x := &Executor{
+		cfg:     cfg,
+		state:   reducer.New(cfg.Self, cfg.Region, cfg.Seeds, cfg.Clock.Now()),
+		events:  make(chan func(time.Time) reducer.Event, queueLength),
+		queries: make(chan func(*reducer.State)),
+		calls:   map[uint64]func(reducer.Effect){},
+		client:  newPeerClient(),
+	}
+	x.effects.SetLimit(maxEffects)
+	x.witness.Store(&witnesses{})
+	x.publish(reducer.Publish{})
+	return x
+}
+
+// SetTraffic connects the traffic side.
+func (x *Executor) SetTraffic(t Traffic) { x.traffic = t }
+
+// Table returns the table in force.
+func (x *Executor) Table() *router.Table { return x.table.Load() }
+
+// Resolver returns the look-up table in force.
+func (x *Executor) Resolver() *resolver.Table { return x.resolver.Load() }
+
+// Leave starts the planned stop of this instance.
+func (x *Executor) Leave() {
+	x.post(func(now time.Time) reducer.Event { return reducer.LeaveAsked{Now: now} })
+}
+
+// post hands an event to the control goroutine. Its time is that of the step,
+// so that an event that waited during a pause is not taken for a fresh one.
+func (x *Executor) post(event func(now time.Time) reducer.Event) { x.events <- event }
+
+// Run steps the reducer until the context ends.
+func (x *Executor) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	x.record(recorder.Event{Kind: recorder.Started, Cause: "process started"})
+	for {
+		select {
+		case <-ctx.Done():
+			x.record(recorder.Event{Kind: recorder.Stopped, Cause: "process ends"})
+			return nil
+		case <-ticker.C:
+			x.step(ctx, x.tick())
+		case event := <-x.events:
+			x.step(ctx, event(x.cfg.Clock.Now()))
+		case query := <-x.queries:
+			query(x.state)
+		}
+	}
+}
+
+func (x *Executor) tick() reducer.Tick {
+	return reducer.Tick{
+		Now:     x.cfg.Clock.Now(),
+		Samples: x.traffic.Samples(),
+		Busy:    x.Table().Busy(),
+	}
+}
+
+func (x *Executor) step(ctx context.Context, event reducer.Event) {
+	start := time.Now()
+	effects := x.state.Step(event)
+	for _, e := range effects {
+		x.perform(ctx, e)
+	}
+	x.cfg.Metrics.Stepped(time.Since(start))
+}
+
+// perform carries out an effect: at once when it is local, in a goroutine when
+// it waits for others.
+func (x *Executor) perform(ctx context.Context, e reducer.Effect) {
+	switch e := e.(type) {
+	case reducer.Publish:
+		x.publish(e)
+	case reducer.Record:
+		x.recorded(e.Event)
+	case reducer.Answer:
+		x.answer(e.Call, e)
+	case reducer.Send:
+		x.run(func() { x.send(ctx, e) })
+	case reducer.Probe:
+		x.run(func() { x.probe(e) })
+	case reducer.Follow:
+		x.follow(ctx, e.Effect)
+	case reducer.Grant:
+		x.grant(ctx, e.Effect)
+	}
+}
+
+// run starts an effect. Beyond maxEffects it is dropped, which looks like a
+// call without an answer; the reducer tries again.
+func (x *Executor) run(effect func()) {
+	started := x.effects.TryGo(func() error {
+		effect()
+		return nil
+	})
+	if !started {
+		x.cfg.Metrics.Called("dropped", true)
+	}
+}
+
+func (x *Executor) publish(p reducer.Publish) {
+	table := router.Build(router.Input{
+		Now:      x.cfg.Clock.Now(),
+		Config:   &p.Config,
+		Self:     x.cfg.Self.Name,
+		Domain:   x.cfg.Self.Domain,
+		Region:   x.cfg.Region,
+		Holdings: p.Holdings,
+		Views:    p.Views,
+		Verdicts: p.Verdicts,
+		Previous: x.Table(),
+	})
+	x.table.Store(table)
+	x.resolver.Store(resolver.Build(resolver.Input{
+		Config: &p.Config,
+		Region: x.cfg.Region,
+		Views:  x.withSelf(p.Views),
+	}))
+	x.witness.Store(x.witness.Load().next(p, x.cfg.Self.Name, x.cfg.Clock.Now()))
+}
+
+// withSelf adds this instance to the views if its failure domain has none yet,
+// so that look-ups are answered before the first contact with others.
+func (x *Executor) withSelf(views []granter.View) []granter.View {
+	for _, v := range views {
+		if v.Domain == x.cfg.Self.Domain {
+			return views
+		}
+	}
+	own := granter.View{Domain: x.cfg.Self.Domain, Members: []granter.Member{x.state.Self}}
+	return append(slices.Clone(views), own)
+}
+
+// record adds an event that doesn't come from the reducer.
+func (x *Executor) record(e recorder.Event) {
+	now := x.cfg.Clock.Now()
+	e.Stamp = x.state.Clock.Now(now)
+	e.Wall = now
+	e.Instance = x.cfg.Self.Name
+	e.Domain = x.cfg.Self.Domain
+	x.recorded(e)
+}
+
+func (x *Executor) recorded(e recorder.Event) {
+	x.cfg.Ring.Add(e)
+	x.cfg.Metrics.Recorded(e.Kind)
+	x.cfg.Log.Info(string(e.Kind), "version", e.Version, "epoch", e.Epoch, "upstream", e.Upstream, "peer", e.Peer, "cause", e.Cause)
+}
+
+// inspect runs a query on the control goroutine and waits for it.
+func (x *Executor) inspect(ctx context.Context, query func(s *reducer.State)) error {
+	done := make(chan struct{})
+	wrapped := func(s *reducer.State) {
+		defer close(done)
+		query(s)
+	}
+	select {
+	case x.queries <- wrapped:
+		<-done
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/hornbeamd/executor/platform.go
@@ -0,0 +1,247 @@
+package executor
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"hornbeamstream.example/core/connector"
+	"hornbeamstream.example/core/follower"
+	"hornbeamstream.example/core/granter"
+	"hornbeamstream.example/core/loader"
+	"hornbeamstream.example/core/reducer"
+	"hornbeamstream.example/core/submitter"
+)
+
+// leasePrefix starts the keys of lease objects.
+const leasePrefix = "lease/"
+
+// follow carries out an effect of the follower.
+func (x *Executor) follow(ctx context.Context, e follower.Effect) {
+	switch e := e.(type) {
+	case follower.Fetch:
+		x.run(func() { x.fetch(ctx, e) })
+	case follower.Load:
+		x.run(func() { x.load(ctx, e) })
+	case follower.Watch:
+		x.run(func() { x.watch(ctx, e) })
+	case follower.Compact:
+		x.run(func() { x.compact(ctx, e) })
+	}
+}
+
+func (x *Executor) following(event func(now time.Time) follower.Event) {
+	x.post(func(now time.Time) reducer.Event { return reducer.Following{Event: event(now)} })
+}
+
+func (x *Executor) load(ctx context.Context, e follower.Load) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	loaded, err := x.read(ctx, e.After)
+	x.cfg.Metrics.Called("load", err != nil)
+	loaded.Failed = err != nil
+	x.following(func(now time.Time) follower.Event {
+		loaded.Now = now
+		return loaded
+	})
+}
+
+// read returns the snapshot and the tickets after it, or only the tickets when
+// they follow the version at hand.
+func (x *Executor) read(ctx context.Context, after uint64) (l follower.Loaded, err error) {
+	state, tail, err := submitter.Load(ctx, x.cfg.Platform)
+	if err != nil {
+		return l, err
+	}
+	if len(tail) > 0 && tail[0].Number <= after+1 {
+		l.Tickets = tail
+	} else {
+		l.Snapshot = state
+	}
+	if state.Version == 0 {
+		return l, nil
+	}
+	// Tickets are created in order, so that all later ones have a higher store
+	// revision than the newest one read.
+	newest, err := x.cfg.Platform.Get(ctx, loader.TicketKey(state.Version))
+	l.Revision = newest.Version
+	return l, err
+}
+
+func (x *Executor) watch(ctx context.Context, e follower.Watch) {
+	until := x.cfg.Clock.Now().Add(follower.WatchWait)
+	ctx, cancel := context.WithDeadline(ctx, until.Add(follower.CallTimeout))
+	defer cancel()
+	change, err := x.cfg.Platform.Watch(ctx, loader.TicketPrefix, e.Revision, until)
+	x.cfg.Metrics.Called("watch", err != nil)
+	watched := follower.Watched{Revision: change.Revision, Failed: err != nil}
+	for _, o := range change.Objects {
+		if number, ok := loader.TicketNumber(o.Key); ok {
+			watched.Tickets = append(watched.Tickets, loader.DecodeTicket(number, o.Value))
+		}
+	}
+	x.following(func(now time.Time) follower.Event {
+		watched.Now = now
+		return watched
+	})
+}
+
+func (x *Executor) compact(ctx context.Context, e follower.Compact) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	err := submitter.Compact(ctx, x.cfg.Platform, e.State)
+	x.cfg.Metrics.Called("compact", err != nil)
+	x.following(func(now time.Time) follower.Event {
+		return follower.Compacted{Now: now, Failed: err != nil}
+	})
+}
+
+// grant carries out an effect of the granter.
+func (x *Executor) grant(ctx context.Context, e granter.Effect) {
+	switch e := e.(type) {
+	case granter.ReadLease:
+		x.run(func() { x.readLease(ctx, e) })
+	case granter.ReadList:
+		x.run(func() { x.readList(ctx) })
+	case granter.WriteLease:
+		x.run(func() { x.writeLease(ctx, e) })
+	case granter.SendVote:
+		x.run(func() { x.sendVote(ctx, e) })
+	case granter.AnswerVote:
+		x.answer(e.Call, reducer.Grant{Effect: e})
+	}
+}
+
+func (x *Executor) readLease(ctx context.Context, e granter.ReadLease) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	asked := x.cfg.Clock.Now()
+	seen, err := x.getLease(ctx, e.Domain)
+	x.cfg.Metrics.Called("lease", err != nil)
+	if err != nil {
+		// The granter counts on LeaseSeen alone and asks again.
+		return
+	}
+	x.post(func(now time.Time) reducer.Event {
+		seen.Asked = asked
+		seen.Now = now
+		return reducer.Granting{Event: seen}
+	})
+}
+
+func (x *Executor) getLease(ctx context.Context, domain string) (seen granter.LeaseSeen, err error) {
+	o, err := x.cfg.Platform.Get(ctx, leasePrefix+domain)
+	if errors.Is(err, submitter.ErrAbsent) {
+		return seen, nil
+	}
+	if err != nil {
+		return seen, err
+	}
+	seen.Version = o.Version
+	return seen, json.Unmarshal(o.Value, &seen.Lease)
+}
+
+func (x *Executor) writeLease(ctx context.Context, e granter.WriteLease) {
+	asked := x.cfg.Clock.Now()
+	version, result := uint64(0), granter.WriteFailed
+	if asked.Before(e.Until) {
+		version, result = x.putLease(ctx, e)
+	}
+	x.cfg.Metrics.Called("renew", result != granter.WriteDone)
+	x.post(func(now time.Time) reducer.Event {
+		return reducer.Granting{Event: granter.WriteEnded{
+			Asked:   asked,
+			Now:     now,
+			Nonce:   e.Lease.Nonce,
+			Result:  result,
+			Version: version,
+		}}
+	})
+}
+
+func (x *Executor) putLease(ctx context.Context, e granter.WriteLease) (version uint64, result granter.WriteResult) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	value, err := json.Marshal(e.Lease)
+	if err != nil {
+		return 0, granter.WriteFailed
+	}
+	key := leasePrefix + e.Lease.Domain
+	if e.Version == 0 {
+		version, err = x.cfg.Platform.Create(ctx, key, value)
+	} else {
+		version, err = x.cfg.Platform.Update(ctx, key, e.Version, value)
+	}
+	return version, writeResult(err)
+}
+
+func writeResult(err error) granter.WriteResult {
+	switch {
+	case err == nil:
+		return granter.WriteDone
+	case errors.Is(err, submitter.ErrConflict), errors.Is(err, submitter.ErrAbsent):
+		return granter.WriteConflict
+	case errors.Is(err, submitter.ErrUnavailable):
+		return granter.WriteFailed
+	}
+	return granter.WriteUnknown
+}
+
+func (x *Executor) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	list, err := x.cfg.Platform.Instances(ctx)
+	x.cfg.Metrics.Called("list", err != nil)
+	if err != nil {
+		return
+	}
+	x.post(func(now time.Time) reducer.Event {
+		seen := reducer.ListSeen{Now: now}
+		for _, i := range list {
+			seen.Names = append(seen.Names, i.Name)
+			if i.State == connector.Leaving {
+				seen.Leaving = append(seen.Leaving, i.Name)
+			}
+		}
+		return seen
+	})
+}
+
+// Register adds this instance to the platform's list, trying until the context
+// ends. Nothing waits for it: while the platform is down, the instance serves
+// without.
+func (x *Executor) Register(ctx context.Context) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, platformTimeout)
+		err := x.cfg.Platform.Register(call, connector.Instance{
+			Name:    x.cfg.Self.Name,
+			Address: x.cfg.Self.Peer,
+			Domain:  x.cfg.Self.Domain,
+			State:   connector.Live,
+		})
+		cancel()
+		x.cfg.Metrics.Called("register", err != nil)
+		if err == nil {
+			return
+		}
+		wait(ctx, follower.MaxBackoff)
+	}
+}
+
+// Remove takes this instance off the platform's list. A lost answer needs no
+// second try: the list lags anyway, and the lease tells that this member left.
+func (x *Executor) Remove(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	return x.cfg.Platform.Remove(ctx, x.cfg.Self.Name)
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/hornbeamd/executor/probe.go
@@ -0,0 +1,67 @@
+package executor
+
+import (
+	"encoding/json"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"hornbeamstream.example/core/observer"
+	"hornbeamstream.example/core/reducer"
+)
+
+// Bounds of a probe. A health answer is a few dozen bytes.
+const (
+	probeTimeout = time.Second
+	maxHealth    = 4 << 10
+)
+
+// healthAnswer is the body of an upstream's GET /health.
+type healthAnswer struct {
+	State string  `json:"state"`
+	Load  float64 `json:"load"`
+	Slots int     `json:"slots"`
+	Busy  int     `json:"busy"`
+}
+
+// probe asks an upstream for its health on a fresh connection, so that a silent
+// one is not taken for a dead upstream.
+func (x *Executor) probe(e reducer.Probe) {
+	sent := x.cfg.Clock.Now()
+	h, err := health(e.Address)
+	x.cfg.Metrics.Called("probe", err != nil)
+	report := observer.Health{Upstream: e.Upstream, Refused: errors.Is(err, syscall.ECONNREFUSED)}
+	if err == nil {
+		report.State = h.State
+		report.Load = h.Load
+		report.Slots = h.Slots
+		report.Busy = h.Busy
+	}
+	x.post(func(now time.Time) reducer.Event {
+		return reducer.Observing{Event: observer.Probed{Sent: sent, Now: now, Health: report}}
+	})
+}
+
+func health(address string) (h healthAnswer, err error) {
+	client := fasthttp.HostClient{
+		Addr:                      address,
+		ReadTimeout:               probeTimeout,
+		WriteTimeout:              probeTimeout,
+		MaxIdemponentCallAttempts: 1,
+		MaxResponseBodySize:       maxHealth,
+		MaxConns:                  1,
+	}
+	defer client.CloseIdleConnections()
+	q := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(q)
+	r := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(r)
+	q.SetRequestURI("http://" + address + "/health")
+	q.SetConnectionClose()
+	if err := client.Do(q, r); err != nil {
+		return h, err
+	}
+	return h, json.Unmarshal(r.Body(), &h)
+}
--- /dev/null
+++ b/hornbeamd/executor/status.go
@@ -0,0 +1,59 @@
+package executor
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"hornbeamstream.example/core/granter"
+	"hornbeamstream.example/core/reducer"
+	"hornbeamstream.example/core/reporter"
+	"hornbeamstream.example/core/router"
+)
+
+// Status returns this instance's account for operators.
+func (x *Executor) Status(ctx context.Context) (status reporter.Status, err error) {
+	err = x.inspect(ctx, func(s *reducer.State) {
+		status = reporter.Status{
+			Instance: s.Self,
+			Region:   s.Region,
+			Version:  s.Follower.Config.Version,
+			Platform: s.Follower.Reachable,
+		}
+		for _, v := range s.Views {
+			status.Members = append(status.Members, v.Members...)
+			if v.Domain == s.Self.Domain {
+				status.Leader, status.Epoch = v.Leader, v.Epoch
+			}
+		}
+		for _, u := range Held(x.Table(), x.cfg.Clock.Nano()) {
+			u.Leaving = s.Verdicts[u.Name].Leaving
+			status.Upstreams = append(status.Upstreams, u)
+		}
+	})
+	slices.SortFunc(status.Members, func(a, b granter.Member) int { return cmp.Compare(a.Name, b.Name) })
+	return status, err
+}
+
+// Held sums up the parts that the table holds, by upstream.
+func Held(t *router.Table, now int64) []reporter.Upstream {
+	byName := map[string]reporter.Upstream{}
+	for _, service := range t.Services {
+		for i := range service.Targets {
+			g := &service.Targets[i]
+			u := byName[g.Upstream]
+			u.Name = g.Upstream
+			u.Service = service.Name
+			u.Busy += g.Gate.Busy()
+			u.Limit += g.Gate.Busy() + g.Gate.Free(now)
+			u.Slots += g.Slots
+			byName[g.Upstream] = u
+		}
+	}
+	list := make([]reporter.Upstream, 0, len(byName))
+	for _, u := range byName {
+		list = append(list, u)
+	}
+	slices.SortFunc(list, func(a, b reporter.Upstream) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
--- /dev/null
+++ b/hornbeamd/executor/witness.go
@@ -0,0 +1,132 @@
+package executor
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"hornbeamstream.example/core/granter"
+	"hornbeamstream.example/core/hornpb"
+	"hornbeamstream.example/core/loader"
+	"hornbeamstream.example/core/reducer"
+	"hornbeamstream.example/hornbeamd/forwarder"
+)
+
+// goneWindow is how long a member that left the views counts as a witness that
+// cannot answer. It covers the window in which request ids are kept.
+const goneWindow = 2 * time.Minute
+
+// witnesses are the instances that may know of a request id. A value is
+// immutable.
+type witnesses struct {
+	members map[string]witness
+	domains map[string][]string
+}
+
+// witness is an instance that is or was a member.
+type witness struct {
+	member granter.Member
+	// gone is the time at which this incarnation left the views; zero while it
+	// is there.
+	gone time.Time
+}
+
+// next returns the witnesses after a change of the views. Members that are no
+// longer named stay as gone for a while, because a request may have run there.
+func (w *witnesses) next(p reducer.Publish, self string, now time.Time) *witnesses {
+	n := &witnesses{members: map[string]witness{}, domains: serviceDomains(p.Config)}
+	for _, v := range p.Views {
+		for _, m := range v.Members {
+			if m.Name != self {
+				n.members[witnessKey(m)] = witness{member: m}
+			}
+		}
+	}
+	for key, old := range w.members {
+		if _, ok := n.members[key]; ok {
+			continue
+		}
+		if old.gone.IsZero() {
+			old.gone = now
+		}
+		if now.Before(old.gone.Add(goneWindow)) {
+			n.members[key] = old
+		}
+	}
+	return n
+}
+
+// witnessKey tells incarnations of a member apart.
+func witnessKey(m granter.Member) string {
+	return m.Name + "/" + time.UnixMilli(int64(m.Incarnation)).UTC().Format(time.RFC3339Nano)
+}
+
+// serviceDomains returns, by service, the failure domains with upstreams of it.
+func serviceDomains(config loader.State) map[string][]string {
+	domains := map[string][]string{}
+	seen := map[[2]string]bool{}
+	for _, u := range config.Upstreams {
+		k := [2]string{u.Service, u.Domain}
+		if !seen[k] {
+			seen[k] = true
+			domains[u.Service] = append(domains[u.Service], u.Domain)
+		}
+	}
+	return domains
+}
+
+// of returns the instances that may know of a request of the service first sent
+// at the given time. An incarnation that was gone before can't.
+func (w *witnesses) of(service string, sent time.Time) []witness {
+	holds := map[string]bool{}
+	for _, d := range w.domains[service] {
+		holds[d] = true
+	}
+	var list []witness
+	for _, m := range w.members {
+		if holds[m.member.Domain] && (m.gone.IsZero() || m.gone.After(sent)) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// Ask implements forwarder.Witnesses.
+func (x *Executor) Ask(ctx context.Context, service, id string, sent int64) []forwarder.Account {
+	list := x.witness.Load().of(service, time.UnixMilli(sent))
+	accounts := make([]forwarder.Account, len(list))
+	var wg sync.WaitGroup
+	for i, w := range list {
+		accounts[i] = forwarder.Account{Fate: hornpb.Fate_FATE_UNKNOWN}
+		if !w.gone.IsZero() {
+			continue
+		}
+		wg.Go(func() { accounts[i] = x.ask(ctx, w.member.Peer, service, id, sent) })
+	}
+	wg.Wait()
+	return accounts
+}
+
+func (x *Executor) ask(ctx context.Context, address, service, id string, sent int64) forwarder.Account {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	m, err := x.peer(address).Outcome(ctx, connect.NewRequest(&hornpb.OutcomeRequest{
+		Service: service,
+		Id:      id,
+		Fence:   true,
+		Sent:    sent,
+	}))
+	x.cfg.Metrics.Called("outcome", err != nil)
+	if err != nil {
+		return forwarder.Account{Fate: hornpb.Fate_FATE_UNKNOWN}
+	}
+	return forwarder.Account{
+		Fate:   m.Msg.GetFate(),
+		Status: int(m.Msg.GetStatus()),
+		Type:   m.Msg.GetType(),
+		Body:   m.Msg.GetBody(),
+		Kept:   m.Msg.GetKept(),
+	}
+}
