--- a/hornbench/main.go
+++ b/hornbench/main.go
@@ -1,4 +1,30 @@
-// Command hornbench is a placeholder until its parts arrive.
+// Command hornbench starts stand-ins, load and the demo. It is the test tool of
+// the system and the only program that starts processes.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := app().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "hornbench:", err)
+		os.Exit(1)
+	}
+}
+
+func app() *cli.Command {
+	return &cli.Command{
+		Name:     "hornbench",
+		Usage:    "stand-ins, load and demo of hornbeamstream on the loopback addresses",
+		Commands: []*cli.Command{emulateCommand(), loadCommand()},
+	}
+}
