--- a/hornbench/generator/load.go
+++ b/hornbench/generator/load.go
@@ -133,10 +133,10 @@
 		}
 		l.flying.Add(1)
 		id := fmt.Sprintf("%s%s-%s-%d", l.Prefix, f.Service, f.Region, n)
-		c := callers[random.IntN(len(callers))]
+		c, at := callers[random.IntN(len(callers))], due
 		g.Go(func() {
 			defer l.flying.Add(-1)
-			c.do(rest, f, id, due)
+			c.do(rest, f, id, at)
 		})
 	}
 }
