granter: lease, election, grants, reserve and quotas as a state machine

Cause: the executor needs the state machine behind the granter's types. Change: State.Step takes and renews lease/<domain>, chooses electors, asks them for support, grants parts and quotas, keeps a reserve and hands over on leave. Heartbeats carry the sequence of the accepted grant instead of a promise; the leader asks for support with SendVote in its own epoch, so that a promise counts from the request at the leader and from the answer at the elector. Holdings and InFlightChanged carry a version, so that a part is released only after the last admission was counted. New: SeedsSeen, AnswerVote.Epoch.

--- /dev/null
+++ b/core/granter/member.go
@@ -0,0 +1,216 @@
+package granter
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// silence is the time without an answer from the leader after which a member
+// also asks others who leads.
+const silence = 3 * HeartbeatInterval
+
+// Claim is a part that this instance was granted and has not given back. It is
+// reported to the leader only until Until, after which a leader may have moved
+// the part.
+type Claim struct {
+	Part  Part
+	Until time.Time
+	// Drop is the version of Holdings that no longer names the part, 0 while
+	// it is granted.
+	Drop uint64
+}
+
+// follow sends the heartbeat that is due.
+func (s *State) follow() {
+	if s.Now.Before(s.BeatAt) {
+		return
+	}
+	s.BeatAt = s.Now.Add(HeartbeatInterval)
+	if to := s.contact(); to != "" {
+		s.beat(to)
+	}
+}
+
+// contact returns the address for the next heartbeat: the leader's, or while
+// the leader is silent every other time that of another instance.
+func (s *State) contact() string {
+	leader := s.Peers[s.Leader].Peer
+	if s.Leader == s.Self.Name {
+		leader = ""
+	}
+	if leader != "" && s.Now.Sub(s.Heard) < silence {
+		return leader
+	}
+	s.SeedIndex++
+	others := s.others()
+	if len(others) == 0 || leader != "" && s.SeedIndex%2 == 0 {
+		return leader
+	}
+	return others[s.SeedIndex/2%len(others)]
+}
+
+// others returns the addresses of instances that may know the leader.
+func (s *State) others() []string {
+	all := slices.Clone(s.Seeds)
+	for _, name := range s.Lease.Electors {
+		all = append(all, s.Peers[name].Peer)
+	}
+	slices.Sort(all)
+	all = slices.Compact(all)
+	return slices.DeleteFunc(all, func(to string) bool { return to == "" || to == s.Self.Peer })
+}
+
+func (s *State) beat(to string) {
+	s.emit(SendHeartbeat{To: to, Epoch: s.Known, Seen: s.seen(), Held: s.held()})
+}
+
+// seen returns the sequence of the last accepted grant of the current epoch.
+func (s *State) seen() uint64 {
+	if s.Grant.Epoch != s.Known {
+		return 0
+	}
+	return s.Grant.Sequence
+}
+
+func (s *State) held() []Part {
+	s.trimClaims()
+	var parts []Part
+	for _, c := range s.Claims {
+		parts = append(parts, c.Part)
+	}
+	sortParts(parts)
+	return parts
+}
+
+// trimClaims forgets claims when a leader may have moved the part.
+func (s *State) trimClaims() {
+	maps.DeleteFunc(s.Claims, func(_ Key, c Claim) bool { return !s.Now.Before(c.Until) })
+}
+
+// meet remembers the addresses of an instance.
+func (s *State) meet(m Member) {
+	if m.Name != "" && m.Incarnation >= s.Peers[m.Name].Incarnation {
+		s.Peers[m.Name] = m
+	}
+}
+
+// learn records a new epoch and its leader.
+func (s *State) learn(epoch uint64, leader string) {
+	s.Known, s.Leader = epoch, leader
+	s.BeatAt = s.Now
+	wait := time.Duration(0)
+	if !s.elector() {
+		// Members that only need their reserve don't all read at once.
+		wait = time.Duration(hash(s.Self.Name, epoch)%2000) * time.Millisecond
+	}
+	s.ReadAt = earlier(s.ReadAt, s.Now.Add(wait))
+}
+
+func (s *State) heartbeatAnswered(e HeartbeatAnswered) {
+	s.meet(e.From)
+	if s.Leading || e.Epoch < s.Known {
+		return
+	}
+	if e.Epoch > s.Known {
+		s.learn(e.Epoch, e.Leader)
+	}
+	if s.Leader == "" {
+		s.Leader = e.Leader
+	}
+	if e.From.Name != s.Leader || e.Leader != s.Leader {
+		return
+	}
+	s.Heard = s.Now
+	if e.Valid <= 0 || e.Sent.Before(s.Resumed) {
+		return
+	}
+	s.accept(Grant{
+		Epoch:    e.Epoch,
+		Sequence: e.Sequence,
+		Deadline: e.Sent.Add(e.Valid),
+		Parts:    e.Parts,
+		Quotas:   e.Quotas,
+	})
+}
+
+func (s *State) heartbeatFailed(HeartbeatFailed) {
+	if s.Now.Sub(s.Heard) >= silence {
+		s.BeatAt = earlier(s.BeatAt, s.Now.Add(HeartbeatInterval/2))
+	}
+}
+
+// accept takes a grant unless a later one was accepted. The leader relies on
+// this order when it takes parts away.
+func (s *State) accept(g Grant) {
+	if g.Epoch < s.Grant.Epoch || g.Epoch == s.Grant.Epoch && g.Sequence <= s.Grant.Sequence {
+		return
+	}
+	s.Grant = g
+	kept := map[Key]bool{}
+	for _, p := range g.Parts {
+		k := Key{p.Upstream, p.Index}
+		kept[k] = true
+		until := g.Deadline.Add(s.demand(p.Upstream).Limit)
+		s.Claims[k] = Claim{Part: p, Until: later(until, s.Claims[k].Until)}
+	}
+	s.dropClaims(kept)
+}
+
+// dropClaims marks the claims on parts that are no longer granted.
+func (s *State) dropClaims(kept map[Key]bool) {
+	for k, c := range s.Claims {
+		if !kept[k] && c.Drop == 0 {
+			c.Drop = s.Holdings.Version + 1
+			s.Claims[k] = c
+		}
+	}
+}
+
+// giveUp ends the use of everything granted. The order of grants is kept.
+func (s *State) giveUp() {
+	s.Grant = Grant{Epoch: s.Grant.Epoch, Sequence: s.Grant.Sequence}
+	s.dropClaims(nil)
+}
+
+// inFlightChanged gives parts back that are neither granted nor in use.
+func (s *State) inFlightChanged(e InFlightChanged) {
+	busy := map[Key]bool{}
+	for _, p := range e.Busy {
+		busy[Key{p.Upstream, p.Index}] = true
+	}
+	before := len(s.Claims)
+	maps.DeleteFunc(s.Claims, func(k Key, c Claim) bool {
+		return c.Drop > 0 && c.Drop <= e.Version && !busy[k]
+	})
+	if len(s.Claims) < before {
+		s.BeatAt, s.SelfAt = s.Now, s.Now
+	}
+}
+
+// publish reports what this instance may use, if that changed.
+func (s *State) publish() {
+	h := Holdings{Version: s.Holdings.Version, Reserve: s.Reserve}
+	if s.Now.Before(s.Grant.Deadline) {
+		h.Parts, h.Quotas, h.Deadline = s.Grant.Parts, s.Grant.Quotas, s.Grant.Deadline
+	}
+	if slices.Equal(h.Parts, s.Holdings.Parts) && slices.Equal(h.Quotas, s.Holdings.Quotas) &&
+		slices.Equal(h.Reserve, s.Holdings.Reserve) && h.Deadline.Equal(s.Holdings.Deadline) {
+		return
+	}
+	h.Version++
+	s.Holdings = h
+	s.emit(HoldingsChanged{Holdings: h})
+}
+
+func sortParts(parts []Part) {
+	slices.SortFunc(parts, func(a, b Part) int {
+		return cmp.Or(strings.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Index, b.Index))
+	})
+}
+
+func sortMembers(members []Member) {
+	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+}
--- /dev/null
+++ b/core/granter/sim_test.go
@@ -0,0 +1,459 @@
+package granter
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const limit = 4 * time.Second
+
+var plan = Plan{
+	Version: 1,
+	Domain:  "d",
+	Demands: []Demand{
+		{Upstream: "u1", Service: "lookup", Priority: 1, Slots: 100, Limit: limit},
+		{Upstream: "u2", Service: "lookup", Priority: 1, Slots: 6, Limit: limit},
+		{Upstream: "u3", Service: "posting", Slots: 64, Limit: time.Second},
+		{Upstream: "u4", Service: "posting", Slots: 3, Limit: limit},
+	},
+	Quotas:  []Quota{{Name: "shift/lookup", Rate: 100}},
+	Reserve: 0.1,
+}
+
+type call struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type calls []call
+
+func (c calls) Len() int      { return len(c) }
+func (c calls) Swap(i, j int) { c[i], c[j] = c[j], c[i] }
+func (c *calls) Push(x any)   { *c = append(*c, x.(call)) }
+func (c calls) Less(i, j int) bool {
+	return cmp.Or(c[i].at.Compare(c[j].at), cmp.Compare(c[i].seq, c[j].seq)) < 0
+}
+
+func (c *calls) Pop() any {
+	last := (*c)[len(*c)-1]
+	*c = (*c)[:len(*c)-1]
+	return last
+}
+
+// node is an instance: a State, its traffic and its own clock.
+type node struct {
+	w      *world
+	st     *State
+	offset time.Duration
+	alive  bool
+	paused bool
+	queue  []func()
+	// group and platform say whom the node reaches.
+	group    int
+	platform bool
+	uses     Holdings
+	// flying maps parts to the end of the last request in flight.
+	flying map[Key]time.Time
+	known  uint64
+	faults *[]string
+}
+
+// world is one domain with a simulated platform store on a fake clock.
+type world struct {
+	now     time.Time
+	seq     int
+	queue   calls
+	rng     *rand.Rand
+	nodes   []*node
+	dead    []*node
+	down    bool
+	version uint64
+	lease   Lease
+	absent  map[string]time.Time
+	calls   map[uint64]func(*node, Effect)
+	lastID  uint64
+	// loss, lost and slow are probabilities, in percent, of a lost message, a
+	// lost answer of the platform and a message that takes seconds.
+	loss, lost, slow int
+	faults           []string
+	trace            func(string)
+}
+
+func newWorld(seed uint64, n int) *world {
+	w := &world{
+		now:    time.Unix(1e9, 0),
+		rng:    rand.New(rand.NewPCG(seed, 1)),
+		absent: map[string]time.Time{},
+		calls:  map[uint64]func(*node, Effect){},
+	}
+	for i := range n {
+		w.start(i, 1)
+	}
+	return w
+}
+
+func (w *world) after(d time.Duration, run func()) {
+	w.seq++
+	heap.Push(&w.queue, call{w.now.Add(d), w.seq, run})
+}
+
+func (w *world) percent(p int) bool { return w.rng.IntN(100) < p }
+
+func (w *world) fault(format string, args ...any) {
+	w.faults = append(w.faults, fmt.Sprintf("%v ", w.now.Sub(time.Unix(1e9, 0)))+fmt.Sprintf(format, args...))
+}
+
+func (w *world) start(i int, incarnation uint64) {
+	name := string(rune('a' + i))
+	n := &node{w: w, alive: true, platform: true, flying: map[Key]time.Time{}}
+	n.offset = time.Duration(w.rng.IntN(1000)) * time.Hour
+	m := Member{Name: name, Incarnation: incarnation, Peer: name, Domain: "d"}
+	n.st = New(m, n.clock())
+	if i < len(w.nodes) {
+		w.dead = append(w.dead, w.nodes[i])
+		w.nodes[i] = n
+	} else {
+		w.nodes = append(w.nodes, n)
+	}
+	delete(w.absent, name)
+	n.step(PlanChanged{Now: n.clock(), Plan: plan})
+	n.step(SeedsSeen{Now: n.clock(), Peers: []string{"a", "b", "c", "d", "e"}})
+	w.after(time.Duration(w.rng.IntN(100))*time.Millisecond, n.tick)
+}
+
+func (w *world) kill(i int) {
+	w.nodes[i].alive = false
+	w.absent[w.nodes[i].st.Self.Name] = w.now.Add(3 * time.Second)
+}
+
+func (n *node) clock() time.Time { return n.w.now.Add(n.offset) }
+
+// deliver hands an event over, after the pause if the node is paused.
+func (n *node) deliver(e func() Event) {
+	if !n.alive {
+		return
+	}
+	if n.paused {
+		n.queue = append(n.queue, func() { n.deliver(e) })
+		return
+	}
+	n.step(e())
+}
+
+func (n *node) resume() {
+	n.paused = false
+	queue := n.queue
+	n.queue = nil
+	for _, run := range queue {
+		run()
+	}
+}
+
+func (n *node) tick() {
+	if !n.alive {
+		return
+	}
+	n.w.after(100*time.Millisecond, n.tick)
+	n.traffic()
+	if n.paused {
+		return
+	}
+	n.step(n.inFlight())
+	n.step(Tick{Now: n.clock()})
+}
+
+// traffic starts requests that run up to the limit on parts that are usable.
+func (n *node) traffic() {
+	for _, p := range n.uses.Parts {
+		if n.clock().Before(n.uses.Deadline) && n.w.percent(30) {
+			l := n.st.demand(p.Upstream).Limit
+			if n.w.percent(50) {
+				l = time.Duration(n.w.rng.Int64N(int64(l)))
+			}
+			k := Key{p.Upstream, p.Index}
+			n.flying[k] = later(n.flying[k], n.w.now.Add(l))
+		}
+	}
+}
+
+func (n *node) inFlight() Event {
+	e := InFlightChanged{Now: n.clock(), Version: n.uses.Version}
+	for k, end := range n.flying {
+		if n.w.now.Before(end) {
+			e.Busy = append(e.Busy, Part{Upstream: k.Upstream, Index: k.Index})
+		}
+	}
+	sortParts(e.Busy)
+	return e
+}
+
+func (n *node) step(e Event) {
+	gap := eventTime(e).Sub(n.st.Ticked) > PauseGap
+	effects := n.st.Step(e)
+	if n.w.trace != nil {
+		n.w.trace(fmt.Sprintf("%v %s %T%+v -> %+v", n.w.now.Sub(time.Unix(1e9, 0)), n.st.Self.Name, e, e, effects))
+	}
+	if gap && (len(n.st.Holdings.Parts) > 0 || n.st.Leading) {
+		n.w.fault("%s kept grants or its lease over a pause", n.st.Self.Name)
+	}
+	if n.st.Known < n.known {
+		n.w.fault("%s: epoch fell", n.st.Self.Name)
+	}
+	n.known = n.st.Known
+	for _, f := range effects {
+		n.perform(f)
+	}
+	n.w.check()
+}
+
+func (n *node) perform(f Effect) {
+	switch f := f.(type) {
+	case HoldingsChanged:
+		n.uses = f.Holdings
+		if n.st.Leading && f.Holdings.Deadline.After(n.st.leaseEnd()) {
+			n.w.fault("%s: own grant after the lease", n.st.Self.Name)
+		}
+	case AnswerHeartbeat:
+		if f.Valid > 0 && n.clock().Add(f.Valid).After(n.st.leaseEnd()) {
+			n.w.fault("%s: grant after the lease", n.st.Self.Name)
+		}
+		n.w.answer(n, f.Call, f)
+	case AnswerVote:
+		n.w.answer(n, f.Call, f)
+	case SendHeartbeat:
+		n.heartbeat(f)
+	case SendVote:
+		n.vote(f)
+	case ReadLease:
+		n.read()
+	case ReadList:
+		n.list()
+	case WriteLease:
+		n.write(f)
+	}
+}
+
+// send runs a function at the receiver, after a delay, unless the message is lost.
+func (w *world) send(from, to *node, run func()) {
+	w.after(w.delay(), func() {
+		if from.group == to.group && to.alive && !w.percent(w.loss) {
+			run()
+		}
+	})
+}
+
+func (w *world) delay() time.Duration {
+	if w.percent(w.slow) {
+		return time.Duration(w.rng.IntN(4000)) * time.Millisecond
+	}
+	return time.Duration(1+w.rng.IntN(10)) * time.Millisecond
+}
+
+func (w *world) answer(n *node, id uint64, f Effect) {
+	reply := w.calls[id]
+	delete(w.calls, id)
+	reply(n, f)
+}
+
+func (n *node) request(to string, e func(*node, uint64) Event, reply func(*node, Effect) Event) {
+	i := slices.IndexFunc(n.w.nodes, func(o *node) bool { return o.st.Self.Peer == to })
+	if i < 0 {
+		return
+	}
+	n.w.lastID++
+	id, peer := n.w.lastID, n.w.nodes[i]
+	n.w.calls[id] = func(by *node, f Effect) {
+		n.w.send(by, n, func() { n.deliver(func() Event { return reply(by, f) }) })
+	}
+	n.w.send(n, peer, func() { peer.deliver(func() Event { return e(peer, id) }) })
+}
+
+func (n *node) heartbeat(f SendHeartbeat) {
+	sent, self := n.clock(), n.st.Self
+	n.request(f.To, func(to *node, id uint64) Event {
+		return HeartbeatReceived{Now: to.clock(), From: self, Call: id, Epoch: f.Epoch, Seen: f.Seen, Held: f.Held}
+	}, func(by *node, f Effect) Event {
+		a := f.(AnswerHeartbeat)
+		return HeartbeatAnswered{
+			Sent: sent, Now: n.clock(), From: by.st.Self, Leader: a.Leader, Epoch: a.Epoch,
+			Valid: a.Valid, Sequence: a.Sequence, Parts: a.Parts, Quotas: a.Quotas,
+		}
+	})
+}
+
+func (n *node) vote(f SendVote) {
+	sent := n.clock()
+	n.request(f.To, func(to *node, id uint64) Event {
+		return VoteReceived{Now: to.clock(), Call: id, Candidate: n.st.Self.Name, Epoch: f.Epoch}
+	}, func(by *node, f Effect) Event {
+		a := f.(AnswerVote)
+		return VoteAnswered{
+			Sent: sent, Now: n.clock(), From: by.st.Self.Name, Epoch: a.Epoch, Granted: a.Granted, Valid: a.Valid,
+		}
+	})
+}
+
+func (n *node) read() {
+	asked := n.clock()
+	n.w.after(n.w.delay(), func() {
+		if n.w.down || !n.platform {
+			return
+		}
+		version, lease := n.w.version, n.w.lease
+		n.w.after(n.w.delay(), func() {
+			n.deliver(func() Event { return LeaseSeen{Asked: asked, Now: n.clock(), Version: version, Lease: lease} })
+		})
+	})
+}
+
+func (n *node) list() {
+	if n.w.down || !n.platform {
+		return
+	}
+	var names []string
+	for _, o := range n.w.nodes {
+		if t, ok := n.w.absent[o.st.Self.Name]; !ok || n.w.now.Before(t) {
+			names = append(names, o.st.Self.Name)
+		}
+	}
+	n.w.after(n.w.delay(), func() {
+		n.deliver(func() Event { return ListSeen{Now: n.clock(), Names: names} })
+	})
+}
+
+func (n *node) write(f WriteLease) {
+	asked := n.clock()
+	end := func(d time.Duration, r WriteResult, version uint64) {
+		n.w.after(d, func() {
+			n.deliver(func() Event {
+				return WriteEnded{Asked: asked, Now: n.clock(), Nonce: f.Lease.Nonce, Result: r, Version: version}
+			})
+		})
+	}
+	if n.w.percent(n.w.lost) {
+		// The answer is lost; the write is lost too, or takes effect, perhaps late.
+		end(100*time.Millisecond, WriteUnknown, 0)
+		if n.w.percent(70) {
+			n.w.after(time.Duration(n.w.rng.IntN(3000))*time.Millisecond, func() { n.w.update(f) })
+		}
+		return
+	}
+	n.w.after(n.w.delay(), func() {
+		switch {
+		case n.w.down || !n.platform:
+			end(time.Second, WriteFailed, 0)
+		case n.w.update(f):
+			end(n.w.delay(), WriteDone, n.w.version)
+		default:
+			end(n.w.delay(), WriteConflict, 0)
+		}
+	})
+}
+
+func (w *world) update(f WriteLease) bool {
+	if f.Version != w.version || w.down {
+		return false
+	}
+	if f.Lease.Epoch < w.lease.Epoch {
+		w.fault("lease epoch fell from %d to %d", w.lease.Epoch, f.Lease.Epoch)
+	}
+	w.version++
+	w.lease = f.Lease
+	return true
+}
+
+// usable returns the slots that a node's traffic may use on its parts, and
+// those that requests in flight may still use.
+func (n *node) usable(add func(k Key, slots int)) {
+	for _, p := range n.uses.Parts {
+		if n.alive && n.clock().Before(n.uses.Deadline) {
+			add(Key{p.Upstream, p.Index}, p.Slots)
+		}
+	}
+	for k, end := range n.flying {
+		if n.w.now.Before(end) {
+			add(k, 1)
+		}
+	}
+	for _, r := range n.uses.Reserve {
+		if n.alive {
+			add(Key{r.Upstream, -1}, r.Slots)
+		}
+	}
+}
+
+// check looks for slots, quotas and leases in two hands.
+func (w *world) check() {
+	holders, slots, rate := map[Key]string{}, map[string]int{}, 0.0
+	leaders := 0
+	for _, n := range slices.Concat(w.nodes, w.dead) {
+		mine := map[Key]int{}
+		n.usable(func(k Key, c int) { mine[k] = max(mine[k], c) })
+		who := fmt.Sprint(n.st.Self.Name, n.st.Self.Incarnation)
+		for k, c := range mine {
+			slots[k.Upstream] += c
+			if other, ok := holders[k]; ok && k.Index >= 0 {
+				w.fault("%v is in use at %s and %s", k, other, who)
+			}
+			holders[k] = who
+		}
+		if n.alive && n.clock().Before(n.uses.Deadline) && len(n.uses.Quotas) > 0 {
+			rate += n.uses.Quotas[0].Rate
+		}
+		if n.alive && n.st.Leading && n.clock().Before(n.st.leaseEnd()) {
+			leaders++
+		}
+	}
+	if leaders > 1 {
+		w.fault("%d leaders", leaders)
+	}
+	if rate > plan.Quotas[0].Rate*1.000001 {
+		w.fault("quotas sum up to %v", rate)
+	}
+	for _, d := range plan.Demands {
+		if slots[d.Upstream] > d.Slots {
+			w.fault("%s: %d of %d slots in use", d.Upstream, slots[d.Upstream], d.Slots)
+		}
+	}
+}
+
+// run lets the given time pass, or stops at the first fault.
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.faults) == 0 && len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		c := heap.Pop(&w.queue).(call)
+		w.now = c.at
+		c.run()
+	}
+	if len(w.faults) == 0 {
+		w.now = end
+	}
+}
+
+// share returns the fraction of all slots that some node may use now.
+func (w *world) share() float64 {
+	used, all := 0, 0
+	for _, d := range plan.Demands {
+		all += d.Slots
+	}
+	for _, n := range w.nodes {
+		n.usable(func(k Key, c int) {
+			if k.Index < 0 || slices.ContainsFunc(n.uses.Parts, func(p Part) bool {
+				return p.Upstream == k.Upstream && p.Index == k.Index && p.Slots == c && n.clock().Before(n.uses.Deadline)
+			}) {
+				used += c
+			}
+		})
+	}
+	return float64(used) / float64(all)
+}
+
+// leader returns the index of the acting leader, or -1.
+func (w *world) leader() int {
+	return slices.IndexFunc(w.nodes, func(n *node) bool { return n.alive && n.st.Leading })
+}
--- a/core/granter/types.go
+++ b/core/granter/types.go
@@ -20,6 +20,17 @@
 	PartSlots = 64
 	// MaxElectors is the largest number of electors of a domain.
 	MaxElectors = 3
+	// MemberTerm is the time without a heartbeat after which a member gets no
+	// more parts.
+	MemberTerm = 2 * time.Second
+	// PromiseTerm is how long an elector stands by a leader; the leader is told
+	// LeaseMargin less.
+	PromiseTerm = 4 * time.Second
+	// BallotTerm is how long an elector stands by a candidate.
+	BallotTerm = time.Second
+	// ListGrace is how long an instance must be absent from the platform's
+	// list, which lags, before it counts as gone.
+	ListGrace = 5 * time.Second
 )
 
 // Member is an instance of the domain.
@@ -69,7 +80,9 @@
 	Reserve float64
 }
 
-// Reserve is one slot that a member may use without a grant.
+// Reserve is a number of slots that a member may use without a grant. Without
+// a member the slots rest: nobody may use them until requests of the last user
+// must have ended.
 type Reserve struct {
 	Member   string `json:"member"`
 	Upstream string `json:"upstream"`
@@ -116,7 +129,9 @@
 
 // Holdings is what this instance may use now. Traffic checks Deadline at use.
 type Holdings struct {
-	// Parts are usable until Deadline, Reserve always.
+	// Version rises with every change.
+	Version uint64
+	// Parts and Quotas are usable until Deadline, Reserve always.
 	Parts    []Part
 	Reserve  []Reserve
 	Quotas   []Quota
@@ -178,10 +193,12 @@
 	From Member
 	// Call identifies the answer.
 	Call uint64
-	// Epoch is supported by the sender for Promise after it sent the request.
-	Epoch   uint64
-	Promise time.Duration
-	Held    []Part
+	// Epoch is the highest epoch that the sender knows, Seen the sequence of the
+	// last grant that it accepted in that epoch.
+	Epoch uint64
+	Seen  uint64
+	// Held lists the parts that the sender was granted and has not released.
+	Held []Part
 }
 
 // HeartbeatAnswered is the answer to SendHeartbeat.
@@ -204,7 +221,8 @@
 	To  string
 }
 
-// VoteReceived is a candidate's request, answered by AnswerVote.
+// VoteReceived is a request for a vote, answered by AnswerVote. It comes from a
+// candidate for a new epoch, or from the leader, for support in its own epoch.
 type VoteReceived struct {
 	Now       time.Time
 	Call      uint64
@@ -215,16 +233,32 @@
 // VoteAnswered is the answer to SendVote.
 type VoteAnswered struct {
 	Sent, Now time.Time
-	From      string
-	Epoch     uint64
-	Granted   bool
-	Valid     time.Duration
+	// From is the name of the elector.
+	From string
+	// Epoch is the highest epoch that the elector voted for; it is the epoch
+	// asked for when Granted.
+	Epoch   uint64
+	Granted bool
+	// Valid is how long the promise lasts after Sent.
+	Valid time.Duration
 }
 
-// InFlightChanged lists the parts that still have requests in flight.
+// InFlightChanged lists the parts that still have requests in flight. It is
+// due after every HoldingsChanged and whenever the list changes; a part that
+// was taken away is released only after it.
 type InFlightChanged struct {
-	Now  time.Time
-	Busy []Part
+	Now time.Time
+	// Version is that of the Holdings that traffic used before the list was
+	// made, so that no later admission is missed.
+	Version uint64
+	Busy    []Part
+}
+
+// SeedsSeen brings Peer addresses of instances of the domain, for an instance
+// that cannot learn the leader from the platform.
+type SeedsSeen struct {
+	Now   time.Time
+	Peers []string
 }
 
 // LeaveAsked starts a planned stop of this instance.
@@ -241,6 +275,7 @@
 func (VoteReceived) granterEvent()      {}
 func (VoteAnswered) granterEvent()      {}
 func (InFlightChanged) granterEvent()   {}
+func (SeedsSeen) granterEvent()         {}
 func (LeaveAsked) granterEvent()        {}
 
 // Effect is an output of Step, performed by the executor.
@@ -264,10 +299,10 @@
 // SendHeartbeat sends a heartbeat to the instance at the Peer address To; it
 // ends with HeartbeatAnswered or HeartbeatFailed.
 type SendHeartbeat struct {
-	To      string
-	Epoch   uint64
-	Promise time.Duration
-	Held    []Part
+	To    string
+	Epoch uint64
+	Seen  uint64
+	Held  []Part
 }
 
 // AnswerHeartbeat answers HeartbeatReceived.
@@ -281,7 +316,9 @@
 	Quotas   []Quota
 }
 
-// SendVote asks an elector for its vote; it ends with VoteAnswered, or not at all.
+// SendVote asks the elector at the Peer address To for its vote, as a candidate
+// for a new epoch or, as the leader, for support in its own epoch. It ends with
+// VoteAnswered, or not at all.
 type SendVote struct {
 	To    string
 	Epoch uint64
@@ -290,6 +327,7 @@
 // AnswerVote answers VoteReceived.
 type AnswerVote struct {
 	Call    uint64
+	Epoch   uint64
 	Granted bool
 	Valid   time.Duration
 }
