--- a/core/follower/call.go
+++ b/core/follower/call.go
@@ -22,7 +22,7 @@
 	c.Busy = false
 	if !failed {
 		c.Failures = 0
-		c.NotBefore = time.Time{}
+		c.NotBefore = now.Add(MinInterval)
 		return
 	}
 	backoff := min(MinBackoff<<min(c.Failures, 10), MaxBackoff)
--- a/core/follower/types.go
+++ b/core/follower/types.go
@@ -25,6 +25,9 @@
 	// MinBackoff and MaxBackoff bound the time between failed platform calls.
 	MinBackoff = 200 * time.Millisecond
 	MaxBackoff = 5 * time.Second
+	// MinInterval is the shortest time between two calls of one kind. It bounds
+	// an instance's platform calls to 5 a second when watches end at once.
+	MinInterval = 200 * time.Millisecond
 	// LonelyAfter is the time without news from any relay or peer after which
 	// an instance that is not a relay asks the platform itself.
 	LonelyAfter = 3 * time.Second
--- a/core/reducer/control.go
+++ b/core/reducer/control.go
@@ -17,7 +17,7 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case granter.SendHeartbeat:
-			s.emit(Send{To: e.To, Request: s.request(e.Epoch, e)})
+			s.emit(Send{To: e.To, Request: s.request(e)})
 		case granter.HoldingsChanged:
 			s.held(e.Holdings)
 		case granter.ViewChanged:
--- a/core/reducer/gossip.go
+++ b/core/reducer/gossip.go
@@ -39,14 +39,14 @@
 		return
 	}
 	s.Gossip.NotBefore = s.now.Add(granter.HeartbeatInterval)
-	if !s.Granter.Leading() && s.now.Before(s.Gossip.Answered.Add(lonelyAfter)) {
+	if !s.Granter.Leading && s.now.Before(s.Gossip.Answered.Add(lonelyAfter)) {
 		return
 	}
 	targets := s.targets()
 	for range min(gossipTargets, len(targets)) {
 		to := targets[s.Gossip.Next%len(targets)]
 		s.Gossip.Next++
-		s.emit(Send{To: to, Request: s.request(0, granter.SendHeartbeat{})})
+		s.emit(Send{To: to, Request: s.request(granter.SendHeartbeat{})})
 	}
 }
 
@@ -90,11 +90,11 @@
 	return to
 }
 
-func (s *State) request(epoch uint64, h granter.SendHeartbeat) Request {
+func (s *State) request(h granter.SendHeartbeat) Request {
 	return Request{
 		From:    s.Self,
-		Epoch:   epoch,
-		Promise: h.Promise,
+		Epoch:   h.Epoch,
+		Seen:    h.Seen,
 		Held:    h.Held,
 		Config:  s.Follower.Config.Version,
 		Views:   s.versions(),
@@ -152,12 +152,12 @@
 // heartbeat passes a heartbeat to the granter and returns its answer.
 func (s *State) heartbeat(e RequestReceived) (answer granter.AnswerHeartbeat) {
 	effects := s.Granter.Step(granter.HeartbeatReceived{
-		Now:     e.Now,
-		From:    e.Request.From,
-		Call:    e.Call,
-		Epoch:   e.Request.Epoch,
-		Promise: e.Request.Promise,
-		Held:    e.Request.Held,
+		Now:   e.Now,
+		From:  e.Request.From,
+		Call:  e.Call,
+		Epoch: e.Request.Epoch,
+		Seen:  e.Request.Seen,
+		Held:  e.Request.Held,
 	})
 	others := make([]granter.Effect, 0, len(effects))
 	for _, effect := range effects {
@@ -201,6 +201,21 @@
 	}
 	s.Views[v.Domain] = v
 	s.changed = true
+	if v.Domain == s.Self.Domain {
+		s.meet(v)
+	}
+}
+
+// meet tells the granter the addresses of the other members, so that it finds
+// the leader without the platform.
+func (s *State) meet(v granter.View) {
+	var peers []string
+	for _, m := range v.Members {
+		if m.Name != s.Self.Name {
+			peers = append(peers, m.Peer)
+		}
+	}
+	s.grant(s.Granter.Step(granter.SeedsSeen{Now: s.now, Peers: peers}))
 }
 
 func (s *State) responseReceived(e ResponseReceived) {
--- a/core/reducer/reducer.go
+++ b/core/reducer/reducer.go
@@ -133,11 +133,14 @@
 	if gap > granter.PauseGap {
 		s.record(recorder.Event{Kind: recorder.Paused, Cause: "no tick for " + gap.Round(time.Millisecond).String()})
 	}
+	// The list of busy parts was made with the holdings published before this
+	// step.
+	version := s.Holdings.Version
 	// The granter comes first: after a pause it gives up its leases before
 	// anything else happens.
 	s.grant(s.Granter.Step(granter.Tick{Now: e.Now}))
-	s.grant(s.Granter.Step(granter.InFlightChanged{Now: e.Now, Busy: e.Busy}))
-	s.follow(s.Follower.Step(follower.Tick{Now: e.Now, Relay: s.Granter.Relay()}))
+	s.grant(s.Granter.Step(granter.InFlightChanged{Now: e.Now, Version: version, Busy: e.Busy}))
+	s.follow(s.Follower.Step(follower.Tick{Now: e.Now, Relay: s.relay()}))
 	if len(e.Samples) > 0 {
 		s.observe(observer.Sampled{Now: e.Now, Samples: e.Samples})
 	}
@@ -146,6 +149,20 @@
 	s.gossip()
 }
 
+// relay tells whether this instance watches the platform for its failure
+// domain: the leader does, and the first other elector in case it dies.
+func (s *State) relay() bool {
+	if s.Granter.Leading {
+		return true
+	}
+	for _, name := range s.Granter.Lease.Electors {
+		if name != s.Granter.Lease.Leader {
+			return name == s.Self.Name
+		}
+	}
+	return false
+}
+
 func (s *State) leave(e LeaveAsked) {
 	s.now = e.Now
 	s.Self.Leaving = true
--- a/core/reducer/types.go
+++ b/core/reducer/types.go
@@ -25,9 +25,9 @@
 // failure domain, or news between failure domains.
 type Request struct {
 	From granter.Member
-	// Epoch is supported by the sender for Promise after sending.
+	// Epoch, Seen and Held belong to a heartbeat, see granter.HeartbeatReceived.
 	Epoch   uint64
-	Promise time.Duration
+	Seen    uint64
 	Held    []granter.Part
 	Config  uint64
 	Views   []ViewVersion
--- a/hornbeamd/executor/convert.go
+++ b/hornbeamd/executor/convert.go
@@ -13,7 +13,7 @@
 	m := &hornpb.ExchangeRequest{
 		From:      memberToProto(q.From),
 		Epoch:     q.Epoch,
-		PromiseMs: millis(q.Promise),
+		Seen:      q.Seen,
 		Held:      partsToProto(q.Held),
 		Config:    q.Config,
 		Upstreams: signalsToProto(q.Signals),
@@ -29,7 +29,7 @@
 	q := reducer.Request{
 		From:    memberFromProto(m.GetFrom()),
 		Epoch:   m.GetEpoch(),
-		Promise: duration(m.GetPromiseMs()),
+		Seen:    m.GetSeen(),
 		Held:    partsFromProto(m.GetHeld()),
 		Config:  m.GetConfig(),
 		Signals: signalsFromProto(m.GetUpstreams()),
--- a/hornbeamd/executor/executor.go
+++ b/hornbeamd/executor/executor.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -118,9 +119,6 @@
 // Table returns the table in force.
 func (x *Executor) Table() *router.Table { return x.table.Load() }
 
-// Resolver returns the look-up table in force.
-func (x *Executor) Resolver() *resolver.Table { return x.resolver.Load() }
-
 // Leave starts the planned stop of this instance.
 func (x *Executor) Leave() {
 	x.post(func(now time.Time) reducer.Event { return reducer.LeaveAsked{Now: now} })
@@ -264,3 +262,11 @@
 		return ctx.Err()
 	}
 }
+
+// Region returns the home region of a caller's address.
+func (x *Executor) Region(addr netip.Addr) string { return x.resolver.Load().Region(addr) }
+
+// Append appends the JSON answer to a look-up.
+func (x *Executor) Append(dst []byte, addr netip.Addr, until int64) []byte {
+	return x.resolver.Load().Append(dst, addr, until)
+}
--- a/hornbeamd/executor/peer.go
+++ b/hornbeamd/executor/peer.go
@@ -97,7 +97,7 @@
 			Sent:    sent,
 			Now:     now,
 			From:    m.Msg.GetVoter(),
-			Epoch:   e.Epoch,
+			Epoch:   m.Msg.GetEpoch(),
 			Granted: m.Msg.GetGranted(),
 			Valid:   duration(m.Msg.GetValidMs()),
 		}}
@@ -193,6 +193,7 @@
 	a := e.(reducer.Grant).Effect.(granter.AnswerVote)
 	return connect.NewResponse(&hornpb.VoteResponse{
 		Granted: a.Granted,
+		Epoch:   a.Epoch,
 		ValidMs: millis(a.Valid),
 		Voter:   h.x.cfg.Self.Name,
 	}), nil
--- /dev/null
+++ b/hornbeamd/exporter/admin.go
@@ -0,0 +1,101 @@
+package exporter
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"hornbeamstream.example/core/recorder"
+	"hornbeamstream.example/core/reporter"
+)
+
+// Bounds of the operators' address.
+const (
+	statusTimeout = time.Second
+	adminTimeout  = 10 * time.Second
+)
+
+// Admin has the parts of the operators' address.
+type Admin struct {
+	Registry *prometheus.Registry
+	Ring     *recorder.Ring
+	// Status returns this instance's account.
+	Status func(ctx context.Context) (reporter.Status, error)
+	// Ready tells whether a configuration is in force.
+	Ready func() bool
+}
+
+// Server returns the HTTP server for operators:
+//
+//	GET /metrics            Prometheus metrics
+//	GET /health             200 while ready, 503 before the first configuration
+//	GET /status             reporter.Status as JSON
+//	GET /timeline?after=N   recorder.Event array as JSON, after a stamp
+func (a Admin) Server() *fasthttp.Server {
+	metrics := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(a.Registry, promhttp.HandlerOpts{}))
+	return &fasthttp.Server{
+		ReadTimeout:  adminTimeout,
+		WriteTimeout: adminTimeout,
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			switch string(ctx.Path()) {
+			case "/metrics":
+				metrics(ctx)
+			case "/health":
+				a.health(ctx)
+			case "/status":
+				a.status(ctx)
+			case "/timeline":
+				a.timeline(ctx)
+			default:
+				ctx.Error("There is nothing at this path.", fasthttp.StatusNotFound)
+			}
+		},
+	}
+}
+
+func (a Admin) health(ctx *fasthttp.RequestCtx) {
+	if !a.Ready() {
+		ctx.Error("no configuration yet\n", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+func (a Admin) status(ctx *fasthttp.RequestCtx) {
+	deadline, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	s, err := a.Status(deadline)
+	if err != nil {
+		ctx.Error("The control goroutine did not answer in time.", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(ctx, s)
+}
+
+func (a Admin) timeline(ctx *fasthttp.RequestCtx) {
+	var after uint64
+	if v := ctx.QueryArgs().Peek("after"); len(v) > 0 {
+		var err error
+		if after, err = strconv.ParseUint(string(v), 10, 64); err != nil {
+			ctx.Error("The parameter after is not a stamp.", fasthttp.StatusBadRequest)
+			return
+		}
+	}
+	writeJSON(ctx, a.Ring.After(after))
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(body, '\n'))
+}
--- /dev/null
+++ b/hornbeamd/exporter/headroom.go
@@ -0,0 +1,54 @@
+package exporter
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"hornbeamstream.example/core/reporter"
+)
+
+// Headroom collects, at each scrape, the slots of the upstreams whose parts
+// this instance holds.
+type Headroom struct {
+	// Held returns the upstreams.
+	Held func() []reporter.Upstream
+	// Region labels the sums.
+	Region string
+}
+
+var (
+	slotsDesc = prometheus.NewDesc(namespace+"_slots",
+		"Slots held here, by upstream and state: granted, admitted (the limit now) and busy.",
+		[]string{"upstream", "service", "state"}, nil)
+	headroomDesc = prometheus.NewDesc(namespace+"_region_headroom_ratio",
+		"Free share of the slots held here, by region and service.",
+		[]string{"region", "service"}, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (h Headroom) Describe(ch chan<- *prometheus.Desc) {
+	ch <- slotsDesc
+	ch <- headroomDesc
+}
+
+// Collect implements prometheus.Collector.
+func (h Headroom) Collect(ch chan<- prometheus.Metric) {
+	type sum struct{ slots, free int }
+	sums := map[string]sum{}
+	for _, u := range h.Held() {
+		gauge := func(state string, v int) {
+			ch <- prometheus.MustNewConstMetric(slotsDesc, prometheus.GaugeValue, float64(v), u.Name, u.Service, state)
+		}
+		gauge("granted", u.Slots)
+		gauge("admitted", u.Limit)
+		gauge("busy", u.Busy)
+		s := sums[u.Service]
+		s.slots += u.Slots
+		s.free += max(0, u.Limit-u.Busy)
+		sums[u.Service] = s
+	}
+	for service, s := range sums {
+		if s.slots > 0 {
+			ch <- prometheus.MustNewConstMetric(headroomDesc, prometheus.GaugeValue, float64(s.free)/float64(s.slots), h.Region, service)
+		}
+	}
+}
--- a/hornbeamd/server/handle.go
+++ b/hornbeamd/server/handle.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/netip"
-	"strconv"
 	"sync"
 	"time"
 
@@ -61,8 +60,6 @@
 	ctx.SetBodyString(`{"state":"` + state + "\"}\n")
 }
 
-var lists = sync.Pool{New: func() any { return new([]string) }}
-
 // lookup tells a caller which instances to use.
 func (s *Server) lookup(ctx *fasthttp.RequestCtx) {
 	addr := source(ctx)
@@ -73,20 +70,10 @@
 			return
 		}
 	}
-	list := lists.Get().(*[]string)
-	defer lists.Put(list)
-	*list = s.cfg.Resolver.Append((*list)[:0], addr.Unmap())
 	ctx.SetContentType("application/json")
-	b := append(ctx.Response.Body()[:0], `{"entries":[`...)
-	for i, entry := range *list {
-		if i > 0 {
-			b = append(b, ',')
-		}
-		b = append(append(append(b, '"'), entry...), '"')
-	}
-	b = append(b, `],"until":`...)
-	b = strconv.AppendInt(b, (s.cfg.Now()+int64(lookupTime))/1e6, 10)
-	ctx.Response.SetBodyRaw(append(b, "}\n"...))
+	until := (s.cfg.Now() + int64(lookupTime)) / int64(time.Millisecond)
+	body := s.cfg.Resolver.Append(ctx.Response.Body()[:0], addr.Unmap(), until)
+	ctx.Response.SetBodyRaw(append(body, '\n'))
 }
 
 // source is the address that a connection comes from.
--- a/hornbeamd/server/server.go
+++ b/hornbeamd/server/server.go
@@ -44,9 +44,9 @@
 type Resolver interface {
 	// Region returns the home region of an address.
 	Region(addr netip.Addr) string
-	// Append appends the front addresses of the instances that callers in the
-	// block of addr should use, in order of preference.
-	Append(list []string, addr netip.Addr) []string
+	// Append appends the JSON answer to a look-up for addr, which callers may
+	// keep until the given Unix time in milliseconds.
+	Append(dst []byte, addr netip.Addr, until int64) []byte
 }
 
 // Config has the parts that a Server needs.
