director: demo, audit of the ledgers, bare forwarder, cost

hornbench demo starts the stand-ins and the instances, drives shift, drain, race, kill, planned stop, silent connection and platform outage under load, and compares the ledgers of callers and upstreams line by line. hornbench cost alternates between a bare forwarder and an instance in one run.

--- /dev/null
+++ b/hornbench/director/demo.go
@@ -0,0 +1,279 @@
+package director
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"hornbeamstream.example/hornbench/generator"
+)
+
+// Times and sizes of the demo. All of it ends within a minute.
+const (
+	demoLimit     = 58 * time.Second
+	readyPatience = 12 * time.Second
+	grantPatience = 8 * time.Second
+	forcePatience = 8 * time.Second
+	stopPatience  = 14 * time.Second
+	loadTime      = 38 * time.Second
+	demoSeed      = 20
+	// listLag is the age of the platform's instance list.
+	listLag = time.Second
+)
+
+// Options of the demo.
+type Options struct {
+	// Binary is the path of hornbeamd, Logs the directory for its output.
+	Binary string
+	Logs   string
+	// Factor multiplies service times, Share is the load as a share of slots.
+	Factor float64
+	Share  float64
+}
+
+// Demo is one run of the demo.
+type Demo struct {
+	Options
+	deployment *Deployment
+	out        io.Writer
+	began      time.Time
+	world      *World
+	fleet      *fleet
+	load       *generator.Load
+
+	mu      sync.Mutex
+	version uint64
+	force   time.Duration
+	stops   []stop
+	shift   *move
+	drained *drained
+	// failed are the steps that did not do what they should.
+	failed []string
+}
+
+// drained is the upstream that the demo drains.
+type drained struct {
+	name string
+	// at is the time of the ticket, until that of its end or zero.
+	at, until time.Time
+}
+
+// NewDemo returns a demo of a deployment that reports to out.
+func NewDemo(d *Deployment, o Options, out io.Writer) *Demo {
+	return &Demo{Options: o, deployment: d, out: out}
+}
+
+// Run runs the demo and prints its result. Everything that it started has ended
+// when it returns. The error tells of violations and of steps that failed.
+func (d *Demo) Run(ctx context.Context) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, demoLimit)
+	defer cancel()
+	d.began = time.Now()
+	if err := d.start(ctx); err != nil {
+		d.stop()
+		return errors.Join(err, d.tails())
+	}
+	from := time.Now()
+	requests, err := d.drive(ctx)
+	to := time.Now()
+	if err != nil {
+		d.stop()
+		return errors.Join(err, d.tails())
+	}
+	d.settle(ctx)
+	d.stop()
+	r := d.result(requests, from, to)
+	if err := r.print(d.out); err != nil {
+		return err
+	}
+	return r.verdict()
+}
+
+// say prints a line of progress.
+func (d *Demo) say(format string, args ...any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	fmt.Fprintf(d.out, "%5.1fs  %s\n", time.Since(d.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// start brings everything up to the first configuration in force.
+func (d *Demo) start(ctx context.Context) (err error) {
+	if d.world, err = NewWorld(d.deployment, d.Factor); err != nil {
+		return err
+	}
+	f := d.world.Platform.Faults()
+	f.Lag = listLag.Milliseconds()
+	d.world.Platform.Set(f)
+	d.fleet = newFleet(d.deployment, d.Binary, d.Logs)
+	if err := d.fleet.startAll(); err != nil {
+		return err
+	}
+	d.say("%s: platform, %d upstreams and %d instances started", d.deployment.Name, len(d.deployment.Upstreams), len(d.fleet.list))
+	if err := d.deployment.first(ctx); err != nil {
+		return err
+	}
+	submitted := time.Now()
+	if err := d.fleet.inForce(ctx, 1, readyPatience); err != nil {
+		return fmt.Errorf("first ticket: %w", err)
+	}
+	d.version = 1
+	d.say("ticket 1 in force on all instances after %v", time.Since(submitted).Round(time.Millisecond))
+	total := 0
+	for name := range d.deployment.Services {
+		total += d.deployment.Slots(name)
+	}
+	d.say("%d of %d slots held", d.fleet.filled(ctx, total, grantPatience), total)
+	return nil
+}
+
+// drive runs load and scenes, and returns the requests.
+func (d *Demo) drive(ctx context.Context) ([]generator.Request, error) {
+	l, err := d.deployment.NewLoad(d.deployment.Offer(d.Share, d.Factor), "", demoSeed)
+	if err != nil {
+		return nil, err
+	}
+	d.load = l
+	base, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if err := l.Prepare(base); err != nil {
+		return nil, err
+	}
+	d.say("load at %.0f%% of all slots begins", d.Share*100)
+	var g errgroup.Group
+	g.Go(func() error { return d.scenes(base) })
+	run, stop := context.WithTimeout(base, loadTime)
+	defer stop()
+	l.Run(run)
+	d.say("load ended, %d requests", len(l.Ledger.Requests()))
+	cancel()
+	if err := g.Wait(); err != nil {
+		return nil, err
+	}
+	return l.Ledger.Requests(), ctx.Err()
+}
+
+// settle waits until the upstreams have ended all runs, so that the ledger is
+// complete.
+func (d *Demo) settle(ctx context.Context) {
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(pollInterval) {
+		busy := 0
+		for _, u := range d.world.Fleet.Match("*") {
+			busy += u.Busy()
+		}
+		if busy == 0 {
+			return
+		}
+	}
+}
+
+func (d *Demo) stop() {
+	if d.fleet != nil {
+		d.fleet.stopAll()
+	}
+	if d.world != nil {
+		d.world.Close()
+	}
+	http.DefaultClient.CloseIdleConnections()
+}
+
+// tailBytes is how much of each log is shown after a failed start.
+const tailBytes = 600
+
+// tails returns the ends of the logs of instances that failed.
+func (d *Demo) tails() error {
+	var list []error
+	if d.fleet == nil {
+		return nil
+	}
+	for _, p := range d.fleet.list {
+		b, err := os.ReadFile(d.fleet.log(p))
+		if err != nil || len(b) == 0 {
+			continue
+		}
+		list = append(list, fmt.Errorf("log of %s: %s", p.settings.Name, b[max(0, len(b)-tailBytes):]))
+		if len(list) == 2 {
+			break
+		}
+	}
+	return errors.Join(list...)
+}
+
+// submit writes the next ticket and waits until it is in force.
+func (d *Demo) submit(ctx context.Context, reason string, objects map[string]any) error {
+	number := d.version + 1
+	t, err := ticket(number, "demo", reason, objects)
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	if err := submit(ctx, d.deployment.Settings[0].Platform, t); err != nil {
+		return err
+	}
+	return d.watchForce(ctx, number, began, reason)
+}
+
+func (d *Demo) watchForce(ctx context.Context, number uint64, began time.Time, reason string) error {
+	d.version = number
+	err := d.fleet.inForce(ctx, number, forcePatience)
+	took := time.Since(began)
+	d.mu.Lock()
+	d.force = max(d.force, took)
+	d.mu.Unlock()
+	if err != nil {
+		return fmt.Errorf("ticket %d: %w", number, err)
+	}
+	d.say("ticket %d (%s) in force on all reachable instances after %v", number, reason, took.Round(time.Millisecond))
+	return nil
+}
+
+// kill ends an instance without notice. The platform notices later.
+func (d *Demo) kill(p *process) {
+	p.signal(syscall.SIGKILL)
+	_ = p.wait(endPatience)
+	d.say("%s killed", p.settings.Name)
+}
+
+// quit stops an instance in the planned way and waits for its exit.
+func (d *Demo) quit(p *process) error {
+	s := stop{entry: p.settings.Front, from: time.Now()}
+	d.say("%s asked to stop (SIGTERM)", p.settings.Name)
+	p.signal(syscall.SIGTERM)
+	err := p.wait(stopPatience)
+	s.to = time.Now()
+	d.mu.Lock()
+	d.stops = append(d.stops, s)
+	d.mu.Unlock()
+	if err != nil {
+		return fmt.Errorf("planned stop of %s: %w", p.settings.Name, err)
+	}
+	d.say("%s exited with 0 after %v", p.settings.Name, s.to.Sub(s.from).Round(time.Millisecond))
+	return nil
+}
+
+// Small returns the service that is neither bulk nor once.
+func (d *Deployment) Small() string {
+	small, _, _ := d.roles()
+	return small
+}
+
+// roles sorts the services by their part in the demo.
+func (d *Deployment) roles() (small, once, bulk string) {
+	for name, s := range d.Services {
+		switch {
+		case s.Bulk:
+			bulk = name
+		case s.Once:
+			once = name
+		default:
+			small = name
+		}
+	}
+	return small, once, bulk
+}
--- /dev/null
+++ b/hornbench/director/scenes.go
@@ -0,0 +1,209 @@
+package director
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"hornbeamstream.example/core/loader"
+)
+
+// Shift and its cap. At the deployments' sizes, the share calls for more than
+// the cap, so that the cap is what limits.
+const (
+	shiftShare = 0.25
+	shiftCap   = 60
+	shiftRamp  = 4 * time.Second
+)
+
+// scene is one step of the demo at a time after the beginning of the load.
+type scene struct {
+	at  time.Duration
+	run func(context.Context) error
+}
+
+// scenes runs the steps. A step that fails is recorded and the others go on.
+func (d *Demo) scenes(ctx context.Context) error {
+	killed, stopped := d.victims()
+	began := time.Now()
+	var g sync.WaitGroup
+	defer g.Wait()
+	for _, s := range []scene{
+		{2 * time.Second, d.shiftLookups},
+		{5 * time.Second, d.drainUpstream},
+		{8 * time.Second, d.race},
+		{10 * time.Second, func(context.Context) error { d.kill(killed); return nil }},
+		{12 * time.Second, func(context.Context) error { d.world.Platform.Remove(killed.settings.Name); return nil }},
+		{14 * time.Second, func(context.Context) error { return d.restart(killed) }},
+		{15 * time.Second, d.silence},
+		{16 * time.Second, func(context.Context) error {
+			g.Go(func() { d.note(d.stopAndRestart(stopped)) })
+			return nil
+		}},
+		{25 * time.Second, func(context.Context) error { d.outage(true); return nil }},
+		{35 * time.Second, func(context.Context) error { d.outage(false); return nil }},
+		{35500 * time.Millisecond, d.endDrain},
+	} {
+		select {
+		case <-time.After(s.at - time.Since(began)):
+		case <-ctx.Done():
+			return nil
+		}
+		d.note(s.run(ctx))
+	}
+	return nil
+}
+
+// note records a step that failed.
+func (d *Demo) note(err error) {
+	if err == nil || errors.Is(err, context.Canceled) {
+		return
+	}
+	d.say("failed: %v", err)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failed = append(d.failed, err.Error())
+}
+
+// victims returns two instances whose failure domains have another one.
+func (d *Demo) victims() (killed, stopped *process) {
+	domains := map[string]int{}
+	for _, p := range d.fleet.list {
+		domains[p.settings.Domain]++
+		switch {
+		case domains[p.settings.Domain] != 2:
+		case killed == nil:
+			killed = p
+		case stopped == nil:
+			stopped = p
+		}
+	}
+	if killed == nil {
+		killed = d.fleet.list[0]
+	}
+	if stopped == nil {
+		stopped = d.fleet.list[len(d.fleet.list)-1]
+	}
+	return killed, stopped
+}
+
+func (d *Demo) shiftLookups(ctx context.Context) error {
+	small, _, _ := d.deployment.roles()
+	from, to := d.pair()
+	now := time.Now()
+	s := loader.Shift{
+		From: from, To: to, Share: shiftShare, Cap: shiftCap,
+		Start: now.Add(time.Second), Finish: now.Add(time.Second + shiftRamp),
+	}
+	d.mu.Lock()
+	d.shift = &move{service: small, from: from, to: to, cap: shiftCap, since: now}
+	d.mu.Unlock()
+	reason := fmt.Sprintf("shift of %s from %s to %s, at most %d/s", small, from, to, shiftCap)
+	return d.submit(ctx, reason, map[string]any{loader.KindShift + "/" + small: s})
+}
+
+// pair returns the regions of the shift: sofia to varna, akl to wlg.
+func (d *Demo) pair() (from, to string) {
+	for _, p := range [][2]string{{"sofia", "varna"}, {"akl", "wlg"}} {
+		if slices.Contains(d.deployment.Regions, p[0]) && slices.Contains(d.deployment.Regions, p[1]) {
+			return p[0], p[1]
+		}
+	}
+	return d.deployment.Regions[0], d.deployment.Regions[1]
+}
+
+func (d *Demo) drainUpstream(ctx context.Context) error {
+	small, _, _ := d.deployment.roles()
+	from, _ := d.pair()
+	name := ""
+	for n, u := range d.deployment.Upstreams {
+		if u.Service == small && d.deployment.Domains[u.Domain].Region == from && (name == "" || n < name) {
+			name = n
+		}
+	}
+	d.mu.Lock()
+	d.drained = &drained{name: name, at: time.Now()}
+	d.mu.Unlock()
+	return d.submit(ctx, "drain of "+name, map[string]any{loader.KindDrain + "/upstream/" + name: loader.Drain{Reason: "demo"}})
+}
+
+// endDrain takes the drain back; the ticket also shows that configuration moves
+// again after the outage.
+func (d *Demo) endDrain(ctx context.Context) error {
+	if d.drained == nil {
+		return nil
+	}
+	d.drained.until = time.Now()
+	return d.submit(ctx, "end of the drain", map[string]any{loader.KindDrain + "/upstream/" + d.drained.name: nil})
+}
+
+// race lets two operators submit the same ticket number at the same time.
+func (d *Demo) race(ctx context.Context) error {
+	number := d.version + 1
+	var g sync.WaitGroup
+	began := time.Now()
+	errs := make([]error, 2)
+	for i, headroom := range []float64{0.4, 0.6} {
+		t, err := ticket(number, fmt.Sprintf("operator%d", i+1), "race", map[string]any{
+			loader.KindPolicy + "/main": loader.Policy{Headroom: headroom, Reserve: 0.1},
+		})
+		if err != nil {
+			return err
+		}
+		g.Go(func() { errs[i] = submit(ctx, d.deployment.Settings[0].Platform, t) })
+	}
+	g.Wait()
+	winner := slices.Index(errs, nil) + 1
+	if winner == 0 || !errors.Is(errs[2-winner], errRaced) {
+		return fmt.Errorf("race for ticket %d: %w", number, errors.Join(errs...))
+	}
+	d.say("two operators wrote ticket %d, operator%d won, the other was refused", number, winner)
+	return d.watchForce(ctx, number, began, "policy by the winner")
+}
+
+func (d *Demo) restart(p *process) error {
+	if err := d.fleet.start(p); err != nil {
+		return err
+	}
+	d.say("%s restarted", p.settings.Name)
+	return nil
+}
+
+func (d *Demo) stopAndRestart(p *process) error {
+	err := d.quit(p)
+	if errors.Is(err, errStays) {
+		p.signal(syscall.SIGKILL)
+		_ = p.wait(endPatience)
+	}
+	return errors.Join(err, d.restart(p))
+}
+
+// silence makes one established connection silent for good.
+func (d *Demo) silence(context.Context) error {
+	small, _, _ := d.deployment.roles()
+	for _, u := range d.world.Fleet.Match(small + "-*") {
+		if d.drained != nil && u.Name == d.drained.name {
+			continue
+		}
+		if u.Silence(1) == 1 {
+			d.say("one connection at %s went silent", u.Name)
+			return nil
+		}
+	}
+	return errors.New("no connection to silence")
+}
+
+func (d *Demo) outage(down bool) {
+	f := d.world.Platform.Faults()
+	f.Down = down
+	d.world.Platform.Set(f)
+	if down {
+		d.say("platform down for 10 s")
+		return
+	}
+	d.say("platform up again")
+}
--- a/hornbench/main.go
+++ b/hornbench/main.go
@@ -25,6 +25,6 @@
 	return &cli.Command{
 		Name:     "hornbench",
 		Usage:    "stand-ins, load and demo of hornbeamstream on the loopback addresses",
-		Commands: []*cli.Command{emulateCommand(), loadCommand()},
+		Commands: []*cli.Command{demoCommand(), emulateCommand(), loadCommand(), forwardCommand(), costCommand()},
 	}
 }
