router: headroom, shifts, stable order, link budgets, renewals

Choose took the first free place. It now compares two candidates per tier, own gates first, and looks further away once the share of free slots falls below a quarter of the headroom weight. Requests that may run only once follow a stable order; shifted requests need a token of the cap, spill-over to the shift's target too. Limits are withheld while closed gates of the same upstream are not empty: the property test found 2 requests in flight on 1 slot when a slot moved between a part and the reserve.

--- a/core/limiter/bucket.go
+++ b/core/limiter/bucket.go
@@ -48,6 +48,13 @@
 	b.deadline.Store(deadline)
 }
 
+// Renew moves the time after which nothing is given and keeps rate and burst.
+func (b *Bucket) Renew(deadline int64) {
+	if s := b.state.Load(); s != nil {
+		b.Set(s.rate, s.burst, deadline)
+	}
+}
+
 func newBucketState(rate, burst float64) *bucketState {
 	s := &bucketState{rate: rate, burst: burst}
 	whole := math.Floor(rate)
--- a/core/limiter/link.go
+++ b/core/limiter/link.go
@@ -36,6 +36,14 @@
 	l.deadline.Store(deadline)
 }
 
+// Renew moves the time after which the rate falls back, unless the static rate
+// is in force because there was no grant.
+func (l *Link) Renew(deadline int64) {
+	if l.deadline.Load() > 0 {
+		l.deadline.Store(deadline)
+	}
+}
+
 // Charge counts n bytes and returns how long the sender has to wait before it
 // sends more. Only bulk traffic is made to wait, unless the link's debt is
 // larger than what others may cause.
--- a/core/observer/types.go
+++ b/core/observer/types.go
@@ -108,7 +108,10 @@
 	Leaving bool
 	// Since is the time of the first leaving signal.
 	Since time.Time
-	Cause string
+	// Latency is the least time to the first byte that is to be expected,
+	// rounded down to a power of two of milliseconds; 0 when it is not known.
+	Latency time.Duration
+	Cause   string
 }
 
 func (Probe) observerEffect()   {}
--- a/core/router/build.go
+++ b/core/router/build.go
@@ -11,8 +11,8 @@
 	"hornbeamstream.example/core/observer"
 )
 
-// Input is what a table is made of. Build keeps no reference to its maps and
-// slices.
+// Input is what a table is made of. Its maps and slices must not be changed
+// afterwards.
 type Input struct {
 	Now    time.Time
 	Config *loader.State
@@ -73,6 +73,7 @@
 type builder struct {
 	Input
 	old, fresh counters
+	olds       map[string][]gateKey
 	drained    map[string]bool
 	verdicts   map[string]observer.Verdict
 	names      []string
@@ -94,7 +95,9 @@
 	}
 	b.table = &Table{
 		Version: in.Config.Version, Self: in.Self, Region: in.Region, Domain: in.Domain,
+		headroom: headroom(in.Config),
 	}
+	b.closeGates()
 	b.index()
 	b.buildServices()
 	b.buildTargets()
@@ -102,12 +105,24 @@
 	b.buildPeers()
 	b.buildPlans()
 	b.buildShifts()
-	b.closeGates()
+	b.keepGates()
 	b.table.Services = b.services
 	b.table.counters = b.fresh
+	b.table.holdings = in.Holdings
 	return b.table
 }
 
+// defaultHeadroom applies without a policy.
+const defaultHeadroom = 0.5
+
+func headroom(c *loader.State) float64 {
+	p, ok := c.Policies["main"]
+	if !ok {
+		return defaultHeadroom
+	}
+	return min(max(p.Headroom, 0), 1)
+}
+
 func (b *builder) index() {
 	b.drained = map[string]bool{}
 	for key, d := range b.Config.Drains {
@@ -187,18 +202,25 @@
 // reserve, so that a lowered limit cuts the reserve first.
 func (b *builder) addTargets(s *Service, name string, u loader.Upstream, h *held) {
 	sort.Slice(h.parts, func(i, j int) bool { return h.parts[i].Index < h.parts[j].Index })
+	var places []place
 	left := b.share(name, u, h)
+	add := func(part, slots int) {
+		n := min(slots, left)
+		left -= n
+		places = append(places, place{gateKey{name, part}, slots, n})
+	}
 	slots := max(0, u.Slots-h.reserve)
 	for _, p := range h.parts {
 		n := min(p.Slots, granter.PartSlots, slots)
 		slots -= n
-		n = min(n, left)
-		left -= n
-		s.Targets = append(s.Targets, b.target(name, u, p.Index, n, b.deadline()))
+		add(p.Index, n)
 	}
-	if h.reserve > 0 {
-		n := min(h.reserve, u.Slots, left)
-		s.Targets = append(s.Targets, b.target(name, u, ReservePart, n, math.MaxInt64))
+	if n := min(h.reserve, u.Slots); n > 0 {
+		add(ReservePart, n)
+	}
+	b.withhold(name, places)
+	for _, p := range places {
+		s.Targets = append(s.Targets, b.target(u, p))
 	}
 }
 
@@ -229,41 +251,17 @@
 	return max(1, v.Limit*min(mine, u.Slots)/u.Slots)
 }
 
-func (b *builder) target(name string, u loader.Upstream, part, limit int, deadline int64) Target {
-	g := keep(b.fresh.gates, b.old.gates, gateKey{name, part})
-	g.Set(limit, deadline)
-	return Target{
-		Upstream: name, Address: u.Address, Conns: u.Conns, Part: part, Gate: g,
-		Path: keep(b.fresh.paths, b.old.paths, u.Address),
+func (b *builder) target(u loader.Upstream, p place) Target {
+	g := keep(b.fresh.gates, b.old.gates, p.key)
+	deadline := b.deadline()
+	if p.key.part == ReservePart {
+		deadline = math.MaxInt64
 	}
-}
-
-// closeGates closes the gates that are no longer held and keeps them in the
-// table until they are empty.
-func (b *builder) closeGates() {
-	for key, g := range b.old.gates {
-		if b.fresh.gates[key] != nil {
-			continue
-		}
-		g.Set(0, 0)
-		if g.Busy() > 0 {
-			b.fresh.gates[key] = g
-		}
-	}
-}
-
-// Busy lists the granted parts with requests in flight, held or not, ordered by
-// upstream and index. Slots is the number of requests.
-func (t *Table) Busy() []granter.Part {
-	var parts []granter.Part
-	for key, g := range t.counters.gates {
-		if n := g.Busy(); n > 0 && key.part != ReservePart {
-			parts = append(parts, granter.Part{Upstream: key.upstream, Index: key.part, Slots: n})
-		}
+	g.Set(p.limit, deadline)
+	return Target{
+		Upstream: p.key.upstream, Address: u.Address, Conns: u.Conns, Part: p.key.part, Gate: g,
+		Path:    keep(b.fresh.paths, b.old.paths, u.Address),
+		slots:   p.slots,
+		latency: int64(b.verdicts[p.key.upstream].Latency),
 	}
-	sort.Slice(parts, func(i, j int) bool {
-		a, b := parts[i], parts[j]
-		return a.Upstream < b.Upstream || a.Upstream == b.Upstream && a.Index < b.Index
-	})
-	return parts
 }
--- a/core/router/choose.go
+++ b/core/router/choose.go
@@ -1,16 +1,33 @@
 package router
 
-// lookMax bounds how many owners of a tier are looked at in one decision.
-const lookMax = 8
+import "hornbeamstream.example/core/limiter"
 
-// candidate is an owner that seems to have a free slot.
+const (
+	// lookMax bounds how many owners of a tier are looked at in one decision.
+	lookMax = 8
+	// scanMax is the number of own targets up to which all are compared.
+	scanMax = 16
+	// candidatesMax bounds how many places are kept, best first.
+	candidatesMax = 3
+	// roundsMax bounds how often a decision starts anew because other requests
+	// took the slots that it had found.
+	roundsMax = 3
+	// spillShare is the share of free slots, at the headroom weight 1, below
+	// which a place is no longer taken without looking further away.
+	spillShare = 0.25
+	// farDelay is the one-way delay in nanoseconds that weighs as much as all
+	// slots of a place.
+	farDelay = 100e6
+)
+
+// candidate is a place that seems to have a free slot: a target of this
+// instance or an owner.
 type candidate struct {
-	own   bool
-	owner *owner
-	tier  *tier
-	// free is the share of the owner's slots that is free.
-	free  float64
-	score float64
+	target *Target
+	owner  *owner
+	area   *area
+	link   *limiter.Link
+	score  float64
 }
 
 // search is the state of one decision. It lives on the stack.
@@ -18,12 +35,18 @@
 	table *Table
 	q     *Request
 	tried *Tried
+	home  *area
 	now   int64
 	hash  uint64
-	// seen tells that an owner exists, late that one was too far away to
-	// answer before the deadline.
-	seen, late bool
-	best, next candidate
+	// keep is the number of slots in ten that are left to higher priorities.
+	keep int
+	// seen tells that an owner exists, late that one was too far away or too
+	// slow to answer before the deadline, full that one was not.
+	seen, late, full bool
+	// denied tells that the shift's cap gave no token.
+	denied bool
+	found  [candidatesMax]candidate
+	count  int
 }
 
 // Choose picks a place for the request. On success with a Target, its gate has
@@ -32,43 +55,55 @@
 	if now >= q.Deadline {
 		return Choice{}, TooLate
 	}
-	if tried == nil {
-		tried = &Tried{}
-	}
-	if q.Hop {
-		return t.admit(q, now, tried)
-	}
 	s := search{table: t, q: q, tried: tried, now: now, hash: q.Hash}
-	if q.Service.unknown == nil {
+	if tried != nil {
+		s.hash += uint64(tried.count) * 0x9e3779b97f4a7c15
+	}
+	s.hash = mix(s.hash)
+	s.keep = max(0, q.Priority-q.Service.Priority)
+	switch {
+	case q.Hop:
+		return s.admit()
+	case q.Service.unknown == nil:
 		return s.plain()
+	case len(q.Service.Targets) == 0 && len(q.Service.Peers) == 0:
+		return Choice{}, NoUpstream
 	}
 	return s.run()
 }
 
-// admit places a request of another instance on an own gate.
-func (t *Table) admit(q *Request, now int64, tried *Tried) (Choice, Reason) {
-	s := search{table: t, q: q, tried: tried, now: now, hash: q.Hash}
-	g := s.target()
-	if g == nil {
-		if len(q.Service.Targets) == 0 {
-			return Choice{}, NoUpstream
-		}
-		return Choice{}, Full
-	}
-	entry := q.Entry
+// admit places a request of another instance on an own gate. A bulk request is
+// refused while the answer would have to wait for its link.
+func (s *search) admit() (Choice, Reason) {
+	entry := s.q.Entry
 	if entry == "" {
-		entry = q.Region
+		entry = s.q.Region
 	}
-	return Choice{Target: g, Link: t.counters.links[entry]}, Placed
+	link := s.table.counters.links[entry]
+	s.seen = len(s.q.Service.Targets) > 0
+	if link != nil && !link.Ready(s.now, s.q.Service.Bulk) {
+		s.full = true
+		return s.fail()
+	}
+	for range roundsMax {
+		g, _ := s.target()
+		if g == nil {
+			break
+		}
+		if s.acquire(g) {
+			return Choice{Target: g, Link: link}, Placed
+		}
+	}
+	return s.fail()
 }
 
 // plain looks at all places of a table that was not made by Build.
 func (s *search) plain() (Choice, Reason) {
-	if g := s.target(); g != nil {
+	if g, _ := s.target(); g != nil && s.acquire(g) {
 		return Choice{Target: g}, Placed
 	}
 	for _, p := range s.q.Service.Peers {
-		if !s.tried.peer(p) && p.Path.Usable(s.now) && p.Credits[s.q.Service.Name].Take(s.now) {
+		if !s.tried.peer(p) && p.Path.Try(s.now) && p.Credits[s.q.Service.Name].Take(s.now) {
 			return Choice{Peer: p}, Placed
 		}
 	}
@@ -82,28 +117,42 @@
 	if p == nil {
 		p = svc.unknown
 	}
-	first := p.first(mix(s.hash))
-	home := p.areas[first]
-	if c, ok := s.shifted(p, home); ok {
-		return c, Placed
+	if len(p.areas) == 0 {
+		return Choice{}, NoUpstream
 	}
-	if c, ok := s.visit(home, home); ok {
+	first := p.first(mix(s.q.Hash ^ weightSeed))
+	s.home = p.areas[first]
+	if c, ok := s.shifted(p); ok {
 		return c, Placed
 	}
-	for i, a := range p.areas {
-		if i == first {
-			continue
+	for range roundsMax {
+		s.count = 0
+		s.survey(p, first)
+		if s.count == 0 {
+			break
 		}
-		if c, ok := s.visit(a, home); ok {
+		if c, ok := s.commit(); ok {
 			return c, Placed
 		}
 	}
 	return s.fail()
 }
 
+// survey collects candidates, the home region first, until one has headroom.
+func (s *search) survey(p *plan, first int) {
+	if s.look(s.home) {
+		return
+	}
+	for i, a := range p.areas {
+		if i != first && s.look(a) {
+			return
+		}
+	}
+}
+
 func (s *search) fail() (Choice, Reason) {
 	switch {
-	case s.late:
+	case s.late && !s.full:
 		return Choice{}, TooLate
 	case s.seen || len(s.q.Service.Targets) > 0:
 		return Choice{}, Full
@@ -112,103 +161,152 @@
 }
 
 // shifted moves the request if the service's shift says so.
-func (s *search) shifted(p *plan, home *area) (Choice, bool) {
+func (s *search) shifted(p *plan) (Choice, bool) {
 	h := s.q.Service.shift
-	if h == nil || h.from != home.region || !h.covers(s.hash, s.now) {
+	if h == nil || h.from != s.home.region || !h.covers(s.q.Hash, s.now) {
 		return Choice{}, false
 	}
 	for _, a := range p.areas {
 		if a.region == h.to {
-			return s.visit(a, home)
+			s.look(a)
+			return s.commit()
 		}
 	}
 	return Choice{}, false
 }
 
-// capped takes a token if the request would leave home for the target of the
-// service's shift: all that moves there counts against the cap.
-func (s *search) capped(a, home *area) (moved, ok bool) {
+// capped tells whether a placement would leave the home region for the target
+// of the service's shift. All that moves there counts against the cap, also
+// requests that spill over.
+func (s *search) capped(a *area) bool {
 	h := s.q.Service.shift
-	if h == nil || home.region != h.from || a.region != h.to {
-		return false, true
+	return h != nil && s.home.region == h.from && a.region == h.to
+}
+
+// look collects the candidates of a region. It tells whether one has headroom,
+// so that no other region needs to be looked at.
+func (s *search) look(a *area) bool {
+	if s.denied && s.capped(a) {
+		return false
+	}
+	if s.q.Service.Once {
+		return s.lookStable(a)
+	}
+	if a.region == s.table.Region && s.lookHere(a) {
+		return true
+	}
+	for _, r := range a.tiers {
+		if s.lookTier(a, r) {
+			return true
+		}
 	}
-	return true, h.bucket.Take(s.now)
+	return false
 }
 
-// visit tries to place the request in one region.
-func (s *search) visit(a, home *area) (Choice, bool) {
-	moved, ok := s.capped(a, home)
-	if !ok {
-		return Choice{}, false
+func (s *search) lookHere(a *area) bool {
+	g, free := s.target()
+	if g == nil {
+		return false
 	}
-	c, ok := s.place(a)
-	c.Shifted = moved && ok
-	return c, ok
+	return s.add(candidate{target: g, area: a}, float64(free)/float64(max(1, g.slots)), 0)
 }
 
-func (s *search) place(a *area) (Choice, bool) {
-	if a.region == s.table.Region {
-		if g := s.target(); g != nil {
-			return Choice{Target: g}, true
-		}
+// lookTier adds the better of two owners of a tier.
+func (s *search) lookTier(a *area, r *tier) bool {
+	if !s.reachable(r) {
+		return false
 	}
-	for _, r := range a.tiers {
-		if c, ok := s.peer(r); ok {
-			return c, true
+	var best *owner
+	most, hits := 0.0, 0
+	for k := range min(len(r.owners), lookMax) {
+		o := r.pick(s.hash, k)
+		free := o.credit.Free(s.now)
+		if free <= 0 || s.tried.peer(o.peer) || !o.peer.Path.Usable(s.now) {
+			continue
+		}
+		if f := float64(free) * o.inverse; f > most {
+			best, most = o, f
+		}
+		if hits++; hits == 2 {
+			break
 		}
 	}
-	return Choice{}, false
+	if best == nil {
+		return false
+	}
+	return s.add(candidate{owner: best, area: a, link: r.link}, most, r.delay)
 }
 
-// target acquires the own gate with the most free slots.
-func (s *search) target() *Target {
-	targets := s.q.Service.Targets
-	for {
-		var best *Target
-		most := 0
-		for i := range targets {
-			g := &targets[i]
-			if free := g.Gate.Free(s.now); free > most && s.usable(g) {
-				best, most = g, free
+// lookStable adds the first owner in an order that depends on the request
+// alone, so that repeats of a request meet the same owner.
+func (s *search) lookStable(a *area) bool {
+	r := a.stable
+	if r == nil || !s.reachable(r) {
+		return false
+	}
+	for k := range min(len(r.owners), lookMax) {
+		o := r.pick(mix(s.q.Hash), k)
+		if o.peer == nil {
+			if g, _ := s.target(); g != nil {
+				return s.add(candidate{target: g, area: a}, 1, 0)
 			}
+			continue
 		}
-		if best == nil || best.Gate.Acquire(s.now) {
-			return best
+		if o.credit.Free(s.now) > 0 && !s.tried.peer(o.peer) && o.peer.Path.Usable(s.now) {
+			return s.add(candidate{owner: o, area: a, link: r.link}, 1, r.delay)
 		}
 	}
+	return false
 }
 
-func (s *search) usable(g *Target) bool {
-	return !s.tried.target(g) && (g.Path == nil || g.Path.Usable(s.now))
-}
-
-// peer takes a credit of the better of two owners.
-func (s *search) peer(r *tier) (Choice, bool) {
+// reachable tells whether an answer from the tier can arrive in time and
+// whether the link has room for the request.
+func (s *search) reachable(r *tier) bool {
 	s.seen = true
 	if s.now+2*r.delay >= s.q.Deadline {
 		s.late = true
-		return Choice{}, false
+		return false
 	}
-	n := len(r.owners)
-	start := int(s.hash % uint64(n))
-	var best *owner
-	var most int64
-	for k := range n {
-		o := &r.owners[(start+k)%n]
-		free := int64(o.credit.Free(s.now))
-		if free > most && o.peer.Path.Usable(s.now) && !s.tried.peer(o.peer) {
-			best, most = o, free
-		}
+	s.full = true
+	return r.link == nil || r.link.Ready(s.now, s.q.Service.Bulk)
+}
+
+// add keeps a candidate, ranked by free slots against delay. It tells whether
+// the place has headroom; then it comes first.
+func (s *search) add(c candidate, free float64, delay int64) bool {
+	h := s.table.headroom
+	roomy := free > h*spillShare
+	c.score = h*free - (1-h)*float64(delay)/farDelay
+	if roomy {
+		c.score++
 	}
-	if best == nil || !best.credit.Take(s.now) {
-		return Choice{}, false
+	i := min(s.count, candidatesMax-1)
+	if s.count == candidatesMax && s.found[i].score >= c.score {
+		return roomy
 	}
-	return Choice{Peer: best.peer, Link: r.link}, true
+	for ; i > 0 && s.found[i-1].score < c.score; i-- {
+		s.found[i] = s.found[i-1]
+	}
+	s.found[i] = c
+	s.count = min(s.count+1, candidatesMax)
+	return roomy
 }
 
-// mix makes the choice by weight independent of the choice by shift.
-func mix(h uint64) uint64 {
-	h ^= h >> 32
-	h *= 0xd6e8feb86659fd93
-	return h ^ h>>32
+// commit takes the slot or the credit of the best candidate that still has one.
+func (s *search) commit() (Choice, bool) {
+	for i := range s.count {
+		c := &s.found[i]
+		moved := s.capped(c.area)
+		if moved && !s.q.Service.shift.bucket.Take(s.now) {
+			s.denied = true
+			continue
+		}
+		if c.target != nil && s.acquire(c.target) {
+			return Choice{Target: c.target, Shifted: moved}, true
+		}
+		if c.target == nil && c.owner.peer.Path.Try(s.now) && c.owner.credit.Take(s.now) {
+			return Choice{Peer: c.owner.peer, Shifted: moved, Link: c.link}, true
+		}
+	}
+	return Choice{}, false
 }
--- a/core/router/plan.go
+++ b/core/router/plan.go
@@ -26,6 +26,8 @@
 	peer   *Peer
 	credit *limiter.Credit
 	slots  int64
+	// inverse is 1 divided by slots.
+	inverse float64
 }
 
 // tier is a group of owners at the same distance.
@@ -49,6 +51,7 @@
 		scale = ringSize / float64(total)
 	}
 	for i, o := range owners {
+		owners[i].inverse = 1 / float64(max(1, o.slots))
 		n := max(1, int(math.Round(float64(o.slots)*scale)))
 		for range n {
 			r.ring = append(r.ring, uint16(i))
@@ -57,6 +60,17 @@
 	return r
 }
 
+// pick returns the owner number k in an order given by the hash. With few
+// owners, the order contains each once.
+func (r *tier) pick(hash uint64, k int) *owner {
+	if len(r.owners) > lookMax {
+		hash = mix(hash + uint64(k)*weightSeed)
+		return &r.owners[r.ring[hash%uint64(len(r.ring))]]
+	}
+	i := int(r.ring[hash%uint64(len(r.ring))]) + k
+	return &r.owners[i%len(r.owners)]
+}
+
 // area is one region as seen from this instance.
 type area struct {
 	region string
@@ -102,7 +116,7 @@
 		}
 		for _, h := range v.Holdings {
 			u, ok := b.Config.Upstreams[h.Part.Upstream]
-			if ok && !b.closed(h.Part.Upstream, u) && h.Holder != b.Self {
+			if ok && !b.closed(h.Part.Upstream, u) {
 				slots[creditKey{h.Holder, u.Service}] += int64(h.Part.Slots)
 			}
 		}
@@ -155,7 +169,7 @@
 		a := &area{region: region, delay: b.delay(region)}
 		link := b.link(region)
 		all := slices.Concat(near[region], far[region])
-		if own := ownSlots(s); region == b.Region && own > 0 {
+		if own := b.ownSlots(s); region == b.Region && own > 0 {
 			all = append(all, owner{slots: own})
 		}
 		slices.SortFunc(all, func(x, y owner) int { return strings.Compare(x.name(b.Self), y.name(b.Self)) })
@@ -180,10 +194,15 @@
 	return o.peer.Name
 }
 
-func ownSlots(s *Service) int64 {
+// ownSlots returns the slots that this instance holds: as the view has it, which
+// all instances see alike, or else what its gates have.
+func (b *builder) ownSlots(s *Service) int64 {
+	if n := b.slots[creditKey{b.Self, s.Name}]; n > 0 && len(s.Targets) > 0 {
+		return n
+	}
 	n := 0
 	for i := range s.Targets {
-		n += s.Targets[i].Gate.Limit()
+		n += s.Targets[i].slots
 	}
 	return int64(n)
 }
--- a/core/router/router_test.go
+++ b/core/router/router_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"hornbeamstream.example/core/granter"
 	"hornbeamstream.example/core/loader"
@@ -142,3 +143,249 @@
 		})
 	}
 }
+
+func TestRenewMovesDeadlines(t *testing.T) {
+	is := is.New(t)
+	in := testInput()
+	b := Build(in)
+	later := testNow.Add(4 * time.Second)
+	_, r := b.Choose(lateRequest(b, later), later.UnixNano(), nil)
+	is.Equal(r, Full)
+	h := in.Holdings
+	h.Deadline = later.Add(time.Second)
+	is.True(b.Renew(h))
+	_, r = b.Choose(lateRequest(b, later), later.UnixNano(), nil)
+	is.Equal(r, Placed)
+	h.Parts = nil
+	is.True(!b.Renew(h))
+}
+
+// lateRequest can only be placed on own gates: it has no time for a peer.
+func lateRequest(t *Table, at time.Time) *Request {
+	q := request(t, 1)
+	q.Deadline = at.Add(time.Millisecond).UnixNano()
+	q.Hop = true
+	return q
+}
+
+func TestRefusals(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		edit func(in *Input, q *Request)
+		want Reason
+	}{
+		{"deadline passed", func(_ *Input, q *Request) { q.Deadline = testNow.UnixNano() }, TooLate},
+		{"too far away", func(in *Input, q *Request) {
+			in.Holdings.Parts = nil
+			q.Deadline = testNow.Add(40 * time.Millisecond).UnixNano()
+		}, TooLate},
+		{"upstream too slow", func(in *Input, q *Request) {
+			in.Verdicts = []observer.Verdict{{Upstream: "t1", Limit: 4, Latency: 32 * time.Millisecond}}
+			q.Deadline = testNow.Add(32 * time.Millisecond).UnixNano()
+		}, TooLate},
+		{"no upstream", func(in *Input, _ *Request) {
+			in.Holdings.Parts = nil
+			in.Views = nil
+		}, NoUpstream},
+		{"regions drained", func(in *Input, _ *Request) {
+			in.Config.Drains = map[string]loader.Drain{"region/akl": {}, "domain/wlg-a": {Until: testNow.Add(time.Hour)}}
+		}, Full},
+		{"drain ended", func(in *Input, _ *Request) {
+			in.Config.Drains = map[string]loader.Drain{"region/akl": {Until: testNow}}
+		}, Placed},
+		{"weight excludes the only region", func(in *Input, _ *Request) {
+			in.Views = in.Views[:1]
+			in.Config.Weights = map[string]loader.Weight{"timetable/akl": {Shares: map[string]float64{"akl": 0, "wlg": 1}}}
+		}, Full},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			in, q := testInput(), &Request{Region: "akl", Deadline: testNow.Add(time.Second).UnixNano()}
+			c.edit(&in, q)
+			b := Build(in)
+			q.Service = b.Services["timetable"]
+			_, r := b.Choose(q, testNow.UnixNano(), nil)
+			is.New(t).Equal(r, c.want)
+		})
+	}
+}
+
+func TestRetryAvoidsTriedPlacesAcrossTables(t *testing.T) {
+	is := is.New(t)
+	in := testInput()
+	b := Build(in)
+	now := testNow.UnixNano()
+	var tried Tried
+	c, _ := b.Choose(request(b, 1), now, &tried)
+	tried.Add(c)
+	in.Previous = b
+	b = Build(in)
+	c, _ = b.Choose(request(b, 1), now, &tried)
+	is.Equal(c.Peer.Name, "i3")
+	tried.Add(c)
+	_, r := b.Choose(request(b, 1), now, &tried)
+	is.Equal(r, Full)
+}
+
+func TestLoweredPriorityLeavesSlots(t *testing.T) {
+	is := is.New(t)
+	b := Build(testInput())
+	q := request(b, 1)
+	q.Hop, q.Priority = true, 9
+	_, r := b.Choose(q, testNow.UnixNano(), nil)
+	is.Equal(r, Full) // priority 9 of a service with 1 leaves eight slots in ten
+	q.Priority = 4
+	for range 2 {
+		_, r = b.Choose(q, testNow.UnixNano(), nil)
+		is.Equal(r, Placed)
+	}
+	_, r = b.Choose(q, testNow.UnixNano(), nil)
+	is.Equal(r, Full)
+}
+
+func TestBulkKeepsOffBusyLinks(t *testing.T) {
+	is := is.New(t)
+	in := testInput()
+	s := in.Config.Services["timetable"]
+	s.Bulk = true
+	in.Config.Services["timetable"] = s
+	in.Holdings.Parts = nil
+	b := Build(in)
+	now := testNow.UnixNano()
+	c, _ := b.Choose(request(b, 1), now, nil)
+	is.True(c.Link != nil)
+	c.Link.Charge(now, 1<<29, true)
+	c.Peer.Credits["timetable"].Set(4, now)
+	_, r := b.Choose(request(b, 2), now, nil)
+	is.Equal(r, Full)
+}
+
+func TestOnceRequestsMeetTheSameOwner(t *testing.T) {
+	is := is.New(t)
+	now := testNow.UnixNano()
+	owners := map[uint64]string{}
+	spread := map[string]bool{}
+	for _, instance := range []int{0, 3, 6} { // all of region 0
+		b := Build(kasa.input(instance))
+		for _, p := range b.Services["posting"].Peers {
+			p.Credits["posting"].Set(1000, now)
+		}
+		for hash := range uint64(50) {
+			q := &Request{Service: b.Services["posting"], Region: "r0", Hash: mix(hash), Deadline: now + 1e9}
+			c, r := b.Choose(q, now, nil)
+			is.Equal(r, Placed)
+			owner := b.Self
+			if c.Peer != nil {
+				owner = c.Peer.Name
+			} else {
+				c.Target.Gate.Release()
+			}
+			if owners[hash] == "" {
+				owners[hash] = owner
+			}
+			is.Equal(owners[hash], owner)
+			spread[owner] = true
+		}
+	}
+	is.True(len(spread) > 1)
+}
+
+func TestWeightsDivideRequests(t *testing.T) {
+	is := is.New(t)
+	in := testInput()
+	in.Config.Weights = map[string]loader.Weight{"timetable/akl": {Shares: map[string]float64{"akl": 0.25, "wlg": 0.75}}}
+	b := Build(in)
+	now := testNow.UnixNano()
+	own := 0
+	for hash := range uint64(2000) {
+		b.Services["timetable"].Peers[0].Credits["timetable"].Set(4, now)
+		c, r := b.Choose(request(b, mix(hash*weightSeed)), now, nil)
+		is.Equal(r, Placed)
+		if c.Target != nil {
+			c.Target.Gate.Release()
+			own++
+		}
+	}
+	is.True(own > 400 && own < 600)
+}
+
+// Guards against a shift above its cap, before its start, or without a grant,
+// whatever the order of rebuilds and renewals.
+func TestShiftStaysBelowItsCap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := testInput()
+		rate := rapid.IntRange(0, 40).Draw(t, "rate")
+		in.Holdings.Quotas = []granter.Quota{{Name: "shift/timetable", Rate: float64(rate)}}
+		in.Config.Shifts = map[string]loader.Shift{"timetable": {
+			From: "akl", To: "wlg", Share: 0.5, Cap: 30,
+			Start: testNow.Add(time.Second), Finish: testNow.Add(3 * time.Second),
+		}}
+		b, now := Build(in), testNow
+		var moved []time.Time
+		for range 600 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 12).Draw(t, "gap")) * time.Millisecond)
+			switch rapid.IntRange(0, 40).Draw(t, "event") {
+			case 0:
+				in.Previous, in.Holdings.Deadline = b, now.Add(3*time.Second)
+				b = Build(in)
+			case 1:
+				h := in.Holdings
+				h.Deadline = now.Add(3 * time.Second)
+				b.Renew(h)
+			}
+			b.Services["timetable"].Peers[0].Credits["timetable"].Set(4, now.UnixNano())
+			q := request(b, rapid.Uint64().Draw(t, "hash"))
+			q.Deadline = now.Add(time.Second).UnixNano()
+			c, _ := b.Choose(q, now.UnixNano(), nil)
+			if c.Target != nil {
+				c.Target.Gate.Release()
+			}
+			if c.Shifted != (c.Peer != nil) {
+				t.Fatalf("moved without a token")
+			}
+			if !c.Shifted {
+				continue
+			}
+			moved = append(moved, now)
+			for now.Sub(moved[0]) >= time.Second {
+				moved = moved[1:]
+			}
+			if len(moved) > min(rate, 30) || now.Before(testNow.Add(time.Second)) {
+				t.Fatalf("%d moved in a second at %v", len(moved), now.Sub(testNow))
+			}
+		}
+	})
+}
+
+// Guards against more requests in flight at an upstream than it has slots while
+// parts, reserve, slots, verdicts and tables change.
+func TestInFlightStaysWithinSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := testInput()
+		var running []*Target
+		for range 60 {
+			slots := rapid.IntRange(1, 6).Draw(t, "slots")
+			in.Config = twoRegions()
+			u := in.Config.Upstreams["t1"]
+			u.Slots = slots
+			in.Config.Upstreams["t1"] = u
+			in.Holdings.Parts = []granter.Part{{Upstream: "t1", Slots: rapid.IntRange(0, 6).Draw(t, "part")}}
+			in.Holdings.Reserve = []granter.Reserve{{Member: "i1", Upstream: "t1", Slots: rapid.IntRange(0, 6).Draw(t, "reserve")}}
+			in.Verdicts = []observer.Verdict{{Upstream: "t1", Limit: rapid.IntRange(0, 8).Draw(t, "limit")}}
+			b := Build(in)
+			in.Previous = b
+			before := len(running)
+			for i := range rapid.IntRange(0, 8).Draw(t, "requests") {
+				if c, _ := b.Choose(request(b, uint64(i)), testNow.UnixNano(), nil); c.Target != nil {
+					running = append(running, c.Target)
+				}
+			}
+			if len(running) > max(before, slots) {
+				t.Fatalf("%d in flight on %d slots", len(running), slots)
+			}
+			for range min(len(running), rapid.IntRange(0, 8).Draw(t, "ended")) {
+				running[0].Gate.Release()
+				running = running[1:]
+			}
+		}
+	})
+}
--- a/core/router/shift.go
+++ b/core/router/shift.go
@@ -7,6 +7,10 @@
 	"hornbeamstream.example/core/limiter"
 )
 
+// burstShare is the part of a cap that requests may use at once, so that those
+// that arrive together are not all kept back.
+const burstShare = 0.05
+
 // shift moves a part of a service's requests between two regions.
 type shift struct {
 	from, to      string
@@ -44,7 +48,8 @@
 			continue
 		}
 		bucket := keep(b.fresh.buckets, b.old.buckets, name+"/"+c.From+"/"+c.To)
-		bucket.Set(min(b.quota("shift/"+name), c.Cap), 1, b.deadline())
+		rate := min(b.quota("shift/"+name), c.Cap)
+		bucket.Set(rate, 1+rate*burstShare, b.deadline())
 		s.shift = &shift{
 			from: c.From, to: c.To, share: c.Share, bucket: bucket,
 			start: c.Start.UnixNano(), finish: c.Finish.UnixNano(),
@@ -66,7 +71,11 @@
 		}
 		static := float64(c.Capacity) / math.Max(1, float64(domains*instances))
 		l := keep(b.fresh.links, b.old.links, to)
-		l.Set(math.Min(b.quota("link/"+key), float64(c.Capacity)), static, b.deadline())
+		rate, deadline := b.quota("link/"+key), b.deadline()
+		if rate <= 0 {
+			deadline = 0
+		}
+		l.Set(math.Min(rate, float64(c.Capacity)), static, deadline)
 	}
 }
 
--- a/core/router/types.go
+++ b/core/router/types.go
@@ -35,6 +35,11 @@
 	Gate *limiter.Gate
 	// Path judges whether the path to the upstream works.
 	Path *limiter.Path
+
+	// slots is the configured size of the part; latency in nanoseconds is the
+	// least time in which the upstream answers.
+	slots   int
+	latency int64
 }
 
 // Service is one service as seen from this instance.
@@ -122,6 +127,9 @@
 // target tells whether the upstream of a target has been tried. Paths outlive
 // tables, so that a retry on a newer table recognizes the place.
 func (t *Tried) target(g *Target) bool {
+	if t == nil {
+		return false
+	}
 	for i := range t.count {
 		o := t.choices[i].Target
 		if o != nil && (o == g || o.Path != nil && o.Path == g.Path) {
@@ -132,6 +140,9 @@
 }
 
 func (t *Tried) peer(p *Peer) bool {
+	if t == nil {
+		return false
+	}
 	for i := range t.count {
 		o := t.choices[i].Peer
 		if o != nil && (o == p || o.Path != nil && o.Path == p.Path) {
