router: export the size of a target's part

Cause: the operators' account needs granted slots beside admitted ones. Change: field Slots instead of slots.

--- a/core/router/build.go
+++ b/core/router/build.go
@@ -261,7 +261,7 @@
 	return Target{
 		Upstream: p.key.upstream, Address: u.Address, Conns: u.Conns, Part: p.key.part, Gate: g,
 		Path:    keep(b.fresh.paths, b.old.paths, u.Address),
-		slots:   p.slots,
+		Slots:   p.slots,
 		latency: int64(b.verdicts[p.key.upstream].Latency),
 	}
 }
--- a/core/router/choose.go
+++ b/core/router/choose.go
@@ -208,7 +208,7 @@
 	if g == nil {
 		return false
 	}
-	return s.add(candidate{target: g, area: a}, float64(free)/float64(max(1, g.slots)), 0)
+	return s.add(candidate{target: g, area: a}, float64(free)/float64(max(1, g.Slots)), 0)
 }
 
 // lookTier adds the better of two owners of a tier.
--- a/core/router/plan.go
+++ b/core/router/plan.go
@@ -202,7 +202,7 @@
 	}
 	n := 0
 	for i := range s.Targets {
-		n += s.Targets[i].slots
+		n += s.Targets[i].Slots
 	}
 	return int64(n)
 }
--- a/core/router/types.go
+++ b/core/router/types.go
@@ -36,9 +36,9 @@
 	// Path judges whether the path to the upstream works.
 	Path *limiter.Path
 
-	// slots is the configured size of the part; latency in nanoseconds is the
+	// Slots is the configured size of the part; latency in nanoseconds is the
 	// least time in which the upstream answers.
-	slots   int
+	Slots int
 	latency int64
 }
 
