reducer: property test, fault table and golden files over five instances

Cause: the promises have to hold for the composed control logic, not only for its parts. Change: a simulated network and platform on a fake clock with losses, lost answers, pauses, kills, cuts and outages; a part held twice, a version that goes back and a recovery beyond the bounds fail.

--- /dev/null
+++ b/core/reducer/reducer_test.go
@@ -0,0 +1,244 @@
+package reducer_test
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"hornbeamstream.example/core/recorder"
+	"hornbeamstream.example/core/reducer"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// settle is the time after which everything has recovered from any single
+// fault: a lease, a margin, the longest request and a second for messages.
+const settle = 12 * time.Second
+
+// totalSlots is the sum over the upstreams of firstTicket.
+const totalSlots = 3 * (6 + 3)
+
+var domains = map[string]int{"a": 2, "b": 1, "c": 2}
+
+func firstTicket() map[string]string {
+	objects := map[string]string{
+		"region/r":        `{}`,
+		"service/lookup":  `{"priority":1,"limit":2000,"body":1000}`,
+		"service/posting": `{"once":true,"limit":3000,"body":1000}`,
+		"policy/main":     `{"headroom":0.8,"reserve":0.1}`,
+	}
+	for i, d := range []string{"a", "b", "c"} {
+		objects["domain/"+d] = `{"region":"r","instances":2}`
+		objects["upstream/lookup-"+d] = fmt.Sprintf(`{"service":"lookup","domain":%q,"address":"127.2.1.%d:8000","slots":6,"conns":330}`, d, i+1)
+		objects["upstream/posting-"+d] = fmt.Sprintf(`{"service":"posting","domain":%q,"address":"127.2.2.%d:8000","slots":3,"conns":330}`, d, i+1)
+	}
+	return objects
+}
+
+func running(seed uint64) *world {
+	w := newWorld(seed, domains)
+	w.submit(firstTicket())
+	w.runFor(settle)
+	return w
+}
+
+func (w *world) inForce() bool {
+	for _, n := range w.nodes {
+		if n.alive && n.table.Config.Version != uint64(len(w.tickets)) {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against a slot that two instances use, a configuration that goes back
+// and a deployment that doesn't recover, under random kills, pauses, cuts,
+// losses, platform outages and tickets.
+func TestPromisesUnderRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		w := running(rapid.Uint64().Draw(t, "seed"))
+		for range rapid.IntRange(1, 12).Draw(t, "faults") {
+			randomFault(t, w)
+			w.runFor(time.Duration(rapid.IntRange(0, 6000).Draw(t, "ms")) * time.Millisecond)
+			is.Equal(w.fault, "") // a promise is broken
+		}
+		heal(w)
+		w.runFor(2 * settle)
+		is.Equal(w.fault, "") // a promise is broken after the faults
+		is.True(w.inForce())  // all instances have the newest version
+		if w.held() < totalSlots*9/10 {
+			t.Fatalf("%d of %d slots in use after recovery", w.held(), totalSlots)
+		}
+	})
+}
+
+func randomFault(t *rapid.T, w *world) {
+	n := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")]
+	switch rapid.SampledFrom([]string{"kill", "pause", "cut", "platform", "down", "loss", "ticket", "heal"}).Draw(t, "fault") {
+	case "kill":
+		n.alive = false
+	case "pause":
+		n.paused = n.alive
+	case "cut":
+		n.group = rapid.IntRange(0, 1).Draw(t, "group")
+	case "platform":
+		n.platform = false
+	case "down":
+		w.down = !w.down
+	case "loss":
+		w.loss = 0.2
+	case "ticket":
+		w.submit(map[string]string{"weight/lookup/r": `{"shares":{"r":1}}`})
+	case "heal":
+		heal(w)
+	}
+}
+
+func heal(w *world) {
+	w.down, w.loss = false, 0
+	for _, n := range w.nodes {
+		n.group, n.platform = 0, true
+		switch {
+		case !n.alive:
+			w.boot(n)
+		case n.paused:
+			w.resume(n)
+		}
+	}
+}
+
+// Guards against a domain that stops serving in the failures of the design's
+// table, and against a ticket that takes longer than 2 s to be in force.
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(w *world)
+		wait  time.Duration
+		// slots is the least number of usable slots after the wait.
+		slots int
+	}{
+		{"no fault", func(*world) {}, time.Second, totalSlots},
+		{"platform down for ten minutes", func(w *world) { w.down = true }, 10 * time.Minute, totalSlots},
+		{"domain a cut from the platform", func(w *world) { cutPlatform(w, "a") }, time.Minute, totalSlots},
+		{"domain a cut from the others", func(w *world) { cut(w, "a") }, time.Minute, totalSlots},
+		{"domain a cut from both", func(w *world) { cut(w, "a"); cutPlatform(w, "a") }, time.Minute, totalSlots},
+		{"one of two instances dead", func(w *world) { w.nodes[0].alive = false }, 10 * time.Second, totalSlots * 9 / 10},
+		{"one of two instances paused", func(w *world) { w.nodes[1].paused = true }, 10 * time.Second, totalSlots * 9 / 10},
+		{"domain a split in two", func(w *world) { w.nodes[0].group = 1 }, 10 * time.Second, totalSlots * 9 / 10},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w := running(11)
+			tt.fault(w)
+			w.runFor(tt.wait)
+			is.Equal(w.fault, "")         // no promise is broken
+			is.True(w.held() >= tt.slots) // enough slots are in use
+			heal(w)
+			w.runFor(settle)
+			w.submit(map[string]string{"weight/lookup/r": `{"shares":{"r":1}}`})
+			w.runFor(2 * time.Second)
+			is.Equal(w.fault, "") // no promise is broken after the fault
+			is.True(w.inForce())  // in force everywhere within 2 s
+		})
+	}
+}
+
+func cut(w *world, domain string) {
+	for _, n := range w.nodes {
+		if n.self.Domain == domain {
+			n.group = 1
+		}
+	}
+}
+
+func cutPlatform(w *world, domain string) {
+	for _, n := range w.nodes {
+		if n.self.Domain == domain {
+			n.platform = false
+		}
+	}
+}
+
+// Guards against a configuration that is lost when all instances but one are
+// replaced while the platform is down.
+func TestConfigurationSurvivesReplacement(t *testing.T) {
+	is := is.New(t)
+	w := running(3)
+	w.down = true
+	for _, n := range w.nodes[1:] {
+		n.alive = false
+	}
+	w.runFor(5 * time.Second)
+	for _, n := range w.nodes[1:] {
+		w.boot(n)
+	}
+	w.runFor(5 * time.Second)
+	is.True(w.inForce()) // the one gave its version to the others
+	is.Equal(w.fault, "")
+}
+
+// Guards against a drain that cannot be followed in the timeline from the
+// ticket to the empty upstream over three processes whose clocks differ.
+func TestTimelineFollowsDrain(t *testing.T) {
+	is := is.New(t)
+	w := running(5)
+	w.submit(map[string]string{"drain/upstream/lookup-a": `{"reason":"maintenance"}`})
+	w.runFor(3 * time.Second)
+	var rings [][]recorder.Event
+	for _, n := range w.nodes {
+		rings = append(rings, n.events)
+	}
+	var lines []string
+	for _, e := range recorder.Merge(rings...) {
+		if (recorder.Filter{Version: 2}).Match(e) {
+			lines = append(lines, fmt.Sprintf("%s %s %s", e.Kind, e.Upstream, e.Instance))
+		}
+	}
+	got := strings.Join(lines, "\n") + "\n"
+	compareGolden(t, "drain.golden", got)
+	is.Equal(w.fault, "")
+}
+
+// Guards against a change of the effects that an event script gives.
+func TestScript(t *testing.T) {
+	w := newWorld(1, map[string]int{"a": 1})
+	n := w.nodes[0]
+	var out strings.Builder
+	write := func(event reducer.Event) {
+		fmt.Fprintf(&out, "event %T\n", event)
+		for _, e := range n.state.Step(event) {
+			text, err := json.Marshal(e)
+			if err != nil {
+				t.Fatal(err)
+			}
+			fmt.Fprintf(&out, "  effect %T %s\n", e, text)
+		}
+	}
+	write(reducer.Tick{Now: start.Add(tickInterval)})
+	write(reducer.ListSeen{Now: start.Add(2 * tickInterval), Names: []string{"a-1"}})
+	write(reducer.LeaveAsked{Now: start.Add(3 * tickInterval)})
+	write(reducer.SendFailed{Now: start.Add(4 * tickInterval), To: "b-1"})
+	compareGolden(t, "script.golden", out.String())
+}
+
+func compareGolden(t *testing.T, name, got string) {
+	t.Helper()
+	is := is.New(t)
+	file := filepath.Join("testdata", name)
+	if *update {
+		is.NoErr(os.WriteFile(file, []byte(got), 0o644))
+	}
+	want, err := os.ReadFile(file)
+	is.NoErr(err)
+	is.Equal(got, string(want))
+}
--- a/core/router/types.go
+++ b/core/router/types.go
@@ -38,7 +38,7 @@
 
 	// Slots is the configured size of the part; latency in nanoseconds is the
 	// least time in which the upstream answers.
-	Slots int
+	Slots   int
 	latency int64
 }
 
