--- a/core/resolver/blocks.go
+++ b/core/resolver/blocks.go
@@ -2,29 +2,65 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math/bits"
 	"net/netip"
 	"slices"
+	"sort"
 
 	"hornbeamstream.example/core/loader"
 )
 
-// block is a range of addresses with one home region.
-type block struct {
-	prefix netip.Prefix
-	region int
+// unknownRegion marks addresses that belong to no block.
+const unknownRegion = -1
+
+// home is what is known of a range of addresses: the region's index and the
+// hash of the block.
+type home struct {
+	region int32
+	hash   uint32
 }
 
-// blocks finds the longest prefix of an address.
+// blocks finds the home of an address. Nested prefixes are flattened into
+// ranges without overlaps, so that a look-up is one binary search.
 type blocks struct {
-	lists map[int]map[netip.Prefix]int
-	// lengths are the prefix lengths in use, the longest first; IPv4 lengths
-	// are offset by 256.
-	lengths []int
+	// four and six are the first addresses of ranges in ascending order.
+	four      []uint32
+	fourHomes []home
+	// index holds the first range at or after the start of each /16, so that
+	// the search covers only the ranges of one /16.
+	index    []int32
+	six      []wide
+	sixHomes []home
+}
+
+// wide is an IPv6 address.
+type wide struct{ high, low uint64 }
+
+func (w wide) less(o wide) bool {
+	return w.high < o.high || w.high == o.high && w.low < o.low
+}
+
+func widen(a netip.Addr) wide {
+	b := a.As16()
+	return wide{binary.BigEndian.Uint64(b[:8]), binary.BigEndian.Uint64(b[8:])}
+}
+
+func narrow(a netip.Addr) uint32 {
+	b := a.As4()
+	return binary.BigEndian.Uint32(b[:])
+}
+
+// block is a prefix with its home.
+type block struct {
+	prefix netip.Prefix
+	home   home
 }
 
+// makeBlocks ignores prefixes that cannot be parsed and regions that do not
+// exist; the loader reports them.
 func makeBlocks(config map[string]loader.Blocks, index map[string]int) blocks {
-	var all []block
+	var four, six []block
 	for _, b := range config {
 		for region, prefixes := range b.Regions {
 			i, ok := index[region]
@@ -32,52 +68,147 @@
 				continue
 			}
 			for _, text := range prefixes {
-				if p, err := netip.ParsePrefix(text); err == nil {
-					all = append(all, block{p.Masked(), i})
+				p, ok := parse(text)
+				if !ok {
+					continue
+				}
+				list := &six
+				if p.Addr().Is4() {
+					list = &four
 				}
+				*list = append(*list, block{p, home{int32(i), hashPrefix(p)}})
 			}
 		}
 	}
+	var t blocks
+	flatten(four, func(start netip.Addr, h home) {
+		t.four = append(t.four, narrow(start))
+		t.fourHomes = append(t.fourHomes, h)
+	})
+	flatten(six, func(start netip.Addr, h home) {
+		t.six = append(t.six, widen(start))
+		t.sixHomes = append(t.sixHomes, h)
+	})
+	t.makeIndex()
+	return t
+}
+
+func parse(text string) (netip.Prefix, bool) {
+	p, err := netip.ParsePrefix(text)
+	if err != nil {
+		return p, false
+	}
+	if a := p.Addr(); a.Is4In6() && p.Bits() >= 96 {
+		p = netip.PrefixFrom(a.Unmap(), p.Bits()-96)
+	}
+	return p.Masked(), true
+}
+
+// flatten calls add with the start and the home of each range in ascending
+// order. A longer prefix covers the shorter ones around it. If a prefix occurs
+// twice, the first region by name has it.
+func flatten(all []block, add func(start netip.Addr, h home)) {
 	slices.SortFunc(all, func(a, b block) int {
-		return cmp.Or(a.prefix.Compare(b.prefix), cmp.Compare(a.region, b.region))
+		return cmp.Or(a.prefix.Addr().Compare(b.prefix.Addr()),
+			cmp.Compare(a.prefix.Bits(), b.prefix.Bits()), cmp.Compare(a.home.region, b.home.region))
 	})
-	t := blocks{lists: map[int]map[netip.Prefix]int{}}
+	all = slices.CompactFunc(all, func(a, b block) bool { return a.prefix == b.prefix })
+	var open []block
+	// end closes the innermost open prefix, after which the one around it goes on.
+	end := func() {
+		next := after(open[len(open)-1].prefix)
+		open = open[:len(open)-1]
+		h := home{region: unknownRegion}
+		if len(open) > 0 {
+			h = open[len(open)-1].home
+		}
+		if next.IsValid() {
+			add(next, h)
+		}
+	}
 	for _, b := range all {
-		n := key(b.prefix)
-		if t.lists[n] == nil {
-			t.lists[n] = map[netip.Prefix]int{}
-			t.lengths = append(t.lengths, n)
+		for len(open) > 0 && !open[len(open)-1].prefix.Contains(b.prefix.Addr()) {
+			end()
 		}
-		t.lists[n][b.prefix] = b.region
+		add(b.prefix.Addr(), b.home)
+		open = append(open, b)
 	}
-	slices.SortFunc(t.lengths, func(a, b int) int { return b - a })
-	return t
+	for len(open) > 0 {
+		end()
+	}
+}
+
+// after returns the first address behind the prefix; it is not valid if there
+// is none.
+func after(p netip.Prefix) netip.Addr {
+	b := p.Addr().AsSlice()
+	for i := range b {
+		switch n := p.Bits() - 8*i; {
+		case n <= 0:
+			b[i] = 0xff
+		case n < 8:
+			b[i] |= 0xff >> n
+		}
+	}
+	last, _ := netip.AddrFromSlice(b)
+	return last.Next()
 }
 
-func key(p netip.Prefix) int {
-	if p.Addr().Is4() {
-		return 256 + p.Bits()
+func (t *blocks) makeIndex() {
+	if len(t.four) == 0 {
+		return
+	}
+	t.index = make([]int32, 1<<16+1)
+	i := 0
+	for n := range t.index {
+		for i < len(t.four) && uint64(t.four[i]) < uint64(n)<<16 {
+			i++
+		}
+		t.index[n] = int32(i)
 	}
-	return p.Bits()
 }
 
 // find returns the region and the hash of the address's block. The hash of an
 // unknown block is that of the address's /24 or /56.
-func (t *blocks) find(addr netip.Addr) (region int, hash uint64, ok bool) {
-	addr = addr.Unmap().WithZone("")
-	for _, n := range t.lengths {
-		if addr.Is4() != (n >= 256) {
-			continue
-		}
-		p, err := addr.Prefix(n & 255)
-		if err != nil {
-			continue
-		}
-		if region, ok = t.lists[n][p]; ok {
-			return region, hashPrefix(p), true
+func (t *blocks) find(addr netip.Addr) (region int, hash uint32, ok bool) {
+	addr = addr.Unmap()
+	h := home{region: unknownRegion}
+	switch {
+	case addr.Is4():
+		h = t.findFour(narrow(addr))
+	case addr.Is6():
+		h = t.findSix(widen(addr))
+	}
+	if h.region == unknownRegion {
+		return 0, hashPrefix(defaultBlock(addr)), false
+	}
+	return int(h.region), h.hash, true
+}
+
+func (t *blocks) findFour(a uint32) home {
+	if len(t.four) == 0 {
+		return home{region: unknownRegion}
+	}
+	low, high := int(t.index[a>>16]), int(t.index[a>>16+1])
+	for low < high {
+		if mid := int(uint(low+high) >> 1); t.four[mid] <= a {
+			low = mid + 1
+		} else {
+			high = mid
 		}
 	}
-	return 0, hashPrefix(defaultBlock(addr)), false
+	if low == 0 {
+		return home{region: unknownRegion}
+	}
+	return t.fourHomes[low-1]
+}
+
+func (t *blocks) findSix(a wide) home {
+	i := sort.Search(len(t.six), func(i int) bool { return a.less(t.six[i]) })
+	if i == 0 {
+		return home{region: unknownRegion}
+	}
+	return t.sixHomes[i-1]
 }
 
 func defaultBlock(addr netip.Addr) netip.Prefix {
@@ -89,16 +220,14 @@
 	return p
 }
 
-func hashPrefix(p netip.Prefix) uint64 {
-	b := p.Addr().As16()
+// hashPrefix spreads blocks over the rotations of a list. All instances compute
+// the same value.
+func hashPrefix(p netip.Prefix) uint32 {
+	w := widen(p.Addr().WithZone(""))
 	h := uint64(p.Bits() + 1)
-	for i := 0; i < 16; i += 8 {
-		var w uint64
-		for _, c := range b[i : i+8] {
-			w = w<<8 | uint64(c)
-		}
-		hi, lo := bits.Mul64(h^w^0x9e3779b97f4a7c15, 0xd6e8feb86659fd93)
+	for _, word := range [2]uint64{w.high, w.low} {
+		hi, lo := bits.Mul64(h^word^0x9e3779b97f4a7c15, 0xd6e8feb86659fd93)
 		h = hi ^ lo
 	}
-	return h
+	return uint32(h ^ h>>32)
 }
--- a/core/resolver/resolver.go
+++ b/core/resolver/resolver.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"math"
 	"net/netip"
 	"slices"
@@ -26,11 +27,16 @@
 	Region string
 	// Views are the newest views of all domains.
 	Views []granter.View
+	// Previous is the table in use or nil. Its block list is taken over when the
+	// configuration of regions and blocks is the same.
+	Previous *Table
 }
 
 // Table answers look-ups. It is immutable. Its zero value knows no entries.
 type Table struct {
 	blocks blocks
+	// versions are those of the objects that the block list was made of.
+	versions map[string]uint64
 	// regions are the names by index; lists hold the answers of a region by
 	// rotation.
 	regions []string
@@ -58,10 +64,34 @@
 		t.lists = append(t.lists, rotations(fronts, in.Config, region))
 	}
 	t.unknown = index[in.Region]
+	t.versions = versions(in.Config)
+	if p := in.Previous; p != nil && slices.Equal(p.regions, t.regions) && same(p.versions, t.versions) {
+		t.blocks = p.blocks
+		return t
+	}
 	t.blocks = makeBlocks(in.Config.Blocks, index)
 	return t
 }
 
+func versions(c *loader.State) map[string]uint64 {
+	all := make(map[string]uint64, len(c.Blocks))
+	for name := range c.Blocks {
+		all[name] = c.Touched[loader.KindBlocks+"/"+name]
+	}
+	return all
+}
+
+// same tells whether two block lists were made of the same objects. An object
+// without a known version is never the same.
+func same(a, b map[string]uint64) bool {
+	for _, version := range a {
+		if version == 0 {
+			return false
+		}
+	}
+	return maps.Equal(a, b)
+}
+
 // Region returns the home region of an address, or "" for an unknown block.
 func (t *Table) Region(addr netip.Addr) string {
 	i, _, ok := t.blocks.find(addr)
@@ -81,7 +111,7 @@
 	dst = append(dst, `{"entries":[`...)
 	if region < len(t.lists) {
 		if l := t.lists[region]; len(l) > 0 {
-			dst = append(dst, l[hash%uint64(len(l))]...)
+			dst = append(dst, l[hash%uint32(len(l))]...)
 		}
 	}
 	dst = append(dst, `],"until":`...)
