--- /dev/null
+++ b/core/observer/limit.go
@@ -0,0 +1,194 @@
+package observer
+
+import "time"
+
+const (
+	// startShare is the share of the slots that a new or returning upstream
+	// starts with, coldShare that of one that says it is cold.
+	startShare = 4
+	coldShare  = 8
+	// latencyShare is the share of the slots that latency alone leaves: a slow
+	// upstream with a quarter of its slots gets too few requests to matter, and
+	// a service whose requests have become heavier is not cut off.
+	latencyShare = 4
+	// slowRatio is the ratio to the usual latency above which the limit falls;
+	// above calmRatio it does not rise.
+	slowRatio = 2.0
+	calmRatio = 1.5
+	// cutMost bounds one decrease, cutPause the time between two, in which the
+	// effect of the first can be seen.
+	cutMost  = 0.5
+	cutPause = 100 * time.Millisecond
+	// calmTerm is the time without a decrease after which the limit rises fast
+	// again: what caused the decrease has ended.
+	calmTerm = 3 * time.Second
+	// okGain is how much one success raises the limit during slow start.
+	okGain = 0.25
+	// slowGain is the share of the slots by which the limit rises per second
+	// above the level of the last decrease.
+	slowGain = 0.1
+	// baselineDrift is the share per second by which the usual latency rises,
+	// so that it follows lasting changes within an hour or two.
+	baselineDrift = 0.0005
+	// activeTerm is the time after the last success in which latency counts.
+	activeTerm = 5 * time.Second
+	// overload is the reported load above which the limit falls. A load of 1
+	// only says that all slots are used.
+	overload = 1.05
+	// frozenRun is the number of equal reports, with traffic in between, after
+	// which load reports are ignored.
+	frozenRun = 3
+)
+
+// limiter adapts the number of requests that an upstream gets at a time.
+type limiter struct {
+	limit float64
+	// turn is the level of the last decrease: below it the limit rises fast.
+	turn float64
+	// roof is the number of slots that the upstream reports, 0 if unknown.
+	roof  int
+	cold  bool
+	cause string
+	// latency is the smoothed, baseline the usual time to the first byte.
+	latency, baseline time.Duration
+	okAt, cutAt       time.Time
+	stepAt            time.Time
+	report0           Health
+	equal, oks        int
+}
+
+// restart begins a slow start.
+func (l *limiter) restart(now time.Time, slots int) {
+	*l = limiter{limit: max(1, float64(slots)/startShare), turn: float64(slots), stepAt: now, cause: "slow start"}
+}
+
+func (l *limiter) clamp(slots int) {
+	if l.roof > 0 {
+		slots = min(slots, l.roof)
+	}
+	l.limit = max(1, min(l.limit, float64(slots)))
+}
+
+// whole returns the limit in slots: at least one, so that recovery is seen. It
+// rises in whole steps, so that verdicts do not alternate.
+func (l *limiter) whole(slots, old int) int {
+	n := int(l.limit + 0.5)
+	if n > old && l.limit < float64(old+1) {
+		n = old
+	}
+	return min(max(1, n), slots)
+}
+
+func (l *limiter) active(now time.Time) bool {
+	return l.latency > 0 && now.Sub(l.okAt) <= activeTerm
+}
+
+// observe adapts the limit to a batch of outcomes.
+func (l *limiter) observe(now time.Time, x Sample, slots int, sibling time.Duration) {
+	gone := min(max(0, now.Sub(l.stepAt)), time.Second)
+	l.stepAt = now
+	l.oks += x.OK
+	ratio := l.measure(now, x, gone, sibling)
+	bad := x.Shed + x.Refused + x.Failed
+	switch {
+	case bad > 0:
+		l.cut(now, 1-float64(bad)/float64(bad+x.OK), "shed or failed requests")
+	case ratio > slowRatio:
+		if floor := max(1, float64(slots)/latencyShare); l.limit > floor {
+			l.cut(now, slowRatio/ratio, "slow")
+			l.limit = max(l.limit, floor)
+		}
+	case x.OK > 0 && ratio <= calmRatio:
+		l.raise(x.OK, gone, slots)
+	}
+	l.clamp(slots)
+}
+
+// measure smooths the latency and returns its ratio to the usual one. When all
+// upstreams of a service become slower, the requests have become heavier, and
+// no single one is slow.
+func (l *limiter) measure(now time.Time, x Sample, gone, sibling time.Duration) float64 {
+	if x.OK == 0 || x.Latency <= 0 {
+		return 1
+	}
+	if !l.active(now) {
+		l.latency = x.Latency
+	}
+	l.okAt = now
+	l.latency += (x.Latency - l.latency) / 2
+	l.baseline += time.Duration(float64(l.baseline) * baselineDrift * gone.Seconds())
+	if l.baseline == 0 || x.Latency < l.baseline {
+		l.baseline = x.Latency
+	}
+	return float64(l.latency) / float64(max(l.baseline, sibling))
+}
+
+// cut lowers the limit by a factor.
+func (l *limiter) cut(now time.Time, factor float64, cause string) {
+	if now.Sub(l.cutAt) < cutPause {
+		return
+	}
+	l.cutAt, l.cause = now, cause
+	l.limit = max(1, l.limit*max(factor, cutMost))
+	l.turn = l.limit
+}
+
+// raise lets the limit double in a second up to the level of the last decrease
+// and rise evenly above it. Only successes raise it.
+func (l *limiter) raise(oks int, gone time.Duration, slots int) {
+	seconds := gone.Seconds()
+	step := float64(slots) * slowGain * seconds
+	if l.limit < l.turn || l.stepAt.Sub(l.cutAt) >= calmTerm {
+		step = max(step, l.limit*seconds)
+	}
+	l.limit += min(step, okGain*float64(oks))
+	if l.limit >= float64(slots) {
+		l.cause = ""
+	}
+}
+
+// idle forgets the latency of an upstream without traffic and offers it some
+// more, so that its recovery is seen.
+func (l *limiter) idle(now time.Time, slots int) {
+	if now.Sub(l.stepAt) < activeTerm {
+		return
+	}
+	l.stepAt = now
+	if floor := float64(slots) / startShare; !l.cold && l.limit < floor {
+		l.limit = max(1, min(l.limit+1, floor))
+	}
+}
+
+// report takes the numbers of a health report into account. They only lower
+// the limit.
+func (l *limiter) report(now time.Time, h Health, slots int) {
+	if l.frozen(h) {
+		return
+	}
+	l.roof = max(0, h.Slots)
+	if cold := h.State == "cold"; cold != l.cold {
+		l.cold = cold
+		if cold {
+			l.restart(now, slots)
+			l.cold, l.limit = true, max(1, float64(slots)/coldShare)
+			l.cause = "cold"
+		}
+	}
+	if h.Load > overload {
+		l.cut(now, 1/h.Load, "reported load")
+	}
+	l.clamp(slots)
+}
+
+// frozen tells whether the reports have stayed the same despite traffic.
+func (l *limiter) frozen(h Health) bool {
+	same := h == l.report0
+	if l.report0 = h; !same {
+		l.equal = 0
+	}
+	if same && l.oks > 0 {
+		l.equal++
+	}
+	l.oks = 0
+	return l.equal >= frozenRun
+}
--- a/core/observer/types.go
+++ b/core/observer/types.go
@@ -47,8 +47,14 @@
 // Spec is what the configuration says about an upstream.
 type Spec struct {
 	Upstream string
-	Slots    int
-	Drained  bool
+	// Service groups upstreams whose latencies can be compared; empty means
+	// that there are none.
+	Service string
+	Slots   int
+	Drained bool
+	// Probers is the number of instances that probe the upstream. Above two,
+	// each probes less often, so that probes do not use the upstream up.
+	Probers int
 }
 
 // Event is an input of Step.
