director: threads of the compared processes as a setting of cost

With three threads per process, load and upstreams limited the rate together with the forwarder. hornbench cost now starts the forwarder and the instances with one thread unless told otherwise.

--- a/hornbench/commands_run.go
+++ b/hornbench/commands_run.go
@@ -81,12 +81,13 @@
 			&cli.StringSliceFlag{Name: "upstream", Usage: "upstreams of the bare forwarder (default: those of the entry's failure domain)"},
 			&cli.IntFlag{Name: "conns", Value: 8, Usage: "connections, each with one request at a time"},
 			&cli.IntFlag{Name: "rounds", Value: 3},
+			&cli.IntFlag{Name: "procs", Value: 1, Usage: "threads of the forwarder and of each instance started"},
 			&cli.DurationFlag{Name: "time", Value: 2 * time.Second, Usage: "time of one measurement"},
 		),
 		Action: withDeployment(func(ctx context.Context, c *cli.Command, d *director.Deployment) error {
 			cost := director.Cost{
 				Front: c.String("front"), Service: c.String("service"), Upstreams: c.StringSlice("upstream"),
-				Conns: c.Int("conns"), Rounds: c.Int("rounds"), Time: c.Duration("time"),
+				Conns: c.Int("conns"), Rounds: c.Int("rounds"), Procs: c.Int("procs"), Time: c.Duration("time"),
 			}
 			if cost.Front == "" {
 				binary, logs, remove, err := processes(c)
--- a/hornbench/director/cost.go
+++ b/hornbench/director/cost.go
@@ -34,6 +34,9 @@
 	Upstreams []string
 	Conns     int
 	Rounds    int
+	// Procs bounds the threads of the forwarder and of the instances, so that
+	// they and not the load are what limits the rate.
+	Procs int
 	// Time is that of one measurement.
 	Time time.Duration
 }
@@ -58,7 +61,7 @@
 	if len(c.Upstreams) == 0 {
 		c.Upstreams = d.neighbours(c.Front, c.Service)
 	}
-	forwarder, err := startForwarder(c.Upstreams)
+	forwarder, err := startForwarder(c.Upstreams, c.Procs)
 	if err != nil {
 		return err
 	}
@@ -76,7 +79,7 @@
 
 // startAll starts stand-ins and instances and returns how to stop them.
 func (c Cost) startAll(ctx context.Context, d *Deployment) (stop func(), err error) {
-	demo := NewDemo(d, Options{Binary: c.Binary, Logs: c.Logs}, io.Discard)
+	demo := NewDemo(d, Options{Binary: c.Binary, Logs: c.Logs, Procs: c.Procs}, io.Discard)
 	if err := demo.start(ctx); err != nil {
 		return demo.stop, errors.Join(err, demo.tails())
 	}
@@ -96,7 +99,7 @@
 	return list
 }
 
-func startForwarder(upstreams []string) (*exec.Cmd, error) {
+func startForwarder(upstreams []string, procs int) (*exec.Cmd, error) {
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
@@ -107,7 +110,7 @@
 	}
 	c := exec.Command(self, args...)
 	c.Stderr = os.Stderr
-	c.Env = append(os.Environ(), instanceProcs)
+	c.Env = environment(procs)
 	return c, newStarter().start(c)
 }
 
--- a/hornbench/director/demo.go
+++ b/hornbench/director/demo.go
@@ -33,6 +33,8 @@
 	// Binary is the path of hornbeamd, Logs the directory for its output.
 	Binary string
 	Logs   string
+	// Procs bounds the threads of each instance; 0 stands for 3.
+	Procs int
 	// Factor multiplies service times, Share is the load as a share of slots.
 	Factor float64
 	Share  float64
@@ -67,6 +69,9 @@
 
 // NewDemo returns a demo of a deployment that reports to out.
 func NewDemo(d *Deployment, o Options, out io.Writer) *Demo {
+	if o.Procs == 0 {
+		o.Procs = demoProcs
+	}
 	return &Demo{Options: o, deployment: d, out: out}
 }
 
@@ -111,7 +116,7 @@
 	f := d.world.Platform.Faults()
 	f.Lag = listLag.Milliseconds()
 	d.world.Platform.Set(f)
-	d.fleet = newFleet(d.deployment, d.Binary, d.Logs)
+	d.fleet = newFleet(d.deployment, d.Options)
 	if err := d.fleet.startAll(); err != nil {
 		return err
 	}
--- a/hornbench/director/process.go
+++ b/hornbench/director/process.go
@@ -18,9 +18,14 @@
 // they are killed.
 const endPatience = 2 * time.Second
 
-// instanceProcs bounds the threads of one instance, so that ten of them share
-// the cores of one machine.
-const instanceProcs = "GOMAXPROCS=3"
+// demoProcs bounds the threads of one instance, so that ten of them share the
+// cores of one machine.
+const demoProcs = 3
+
+// environment returns that of a child process with bounded threads.
+func environment(procs int) []string {
+	return append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", procs))
+}
 
 // starter starts processes from one thread that never ends: the kernel sends a
 // child its death signal when the thread that started it ends.
@@ -62,12 +67,13 @@
 type fleet struct {
 	binary  string
 	logs    string
+	procs   int
 	starter *starter
 	list    []*process
 }
 
-func newFleet(d *Deployment, binary, logs string) *fleet {
-	f := &fleet{binary: binary, logs: logs, starter: newStarter()}
+func newFleet(d *Deployment, o Options) *fleet {
+	f := &fleet{binary: o.Binary, logs: o.Logs, procs: o.Procs, starter: newStarter()}
 	for i, s := range d.Settings {
 		f.list = append(f.list, &process{settings: s, file: d.Files[i]})
 	}
@@ -96,7 +102,7 @@
 	defer log.Close()
 	c := exec.Command(f.binary, "--settings", p.file)
 	c.Stdout, c.Stderr = log, log
-	c.Env = append(os.Environ(), instanceProcs)
+	c.Env = environment(f.procs)
 	if err := f.starter.start(c); err != nil {
 		return err
 	}
