--- a/core/limiter/limiter_test.go
+++ b/core/limiter/limiter_test.go
@@ -216,9 +216,18 @@
 	is.Equal(c.Free(later), 1)
 	is.True(c.Take(later))
 	is.True(!c.Take(later))
-	c.Set(0, later)
-	is.True(!c.Take(later + int64(creditProbe) - 1))
-	is.True(c.Take(later + int64(creditProbe)))
+	c.Refused(later)
+	pause := c.pauseNow()
+	is.True(!c.Take(later + pause - 1))
+	is.True(c.Take(later + pause))
+	for range 20 {
+		c.Refused(later)
+	}
+	is.Equal(c.pauseNow(), int64(creditPauseMax))
+	for range 20 {
+		c.Set(0, later)
+	}
+	is.Equal(c.pauseNow(), int64(creditPauseMin))
 }
 
 func TestPathAllowsOneTryAtATime(t *testing.T) {
--- a/core/observer/limit.go
+++ b/core/observer/limit.go
@@ -1,6 +1,9 @@
 package observer
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// startShare is the share of the slots that a new or returning upstream
@@ -15,6 +18,8 @@
 	// above calmRatio it does not rise.
 	slowRatio = 2.0
 	calmRatio = 1.5
+	// siblingMost is how many times the siblings' latency may be usual.
+	siblingMost = 2
 	// cutMost bounds one decrease, cutPause the time between two, in which the
 	// effect of the first can be seen.
 	cutMost  = 0.5
@@ -30,6 +35,11 @@
 	// baselineDrift is the share per second by which the usual latency rises,
 	// so that it follows lasting changes within an hour or two.
 	baselineDrift = 0.0005
+	// latencyGain and baselineGain are the weights of one sample in the smoothed
+	// and in the usual latency: with 16 samples, requests of varying size do
+	// not look like a slow upstream.
+	latencyGain  = 1.0 / 16
+	baselineGain = 1.0 / 256
 	// activeTerm is the time after the last success in which latency counts.
 	activeTerm = 5 * time.Second
 	// overload is the reported load above which the limit falls. A load of 1
@@ -49,12 +59,14 @@
 	roof  int
 	cold  bool
 	cause string
-	// latency is the smoothed, baseline the usual time to the first byte.
-	latency, baseline time.Duration
-	okAt, cutAt       time.Time
-	stepAt            time.Time
-	report0           Health
-	equal, oks        int
+	// latency is the smoothed, baseline the usual, least the shortest time to the
+	// first byte. Samples and total count what the first two are made of.
+	latency, baseline, least time.Duration
+	samples, total           int
+	okAt, cutAt              time.Time
+	stepAt                   time.Time
+	report0                  Health
+	equal, oks               int
 }
 
 // restart begins a slow start.
@@ -112,15 +124,38 @@
 		return 1
 	}
 	if !l.active(now) {
-		l.latency = x.Latency
+		l.latency, l.samples = x.Latency, 0
 	}
 	l.okAt = now
-	l.latency += (x.Latency - l.latency) / 2
-	l.baseline += time.Duration(float64(l.baseline) * baselineDrift * gone.Seconds())
-	if l.baseline == 0 || x.Latency < l.baseline {
-		l.baseline = x.Latency
-	}
-	return float64(l.latency) / float64(max(l.baseline, sibling))
+	l.samples += x.OK
+	blend(&l.latency, x, max(1/float64(l.samples), latencyGain))
+	drift := 1 + baselineDrift*gone.Seconds()
+	l.baseline = time.Duration(float64(l.baseline) * drift)
+	if l.least = time.Duration(float64(l.least) * drift); l.least == 0 || x.Latency < l.least {
+		l.least = x.Latency
+	}
+	if l.baseline == 0 || l.ratio(sibling) <= slowRatio {
+		l.total += x.OK
+		blend(&l.baseline, x, max(1/float64(l.total), baselineGain))
+	}
+	return l.ratio(sibling)
+}
+
+// ratio compares the latency with the usual one or that of the siblings,
+// whichever is longer. An upstream that was slow from the start has no excuse
+// beyond siblingMost.
+func (l *limiter) ratio(sibling time.Duration) float64 {
+	usual := max(l.baseline, sibling)
+	if sibling > 0 {
+		usual = min(usual, siblingMost*sibling)
+	}
+	return float64(l.latency) / float64(max(usual, 1))
+}
+
+// blend moves a mean towards a batch of samples by a share for each of them.
+func blend(mean *time.Duration, x Sample, share float64) {
+	all := 1 - math.Pow(1-min(share, 1), float64(x.OK))
+	*mean += time.Duration(all * float64(x.Latency-*mean))
 }
 
 // cut lowers the limit by a factor.
--- a/core/observer/state.go
+++ b/core/observer/state.go
@@ -96,7 +96,7 @@
 // publish appends the verdict if it differs from the last one.
 func (u *upstream) publish(effects []Effect) []Effect {
 	old := u.published
-	v := Verdict{Upstream: u.spec.Upstream, Limit: u.whole(u.spec.Slots, old.Limit), Latency: u.least(), Cause: u.cause}
+	v := Verdict{Upstream: u.spec.Upstream, Limit: u.whole(u.spec.Slots, old.Limit), Latency: u.expected(), Cause: u.cause}
 	if since, source, ok := u.leaving(); ok {
 		v.Limit, v.Leaving, v.Since, v.Cause = 0, true, since, source.cause()
 	}
@@ -177,10 +177,11 @@
 	return s.publish()
 }
 
-// least returns the least latency, rounded down to a power of two of
-// milliseconds, so that it does not change all the time.
-func (l *limiter) least() time.Duration {
-	ms := l.baseline.Milliseconds()
+// expected returns half of the least latency, because batches hide the shortest
+// ones, rounded down to a power of two of milliseconds, so that it does not
+// change all the time.
+func (l *limiter) expected() time.Duration {
+	ms := l.least.Milliseconds() / 2
 	if ms < 1 {
 		return 0
 	}
--- a/core/observer/types.go
+++ b/core/observer/types.go
@@ -114,8 +114,8 @@
 	Leaving bool
 	// Since is the time of the first leaving signal.
 	Since time.Time
-	// Latency is the least time to the first byte that is to be expected,
-	// rounded down to a power of two of milliseconds; 0 when it is not known.
+	// Latency is a lower bound of the time to the first byte, a power of two of
+	// milliseconds; 0 when it is not known.
 	Latency time.Duration
 	Cause   string
 }
--- a/core/router/bench_test.go
+++ b/core/router/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,23 +13,27 @@
 // fleet describes a deployment for tests.
 type fleet struct {
 	regions, domains, instances int
-	upstreams, slots            int
+	upstreams                   int
 	services                    []string
-	headroom                    float64
+	// slots are those of an upstream of each service.
+	slots    []int
+	headroom float64
 }
 
 // Sizes of today and of the target: Kasa Klub, Kōtuku and 150 sites with 640
 // instances in 4 regions and 11 domains.
 var (
-	kasa   = fleet{3, 6, 10, 12, 6, []string{"lookup", "posting", "statement"}, 0.8}
-	kotuku = fleet{3, 6, 11, 14, 4, []string{"timetable", "booking", "driverkit"}, 0.2}
-	target = fleet{4, 11, 640, 150, 640, []string{"lookup", "posting", "statement"}, 0.5}
+	kasa   = fleet{3, 6, 10, 12, []string{"lookup", "posting", "statement"}, []int{6, 3, 5}, 0.8}
+	kotuku = fleet{3, 6, 11, 14, []string{"timetable", "booking", "driverkit"}, []int{4, 3, 4}, 0.2}
+	target = fleet{4, 11, 640, 150, []string{"lookup", "posting", "statement"}, []int{640, 320, 320}, 0.5}
 )
 
 func name(kind string, i int) string { return fmt.Sprintf("%s%d", kind, i) }
 
 func (f fleet) domain(i int) string { return name("d", i%f.domains) }
 
+func (f fleet) slotsOf(service string) int { return f.slots[slices.Index(f.services, service)] }
+
 func (f fleet) region(domain int) string { return name("r", domain%f.regions) }
 
 func (f fleet) config() *loader.State {
@@ -51,7 +56,7 @@
 		c.Services[s] = loader.Service{Limit: 2000, Once: n == 1, Bulk: n == 2, Priority: n}
 		for i := range f.upstreams {
 			c.Upstreams[name(s, i)] = loader.Upstream{
-				Service: s, Domain: f.domain(i), Address: name(s, i), Slots: f.slots, Conns: 400,
+				Service: s, Domain: f.domain(i), Address: name(s, i), Slots: f.slots[n], Conns: 400,
 			}
 		}
 	}
@@ -69,13 +74,13 @@
 		v.Members = append(v.Members, member(name("i", i), v.Domain))
 	}
 	next := 0
-	for _, s := range f.services {
+	for n, s := range f.services {
 		for i := range f.upstreams {
 			v := &views[i%f.domains]
-			for first := 0; first < f.slots; first += granter.PartSlots {
+			for first := 0; first < f.slots[n]; first += granter.PartSlots {
 				part := granter.Part{
 					Upstream: name(s, i), Index: first / granter.PartSlots,
-					Slots: min(granter.PartSlots, f.slots-first),
+					Slots: min(granter.PartSlots, f.slots[n]-first),
 				}
 				v.Holdings = append(v.Holdings, granter.Holding{
 					Part: part, Holder: v.Members[next%len(v.Members)].Name,
--- a/core/router/choose.go
+++ b/core/router/choose.go
@@ -14,10 +14,14 @@
 	roundsMax = 3
 	// spillShare is the share of free slots, at the headroom weight 1, below
 	// which a place is no longer taken without looking further away.
-	spillShare = 0.25
+	spillShare = 0.15
 	// farDelay is the one-way delay in nanoseconds that weighs as much as all
 	// slots of a place.
 	farDelay = 100e6
+	// unknownShare is the share of free slots expected of an owner without a
+	// recent report, emptySlots the number expected when it reported none.
+	unknownShare = 0.5
+	emptySlots   = 1.0
 )
 
 // candidate is a place that seems to have a free slot: a target of this
@@ -220,12 +224,12 @@
 	most, hits := 0.0, 0
 	for k := range min(len(r.owners), lookMax) {
 		o := r.pick(s.hash, k)
-		free := o.credit.Free(s.now)
-		if free <= 0 || s.tried.peer(o.peer) || !o.peer.Path.Usable(s.now) {
+		free := o.free(s.now)
+		if free <= 0 || !s.open(o) {
 			continue
 		}
-		if f := float64(free) * o.inverse; f > most {
-			best, most = o, f
+		if free > most {
+			best, most = o, free
 		}
 		if hits++; hits == 2 {
 			break
@@ -237,13 +241,34 @@
 	return s.add(candidate{owner: best, area: a, link: r.link}, most, r.delay)
 }
 
+// free returns the expected share of free slots. A report of no free slot is
+// worth a try from time to time, an owner without a report somewhat more.
+func (o *owner) free(now int64) float64 {
+	n := o.credit.Known(now)
+	switch {
+	case n > 0:
+		return float64(n) * o.inverse
+	case !o.credit.Due(now):
+		return 0
+	case n < 0:
+		return unknownShare
+	}
+	return emptySlots * o.inverse
+}
+
+func (s *search) open(o *owner) bool {
+	return !s.tried.peer(o.peer) && o.peer.Path.Usable(s.now)
+}
+
 // lookStable adds the first owner in an order that depends on the request
-// alone, so that repeats of a request meet the same owner.
+// alone, so that repeats of a request meet the same owner. Owners that
+// reported no free slot come last.
 func (s *search) lookStable(a *area) bool {
 	r := a.stable
 	if r == nil || !s.reachable(r) {
 		return false
 	}
+	var last *owner
 	for k := range min(len(r.owners), lookMax) {
 		o := r.pick(mix(s.q.Hash), k)
 		if o.peer == nil {
@@ -252,11 +277,21 @@
 			}
 			continue
 		}
-		if o.credit.Free(s.now) > 0 && !s.tried.peer(o.peer) && o.peer.Path.Usable(s.now) {
+		free := o.free(s.now)
+		if free <= 0 || !s.open(o) {
+			continue
+		}
+		if o.credit.Known(s.now) != 0 {
 			return s.add(candidate{owner: o, area: a, link: r.link}, 1, r.delay)
 		}
+		if last == nil {
+			last = o
+		}
 	}
-	return false
+	if last == nil {
+		return false
+	}
+	return s.add(candidate{owner: last, area: a, link: r.link}, emptySlots*last.inverse, r.delay)
 }
 
 // reachable tells whether an answer from the tier can arrive in time and
--- /dev/null
+++ b/core/router/policy_test.go
@@ -0,0 +1,126 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// trial is one run of the model.
+type trial struct {
+	name    string
+	seconds int64
+	service int
+	// loads are relative to the slots of the three services.
+	loads  [3]float64
+	slow   int64
+	repeat bool
+}
+
+var (
+	means     = [3]int64{30 * ms, 60 * ms, 500 * ms}
+	answers   = [3]int{4 << 10, 2 << 10, 24 << 20}
+	deadlines = [3]int64{int64(time.Second), int64(2 * time.Second), int64(4 * time.Second)}
+	policies  = []string{"ours", "random", "roundrobin", "leastload", "twochoices"}
+	trials    = []trial{
+		{"overload120/lookups", 10, 0, [3]float64{1.2}, 1, false},
+		{"overload120/payments", 20, 1, [3]float64{0, 1.2}, 1, false},
+		{"overload120repeated/payments", 20, 1, [3]float64{0, 1.2}, 1, true},
+		{"load30/lookups", 10, 0, [3]float64{0.3}, 1, false},
+		{"load60/lookups", 10, 0, [3]float64{0.6}, 1, false},
+		{"load60slow10/lookups", 10, 0, [3]float64{0.6}, 10, false},
+		{"load80/lookups", 10, 0, [3]float64{0.8}, 1, false},
+		{"calm/payments", 30, 1, [3]float64{0, 0.5, 0.3}, 1, false},
+		{"rush/payments", 30, 1, [3]float64{0, 0.5, 3}, 1, false},
+		{"rush/archives", 30, 2, [3]float64{0, 0.5, 3}, 1, false},
+	}
+)
+
+func (c trial) run(f fleet, policy string, seed uint64) *result {
+	var loads []load
+	for i, offered := range c.loads {
+		if offered > 0 {
+			loads = append(loads, load{f.services[i], offered, means[i], answers[i], deadlines[i]})
+		}
+	}
+	m := newModel(f, policy, seed, c.seconds, loads...)
+	m.repeat = c.repeat
+	m.after(warmup/2, func() { m.servers[loads[0].service][0].slow = c.slow })
+	r := m.run()[f.services[c.service]]
+	slots := int64(f.upstreams * f.slots[c.service])
+	window := c.seconds*int64(time.Second) - deadlines[c.service]
+	r.goodput = float64(r.used) / float64(window*slots)
+	return r
+}
+
+// BenchmarkPolicy prints the figures of docs/measurements-routing.md; one run
+// each is enough, because the model is deterministic.
+func BenchmarkPolicy(b *testing.B) {
+	for _, f := range []fleet{kasa, kotuku} {
+		for _, c := range trials {
+			for _, policy := range policies {
+				b.Run(f.services[0]+"/"+c.name+"/"+policy, func(b *testing.B) {
+					var r *result
+					for b.Loop() {
+						r = c.run(f, policy, 1)
+					}
+					n := float64(r.sent)
+					b.ReportMetric(0, "ns/op")
+					b.ReportMetric(r.goodput, "goodput")
+					b.ReportMetric(float64(r.good)/n, "ok")
+					b.ReportMetric(float64(r.over), "over")
+					b.ReportMetric(r.p99(), "p99-ms")
+					b.ReportMetric(float64(r.local)/float64(max(1, len(r.latencies))), "local")
+					b.ReportMetric(float64(r.hops)/n, "hops")
+					b.ReportMetric(float64(r.wasted)/n, "wasted")
+				})
+			}
+		}
+	}
+}
+
+func trialNamed(name string, seconds int64) trial {
+	for _, c := range trials {
+		if c.name == name {
+			c.seconds = seconds
+			return c
+		}
+	}
+	panic("unknown trial " + name)
+}
+
+// Guards against slots that stay unused or are exceeded at 120% of the load
+// that they carry, and against requests that are given up late.
+func TestGoodputAtOverload(t *testing.T) {
+	is := is.New(t)
+	for _, f := range []fleet{kasa, kotuku} {
+		r := trialNamed("overload120/lookups", 4).run(f, "ours", 1)
+		is.Equal(r.over, 0)
+		is.True(r.goodput >= 0.95)
+		is.True(r.refusedAfter < 250*ms)
+	}
+}
+
+// Guards against a slow upstream that shows in the callers' latency, and
+// against traffic that leaves a region with headroom.
+func TestOneSlowUpstream(t *testing.T) {
+	is := is.New(t)
+	for _, f := range []fleet{kasa, kotuku} {
+		healthy := trialNamed("load60/lookups", 4).run(f, "ours", 1)
+		slow := trialNamed("load60slow10/lookups", 4).run(f, "ours", 1)
+		is.True(slow.p99() <= 1.5*healthy.p99())
+		is.True(float64(healthy.local) >= 0.95*float64(healthy.good))
+	}
+}
+
+// Guards against large answers that crowd out payments.
+func TestPaymentsDuringRush(t *testing.T) {
+	is := is.New(t)
+	for _, f := range []fleet{kasa, kotuku} {
+		calm := trialNamed("calm/payments", 6).run(f, "ours", 1)
+		rush := trialNamed("rush/payments", 6).run(f, "ours", 1)
+		is.True(float64(rush.good) >= 0.999*float64(rush.sent))
+		is.True(rush.p99() <= 1.5*calm.p99())
+	}
+}
