--- a/core/limiter/credit.go
+++ b/core/limiter/credit.go
@@ -14,8 +14,8 @@
 	// bounds, so that about a fifth of the tries succeed: fewer leave slots
 	// unused when all are in demand, more tries cost more than they find.
 	creditPause    = 10 * time.Millisecond
-	creditPauseMin = 2 * time.Millisecond
-	creditPauseMax = 100 * time.Millisecond
+	creditShortest = 2 * time.Millisecond
+	creditLongest  = 100 * time.Millisecond
 	// creditBits is the width of the count; the rest of the word is the time in
 	// microseconds.
 	creditBits = 12
@@ -48,7 +48,7 @@
 // stretch multiplies the pause by a fraction.
 func (c *Credit) stretch(numerator, denominator int64) {
 	p := c.pauseNow() * numerator / denominator
-	c.pause.Store(min(max(p, int64(creditPauseMin)), int64(creditPauseMax)))
+	c.pause.Store(min(max(p, int64(creditShortest)), int64(creditLongest)))
 }
 
 func (c *Credit) pauseNow() int64 {
--- a/core/limiter/limiter_test.go
+++ b/core/limiter/limiter_test.go
@@ -223,11 +223,11 @@
 	for range 20 {
 		c.Refused(later)
 	}
-	is.Equal(c.pauseNow(), int64(creditPauseMax))
+	is.Equal(c.pauseNow(), int64(creditLongest))
 	for range 20 {
 		c.Set(0, later)
 	}
-	is.Equal(c.pauseNow(), int64(creditPauseMin))
+	is.Equal(c.pauseNow(), int64(creditShortest))
 }
 
 func TestPathAllowsOneTryAtATime(t *testing.T) {
--- a/core/router/bench_test.go
+++ b/core/router/bench_test.go
@@ -67,7 +67,7 @@
 func (f fleet) views() []granter.View {
 	views := make([]granter.View, f.domains)
 	for i := range views {
-		views[i].Domain = f.domain(i)
+		views[i].Domain, views[i].Epoch = f.domain(i), 1
 	}
 	for i := range f.instances {
 		v := &views[i%f.domains]
@@ -165,10 +165,15 @@
 }
 
 func BenchmarkBuild(b *testing.B) {
-	for _, f := range []fleet{kasa, target} {
-		b.Run(fmt.Sprintf("instances=%d", f.instances), func(b *testing.B) {
+	for i := range 4 {
+		f, changed := []fleet{kasa, target}[i/2], i%2 == 1
+		b.Run(fmt.Sprintf("instances=%d/changed=%v", f.instances, changed), func(b *testing.B) {
 			in := f.input(0)
 			for b.Loop() {
+				if changed {
+					in.Views = slices.Clone(in.Views)
+					in.Views[0].Sequence++
+				}
 				in.Previous = Build(in)
 			}
 		})
--- a/core/router/build.go
+++ b/core/router/build.go
@@ -42,6 +42,7 @@
 	budgets map[string]*limiter.Budget
 	buckets map[string]*limiter.Bucket
 	links   map[string]*limiter.Link
+	entry   *limiter.Gate
 }
 
 func newCounters() counters {
@@ -92,6 +93,11 @@
 	b := &builder{Input: in, fresh: newCounters()}
 	if in.Previous != nil {
 		b.old = in.Previous.counters
+		b.fresh.entry = b.old.entry
+	}
+	if b.fresh.entry == nil {
+		b.fresh.entry = new(limiter.Gate)
+		b.fresh.entry.Set(entryRequests, math.MaxInt64)
 	}
 	b.table = &Table{
 		Version: in.Config.Version, Self: in.Self, Region: in.Region, Domain: in.Domain,
@@ -102,13 +108,16 @@
 	b.buildServices()
 	b.buildTargets()
 	b.buildLinks()
-	b.buildPeers()
-	b.buildPlans()
+	b.table.source = b.source()
+	if !b.reuse() {
+		b.buildPeers()
+		b.buildPlans()
+	}
 	b.buildShifts()
 	b.keepGates()
 	b.table.Services = b.services
 	b.table.counters = b.fresh
-	b.table.holdings = in.Holdings
+	b.table.holdings, b.table.config = in.Holdings, in.Config
 	return b.table
 }
 
--- a/core/router/model_test.go
+++ b/core/router/model_test.go
@@ -86,9 +86,10 @@
 	goodput            float64
 }
 
+// p99 counts requests without an answer until the end of the run as the longest.
 func (r *result) p99() float64 {
-	if len(r.latencies) == 0 {
-		return 0
+	for len(r.latencies)+r.refused < r.sent {
+		r.latencies = append(r.latencies, unanswered)
 	}
 	slices.Sort(r.latencies)
 	return float64(r.latencies[len(r.latencies)*99/100]) / float64(ms)
@@ -117,6 +118,8 @@
 const (
 	warmup   = int64(4 * time.Second)
 	triesMax = 4
+	// unanswered is longer than any deadline.
+	unanswered = int64(99 * time.Second)
 )
 
 func newModel(f fleet, policy string, seed uint64, seconds int64, loads ...load) *model {
--- a/core/router/router_test.go
+++ b/core/router/router_test.go
@@ -389,3 +389,47 @@
 		}
 	})
 }
+
+// Guards against peers that are taken over although the configuration, a drain
+// or a view has changed.
+func TestPeersAreReusedOnlyWhenUnchanged(t *testing.T) {
+	for name, edit := range map[string]func(in *Input){
+		"same":   func(*Input) {},
+		"config": func(in *Input) { in.Config = twoRegions() },
+		"view":   func(in *Input) { in.Views[1].Sequence++ },
+		"drain":  func(in *Input) { in.Now = testNow.Add(time.Hour) },
+		"own":    func(in *Input) { in.Holdings.Parts = nil },
+	} {
+		is := is.New(t)
+		in := testInput()
+		in.Config.Drains = map[string]loader.Drain{"upstream/t9": {Until: testNow.Add(time.Minute)}}
+		in.Views[0].Epoch, in.Views[1].Epoch = 1, 1
+		old := Build(in)
+		in.Previous = old
+		in.Views = append([]granter.View{}, in.Views...)
+		edit(&in)
+		is.Equal(Build(in).Services["timetable"].unknown == old.Services["timetable"].unknown, name == "same")
+	}
+}
+
+func TestEntryKeepsRoomForHighPriority(t *testing.T) {
+	is := is.New(t)
+	in := testInput()
+	b := Build(in)
+	low, high := request(b, 1), request(b, 2)
+	low.Priority, high.Service = 9, b.Services["booking"]
+	now := testNow.UnixNano()
+	n := 0
+	for b.Enter(low, now) {
+		n++
+	}
+	is.True(n > entryRequests/2 && n < entryRequests)
+	is.True(b.Enter(high, now))
+	in.Previous = b
+	c := Build(in)
+	is.True(!c.Enter(low, now))
+	for range n + 1 {
+		c.Exit()
+	}
+	is.True(c.Enter(low, now))
+}
--- a/core/router/table.go
+++ b/core/router/table.go
@@ -1,6 +1,9 @@
 package router
 
-import "hornbeamstream.example/core/granter"
+import (
+	"hornbeamstream.example/core/granter"
+	"hornbeamstream.example/core/loader"
+)
 
 // Table is an immutable snapshot of where requests can go. Its counters go on
 // in the table that is built after it.
@@ -13,6 +16,8 @@
 
 	counters counters
 	holdings granter.Holdings
+	config   *loader.State
+	source   source
 	// short tells that limits are lowered because closed gates are not empty.
 	short bool
 	// headroom is the weight of free slots against delay.
