--- a/core/limiter/credit.go
+++ b/core/limiter/credit.go
@@ -11,8 +11,8 @@
 	creditTerm = 500 * time.Millisecond
 	// creditPause is the first pause between two tries at a peer that is not known
 	// to have free slots. Refusals lengthen and answers shorten it within the
-	// bounds, so that about a fifth of the tries succeed: fewer leave slots
-	// unused when all are in demand, more tries cost more than they find.
+	// bounds, so that about one try in seven succeeds. Fewer tries leave slots
+	// unused when all are in demand, more find hardly any.
 	creditPause    = 10 * time.Millisecond
 	creditShortest = 2 * time.Millisecond
 	creditLongest  = 100 * time.Millisecond
@@ -40,7 +40,7 @@
 
 // Refused records that the peer refused a request because it had no free slot.
 func (c *Credit) Refused(now int64) {
-	c.stretch(5, 4)
+	c.stretch(9, 8)
 	c.set(0, now)
 	c.probe.Store(now + c.pauseNow())
 }
--- a/core/observer/limit.go
+++ b/core/observer/limit.go
@@ -36,10 +36,15 @@
 	// so that it follows lasting changes within an hour or two.
 	baselineDrift = 0.0005
 	// latencyGain and baselineGain are the weights of one sample in the smoothed
-	// and in the usual latency: with 16 samples, requests of varying size do
-	// not look like a slow upstream.
-	latencyGain  = 1.0 / 16
+	// and in the usual latency. With 32 samples, requests of varying size do not
+	// look like a slow upstream, and one that is ten times slower shows after
+	// four.
+	latencyGain  = 1.0 / 32
 	baselineGain = 1.0 / 256
+	// judgeLeast is the number of samples below which nothing is judged,
+	// usualLeast that which makes a latency the usual one.
+	judgeLeast = 4
+	usualLeast = 32
 	// activeTerm is the time after the last success in which latency counts.
 	activeTerm = 5 * time.Second
 	// overload is the reported load above which the limit falls. A load of 1
@@ -134,7 +139,7 @@
 	if l.least = time.Duration(float64(l.least) * drift); l.least == 0 || x.Latency < l.least {
 		l.least = x.Latency
 	}
-	if l.baseline == 0 || l.ratio(sibling) <= slowRatio {
+	if l.total < usualLeast || l.ratio(sibling) <= slowRatio {
 		l.total += x.OK
 		blend(&l.baseline, x, max(1/float64(l.total), baselineGain))
 	}
@@ -145,15 +150,24 @@
 // whichever is longer. An upstream that was slow from the start has no excuse
 // beyond siblingMost.
 func (l *limiter) ratio(sibling time.Duration) float64 {
-	usual := max(l.baseline, sibling)
+	usual := sibling
+	if l.total >= usualLeast {
+		usual = max(l.baseline, sibling)
+	}
 	if sibling > 0 {
 		usual = min(usual, siblingMost*sibling)
 	}
-	return float64(l.latency) / float64(max(usual, 1))
+	if usual == 0 || l.samples < judgeLeast {
+		return 1
+	}
+	return float64(l.latency) / float64(usual)
 }
 
 // blend moves a mean towards a batch of samples by a share for each of them.
 func blend(mean *time.Duration, x Sample, share float64) {
+	if *mean == 0 {
+		*mean = x.Latency
+	}
 	all := 1 - math.Pow(1-min(share, 1), float64(x.OK))
 	*mean += time.Duration(all * float64(x.Latency-*mean))
 }
--- a/core/observer/state.go
+++ b/core/observer/state.go
@@ -133,7 +133,8 @@
 	var all []time.Duration
 	for _, name := range s.names {
 		o := s.all[name]
-		if o != u && u.spec.Service != "" && o.spec.Service == u.spec.Service && o.active(s.now) {
+		if o != u && u.spec.Service != "" && o.spec.Service == u.spec.Service &&
+			o.active(s.now) && o.samples >= usualLeast {
 			all = append(all, o.latency)
 		}
 	}
