--- a/core/reducer/world_test.go
+++ b/core/reducer/world_test.go
@@ -271,8 +271,8 @@
 func (w *world) grant(n *node, cause reducer.Event, effect granter.Effect) {
 	ok := w.reaches(n)
 	asked := w.now
-	event := func(make func() granter.Event) {
-		w.deliver(n, func() reducer.Event { return reducer.Granting{Event: make()} })
+	event := func(build func() granter.Event) {
+		w.deliver(n, func() reducer.Event { return reducer.Granting{Event: build()} })
 	}
 	switch e := effect.(type) {
 	case granter.ReadLease:
