reducer, exporter: drain time as a metric, no lock on the answer path

Cause: drain time is one of the users' three measures and was only visible as two timeline events; looking up metric labels takes a lock that all cores share. Change: the emptied event carries the first leaving signal's time and feeds horn_drain_seconds; only the holder of an upstream's slots records its drain; answer metrics are found in a lock-free map.

--- a/core/recorder/types.go
+++ b/core/recorder/types.go
@@ -42,6 +42,8 @@
 	Epoch    uint64 `json:"epoch,omitempty"`
 	Upstream string `json:"upstream,omitempty"`
 	Peer     string `json:"peer,omitempty"`
+	// Since is the beginning of what the event ends, such as a drain.
+	Since time.Time `json:"since,omitzero"`
 	// Cause is one short sentence.
 	Cause string `json:"cause,omitempty"`
 }
--- a/core/reducer/control.go
+++ b/core/reducer/control.go
@@ -103,16 +103,30 @@
 	if v.Leaving == before.Leaving {
 		return
 	}
+	if !s.holds(v.Upstream) {
+		// Another member of the domain holds its slots and tells of the drain.
+		return
+	}
 	version := drainVersion(s.Follower.Config, v.Upstream)
 	if !v.Leaving {
 		delete(s.Draining, v.Upstream)
 		s.record(recorder.Event{Kind: recorder.Found, Upstream: v.Upstream, Cause: v.Cause})
 		return
 	}
-	s.Draining[v.Upstream] = version
+	s.Draining[v.Upstream] = Drain{Version: version, Since: v.Since}
 	s.record(recorder.Event{Kind: recorder.Drained, Version: version, Upstream: v.Upstream, Cause: v.Cause})
 }
 
+// holds tells whether this instance may use slots of the upstream.
+func (s *State) holds(upstream string) bool {
+	for _, p := range s.Holdings.Parts {
+		if p.Upstream == upstream {
+			return true
+		}
+	}
+	return false
+}
+
 // emptied records the end of a drain once no request is in flight here.
 func (s *State) emptied(busy []granter.Part) {
 	if len(s.Draining) == 0 {
@@ -126,7 +140,8 @@
 		if inFlight[u] {
 			continue
 		}
-		s.record(recorder.Event{Kind: recorder.Emptied, Version: s.Draining[u], Upstream: u})
+		d := s.Draining[u]
+		s.record(recorder.Event{Kind: recorder.Emptied, Version: d.Version, Upstream: u, Since: d.Since})
 		delete(s.Draining, u)
 	}
 }
--- a/core/reducer/reducer.go
+++ b/core/reducer/reducer.go
@@ -31,8 +31,8 @@
 	// Signals are the newest signals about upstreams of the own failure
 	// domain, shared with its other members.
 	Signals map[SignalKey]observer.Signaled
-	// Draining holds, by upstream, the ticket whose drain is not yet complete.
-	Draining map[string]uint64
+	// Draining holds the upstreams that leave and are not yet empty here.
+	Draining map[string]Drain
 	Clock    recorder.Clock
 	Gossip   Gossip
 
@@ -47,6 +47,13 @@
 	Source   observer.Source
 }
 
+// Drain is the way of an upstream from the first leaving signal to empty.
+type Drain struct {
+	// Version is the ticket that asked for it, or zero.
+	Version uint64
+	Since   time.Time
+}
+
 // New returns the state of a starting instance.
 func New(self granter.Member, region string, seeds []string, now time.Time) *State {
 	seed := xxhash.Sum64String(self.Name) ^ self.Incarnation
@@ -60,7 +67,7 @@
 		Views:    map[string]granter.View{},
 		Verdicts: map[string]observer.Verdict{},
 		Signals:  map[SignalKey]observer.Signaled{},
-		Draining: map[string]uint64{},
+		Draining: map[string]Drain{},
 		Gossip:   Gossip{Lost: map[string]bool{}},
 		now:      now,
 	}
--- a/hornbeamd/executor/executor.go
+++ b/hornbeamd/executor/executor.go
@@ -58,7 +58,7 @@
 
 // Metrics receives the control events that are counted.
 type Metrics interface {
-	Recorded(kind recorder.Kind)
+	Recorded(e recorder.Event)
 	Stepped(took time.Duration)
 	Called(kind string, failed bool)
 }
@@ -243,8 +243,24 @@
 
 func (x *Executor) recorded(e recorder.Event) {
 	x.cfg.Ring.Add(e)
-	x.cfg.Metrics.Recorded(e.Kind)
-	x.cfg.Log.Info(string(e.Kind), "version", e.Version, "epoch", e.Epoch, "upstream", e.Upstream, "peer", e.Peer, "cause", e.Cause)
+	x.cfg.Metrics.Recorded(e)
+	x.cfg.Log.Info(string(e.Kind), fields(e)...)
+}
+
+// fields returns the fields of an event that are set, for the log.
+func fields(e recorder.Event) []any {
+	var list []any
+	add := func(key string, value any, set bool) {
+		if set {
+			list = append(list, key, value)
+		}
+	}
+	add("version", e.Version, e.Version != 0)
+	add("epoch", e.Epoch, e.Epoch != 0)
+	add("upstream", e.Upstream, e.Upstream != "")
+	add("peer", e.Peer, e.Peer != "")
+	add("cause", e.Cause, e.Cause != "")
+	return list
 }
 
 // inspect runs a query on the control goroutine and waits for it.
--- a/hornbeamd/exporter/metrics.go
+++ b/hornbeamd/exporter/metrics.go
@@ -3,6 +3,7 @@
 package exporter
 
 import (
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -24,6 +25,24 @@
 	events   *prometheus.CounterVec
 	calls    *prometheus.CounterVec
 	steps    prometheus.Histogram
+	drains   prometheus.Histogram
+
+	// answers holds the metrics of each kind of answer that has occurred, so
+	// that traffic takes no lock to find them.
+	answers sync.Map
+}
+
+// answer names a kind of answer.
+type answer struct {
+	service string
+	outcome forwarder.Outcome
+	reason  router.Reason
+}
+
+// answerMetrics are the metrics of one kind of answer.
+type answerMetrics struct {
+	requests prometheus.Counter
+	latency  prometheus.Observer
 }
 
 // NewMetrics registers the counters.
@@ -56,21 +75,40 @@
 			Buckets: prometheus.ExponentialBuckets(0.00001, 4, 8),
 		}),
 	}
-	r.MustRegister(m.requests, m.latency, m.retries, m.events, m.calls, m.steps)
+	m.drains = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "drain_seconds",
+		Help:    "Time from the first leaving signal of an upstream until no request was in flight here.",
+		Buckets: prometheus.ExponentialBuckets(0.125, 2, 10),
+	})
+	r.MustRegister(m.requests, m.latency, m.retries, m.events, m.calls, m.steps, m.drains)
 	return m
 }
 
 // Answered implements forwarder.Metrics.
 func (m *Metrics) Answered(service string, outcome forwarder.Outcome, reason router.Reason, took time.Duration) {
-	m.requests.WithLabelValues(service, outcome.String(), string(reason)).Inc()
-	m.latency.WithLabelValues(service, outcome.String()).Observe(took.Seconds())
+	key := answer{service, outcome, reason}
+	v, ok := m.answers.Load(key)
+	if !ok {
+		v, _ = m.answers.LoadOrStore(key, answerMetrics{
+			requests: m.requests.WithLabelValues(service, outcome.String(), string(reason)),
+			latency:  m.latency.WithLabelValues(service, outcome.String()),
+		})
+	}
+	found := v.(answerMetrics)
+	found.requests.Inc()
+	found.latency.Observe(took.Seconds())
 }
 
 // Retried implements forwarder.Metrics.
 func (m *Metrics) Retried(service string) { m.retries.WithLabelValues(service).Inc() }
 
 // Recorded implements executor.Metrics.
-func (m *Metrics) Recorded(kind recorder.Kind) { m.events.WithLabelValues(string(kind)).Inc() }
+func (m *Metrics) Recorded(e recorder.Event) {
+	m.events.WithLabelValues(string(e.Kind)).Inc()
+	if e.Kind == recorder.Emptied && !e.Since.IsZero() {
+		m.drains.Observe(e.Wall.Sub(e.Since).Seconds())
+	}
+}
 
 // Stepped implements executor.Metrics.
 func (m *Metrics) Stepped(took time.Duration) { m.steps.Observe(took.Seconds()) }
