forwarder: tests fix the order of places by free slots

Cause: the router now starts its search at a hash of the request, so the test of resets at each byte met the good upstream first and saw 'ran' in place of 'unknown'. Change: the stand-ins have one slot less each, in the order given; the router prefers the place with more free slots.

--- a/hornbeamd/forwarder/kit_test.go
+++ b/hornbeamd/forwarder/kit_test.go
@@ -207,7 +207,9 @@
 	s := &router.Service{Name: name, Once: once, Limit: int64(2 * time.Second), Body: 64 << 20, Retries: new(limiter.Budget)}
 	for i, u := range ups {
 		gate := new(limiter.Gate)
-		gate.Set(8, far)
+		// The place with the most free slots comes first, so the order given is
+		// the order of the tries.
+		gate.Set(8+len(ups)-1-i, far)
 		s.Targets = append(s.Targets, router.Target{
 			Upstream: name + strconv.Itoa(i), Address: u.ln.Addr().String(), Conns: 16, Gate: gate, Path: new(limiter.Path),
 		})
