server: test stand-in follows the look-up interface

Cause: look-up answers are built by the resolver as bytes, because building a list of strings first would allocate. Change: the test's resolver returns the JSON answer; the expected answers are unchanged.

--- a/hornbeamd/server/server_test.go
+++ b/hornbeamd/server/server_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -36,8 +37,8 @@
 
 func (f *fake) Region(netip.Addr) string { return "north" }
 
-func (f *fake) Append(list []string, addr netip.Addr) []string {
-	return append(list, "10.0.0.1:80", addr.String())
+func (f *fake) Append(dst []byte, addr netip.Addr, until int64) []byte {
+	return fmt.Appendf(dst, `{"entries":["10.0.0.1:80",%q],"until":%d}`, addr.String(), until)
 }
 
 func (f *fake) Forward(ctx *fasthttp.RequestCtx, r *forwarder.Request) {
