director: steps by name, state of the load during the demo, addresses by platform

Control and forwarder listen on the platform's host, so that two deployments with different platforms can run at once.

--- a/hornbench/commands_run.go
+++ b/hornbench/commands_run.go
@@ -43,6 +43,8 @@
 		Flags: append(
 			append(deployFlags(), processFlags()...),
 			&cli.FloatFlag{Name: "share", Value: 0.7, Usage: "share of all slots that the load needs"},
+			&cli.StringSliceFlag{Name: "scene", Usage: "only these steps: shift, drain, race, kill, silence, stop, outage"},
+			&cli.BoolFlag{Name: "causes", Usage: "count the causes of tries that were not ok"},
 		),
 		Action: withDeployment(func(ctx context.Context, c *cli.Command, d *director.Deployment) error {
 			binary, logs, remove, err := processes(c)
@@ -50,7 +52,7 @@
 				return err
 			}
 			defer remove()
-			o := director.Options{Binary: binary, Logs: logs, Factor: c.Float("factor"), Share: c.Float("share")}
+			o := director.Options{Binary: binary, Logs: logs, Factor: c.Float("factor"), Share: c.Float("share"), Scenes: c.StringSlice("scene"), Causes: c.Bool("causes")}
 			return director.NewDemo(d, o, c.Writer).Run(ctx)
 		}),
 	}
--- a/hornbench/director/cost.go
+++ b/hornbench/director/cost.go
@@ -18,9 +18,6 @@
 	"hornbeamstream.example/hornbench/generator"
 )
 
-// forwardAddress is where the bare forwarder listens during a measurement.
-const forwardAddress = "127.0.0.1:7700"
-
 // Cost compares an instance with the bare forwarder in one run.
 type Cost struct {
 	// Front is the instance's address for callers. Without it, the stand-ins
@@ -61,7 +58,8 @@
 	if len(c.Upstreams) == 0 {
 		c.Upstreams = d.neighbours(c.Front, c.Service)
 	}
-	forwarder, err := startForwarder(c.Upstreams, c.Procs)
+	listen := d.beside(forwardPort)
+	forwarder, err := startForwarder(listen, c.Upstreams, c.Procs)
 	if err != nil {
 		return err
 	}
@@ -69,10 +67,10 @@
 		_ = forwarder.Process.Signal(syscall.SIGTERM)
 		_ = forwarder.Wait()
 	}()
-	if err := dialable(ctx, forwardAddress); err != nil {
+	if err := dialable(ctx, listen); err != nil {
 		return err
 	}
-	sides := []*side{{name: "bare forwarder", address: forwardAddress}, {name: "instance", address: c.Front}}
+	sides := []*side{{name: "bare forwarder", address: listen}, {name: "instance", address: c.Front}}
 	c.measure(ctx, sides)
 	return compare(out, sides)
 }
@@ -99,12 +97,12 @@
 	return list
 }
 
-func startForwarder(upstreams []string, procs int) (*exec.Cmd, error) {
+func startForwarder(listen string, upstreams []string, procs int) (*exec.Cmd, error) {
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
 	}
-	args := []string{"forward", "--listen", forwardAddress}
+	args := []string{"forward", "--listen", listen}
 	for _, u := range upstreams {
 		args = append(args, "--upstream", u)
 	}
--- a/hornbench/director/demo.go
+++ b/hornbench/director/demo.go
@@ -11,7 +11,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sync/errgroup"
 	"hornbeamstream.example/hornbench/generator"
 )
 
@@ -38,6 +37,10 @@
 	// Factor multiplies service times, Share is the load as a share of slots.
 	Factor float64
 	Share  float64
+	// Scenes are the names of the steps to run; none stands for all.
+	Scenes []string
+	// Causes prints how often tries failed for which cause.
+	Causes bool
 }
 
 // Demo is one run of the demo.
@@ -95,6 +98,11 @@
 	d.settle(ctx)
 	d.stop()
 	r := d.result(requests, from, to)
+	if d.Causes {
+		if err := generator.Causes(d.out, requests); err != nil {
+			return err
+		}
+	}
 	if err := r.print(d.out); err != nil {
 		return err
 	}
@@ -151,19 +159,44 @@
 		return nil, err
 	}
 	d.say("load at %.0f%% of all slots begins", d.Share*100)
-	var g errgroup.Group
-	g.Go(func() error { return d.scenes(base) })
+	var g sync.WaitGroup
+	g.Go(func() { d.scenes(base) })
+	g.Go(func() { d.pulse(base) })
 	run, stop := context.WithTimeout(base, loadTime)
 	defer stop()
 	l.Run(run)
 	d.say("load ended, %d requests", len(l.Ledger.Requests()))
 	cancel()
-	if err := g.Wait(); err != nil {
-		return nil, err
-	}
+	g.Wait()
 	return l.Ledger.Requests(), ctx.Err()
 }
 
+// pulseInterval is the time between two lines about the load.
+const pulseInterval = 4 * time.Second
+
+// pulse prints how the load fares.
+func (d *Demo) pulse(ctx context.Context) {
+	t := time.NewTicker(pulseInterval)
+	defer t.Stop()
+	seen := 0
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		list := d.load.Ledger.Requests()[seen:]
+		seen += len(list)
+		n := generator.Outcomes(list)
+		h := generator.Latency(list, func(generator.Request) bool { return true })
+		v := d.fleet.slots(ctx)
+		d.say("%.0f/s: ok %d, notrun %d, unknown %d, wrong %d; p50 %.0f ms, p99 %.0f ms; slots held %d, admitted %d, busy %d",
+			float64(len(list))/pulseInterval.Seconds(), n[generator.OK], n[generator.NotRun], n[generator.Unknown], n[generator.Wrong],
+			float64(h.ValueAtQuantile(50))/1000, float64(h.ValueAtQuantile(99))/1000,
+			v.held, v.limit, v.busy)
+	}
+}
+
 // settle waits until the upstreams have ended all runs, so that the ledger is
 // complete.
 func (d *Demo) settle(ctx context.Context) {
--- a/hornbench/director/emulate.go
+++ b/hornbench/director/emulate.go
@@ -19,7 +19,7 @@
 			return err
 		}
 	}
-	fmt.Fprintf(out, "platform at %s, %d upstreams, control at http://%s\n", d.Settings[0].Platform, len(d.Upstreams), ControlAddress)
+	fmt.Fprintf(out, "platform at %s, %d upstreams, control at http://%s\n", d.Settings[0].Platform, len(d.Upstreams), d.beside(controlPort))
 	for i, file := range d.Files {
 		fmt.Fprintf(out, "instance %s: front %s, settings %s\n", d.Settings[i].Name, d.Settings[i].Front, file)
 	}
--- a/hornbench/director/scenes.go
+++ b/hornbench/director/scenes.go
@@ -22,40 +22,43 @@
 
 // scene is one step of the demo at a time after the beginning of the load.
 type scene struct {
-	at  time.Duration
-	run func(context.Context) error
+	name string
+	at   time.Duration
+	run  func(context.Context) error
 }
 
 // scenes runs the steps. A step that fails is recorded and the others go on.
-func (d *Demo) scenes(ctx context.Context) error {
+func (d *Demo) scenes(ctx context.Context) {
 	killed, stopped := d.victims()
 	began := time.Now()
 	var g sync.WaitGroup
 	defer g.Wait()
 	for _, s := range []scene{
-		{2 * time.Second, d.shiftLookups},
-		{5 * time.Second, d.drainUpstream},
-		{8 * time.Second, d.race},
-		{10 * time.Second, func(context.Context) error { d.kill(killed); return nil }},
-		{12 * time.Second, func(context.Context) error { d.world.Platform.Remove(killed.settings.Name); return nil }},
-		{14 * time.Second, func(context.Context) error { return d.restart(killed) }},
-		{15 * time.Second, d.silence},
-		{16 * time.Second, func(context.Context) error {
+		{"shift", 2 * time.Second, d.shiftLookups},
+		{"drain", 5 * time.Second, d.drainUpstream},
+		{"race", 8 * time.Second, d.race},
+		{"kill", 10 * time.Second, func(context.Context) error { d.kill(killed); return nil }},
+		{"kill", 12 * time.Second, func(context.Context) error { d.world.Platform.Remove(killed.settings.Name); return nil }},
+		{"kill", 14 * time.Second, func(context.Context) error { return d.restart(killed) }},
+		{"silence", 15 * time.Second, d.silence},
+		{"stop", 16 * time.Second, func(context.Context) error {
 			g.Go(func() { d.note(d.stopAndRestart(stopped)) })
 			return nil
 		}},
-		{25 * time.Second, func(context.Context) error { d.outage(true); return nil }},
-		{35 * time.Second, func(context.Context) error { d.outage(false); return nil }},
-		{35500 * time.Millisecond, d.endDrain},
+		{"outage", 25 * time.Second, func(context.Context) error { d.outage(true); return nil }},
+		{"outage", 35 * time.Second, func(context.Context) error { d.outage(false); return nil }},
+		{"drain", 35500 * time.Millisecond, d.endDrain},
 	} {
+		if len(d.Scenes) > 0 && !slices.Contains(d.Scenes, s.name) {
+			continue
+		}
 		select {
 		case <-time.After(s.at - time.Since(began)):
 		case <-ctx.Done():
-			return nil
+			return
 		}
 		d.note(s.run(ctx))
 	}
-	return nil
 }
 
 // note records a step that failed.
--- a/hornbench/director/status.go
+++ b/hornbench/director/status.go
@@ -81,27 +81,38 @@
 	return errors.Join(errs...)
 }
 
-// granted returns the number of slots that the instances hold together.
-func (f *fleet) granted(ctx context.Context) (slots int) {
+// slots sums up the slots of all upstreams as the instances report them.
+type slots struct {
+	// held are granted, limit is what the instances admit now, busy is in use.
+	held, limit, busy int
+}
+
+// slots asks all instances that run.
+func (f *fleet) slots(ctx context.Context) (n slots) {
 	for _, p := range f.list {
+		if running, _ := p.state(); !running {
+			continue
+		}
 		s, err := p.status(ctx)
 		if err != nil {
 			continue
 		}
 		for _, u := range s.Upstreams {
-			slots += u.Slots
+			n.held += u.Slots
+			n.limit += u.Limit
+			n.busy += u.Busy
 		}
 	}
-	return slots
+	return n
 }
 
 // filled waits until all slots are held or the time is over, and returns how
 // many are.
-func (f *fleet) filled(ctx context.Context, slots int, patience time.Duration) int {
+func (f *fleet) filled(ctx context.Context, total int, patience time.Duration) int {
 	end := time.Now().Add(patience)
 	for {
-		n := f.granted(ctx)
-		if n >= slots || time.Now().After(end) || ctx.Err() != nil {
+		n := f.slots(ctx).held
+		if n >= total || time.Now().After(end) || ctx.Err() != nil {
 			return n
 		}
 		time.Sleep(pollInterval)
--- a/hornbench/director/world.go
+++ b/hornbench/director/world.go
@@ -8,13 +8,17 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 
 	"hornbeamstream.example/core/loader"
 	"hornbeamstream.example/hornbench/emulator"
 )
 
-// ControlAddress serves the control of all upstreams of a process.
-const ControlAddress = "127.0.0.1:7600"
+// Ports next to the platform's own, on its host.
+const (
+	controlPort = "7600"
+	forwardPort = "7700"
+)
 
 // Costs of the upstreams in milliseconds.
 const (
@@ -76,15 +80,24 @@
 	if err := w.Fleet.Listen(); err != nil {
 		return w, err
 	}
-	if err := w.serve(platformAddress(d), w.Platform); err != nil {
+	if err := w.serve(d.platform(), w.Platform); err != nil {
 		return w, err
 	}
-	return w, w.serve(ControlAddress, w.Fleet.Handler())
+	return w, w.serve(d.beside(controlPort), w.Fleet.Handler())
+}
+
+func (d *Deployment) platform() string {
+	return strings.TrimPrefix(d.Settings[0].Platform, "http://")
 }
 
-func platformAddress(d *Deployment) string {
-	const scheme = "http://"
-	return d.Settings[0].Platform[len(scheme):]
+// beside returns an address on the platform's host, so that deployments with
+// different platforms can run next to each other.
+func (d *Deployment) beside(port string) string {
+	host, _, err := net.SplitHostPort(d.platform())
+	if err != nil {
+		host = "127.0.0.1"
+	}
+	return net.JoinHostPort(host, port)
 }
 
 func (w *World) serve(address string, h http.Handler) error {
--- a/hornbench/generator/caller.go
+++ b/hornbench/generator/caller.go
@@ -1,6 +1,7 @@
 package generator
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -18,6 +19,8 @@
 	// grace is how long after its deadline a caller still waits for the final
 	// answer.
 	grace = 500 * time.Millisecond
+	// causeBytes bounds what is kept of the body of a refusal.
+	causeBytes = 120
 	// spread is the largest random addition to the time at which to retry.
 	spread = 20 * time.Millisecond
 )
@@ -118,7 +121,7 @@
 		}
 	case outcome == "notrun":
 		t.Outcome = NotRun
-		t.Cause = string(a.Body()[:min(len(a.Body()), 120)])
+		t.Cause = string(bytes.TrimSpace(a.Body()[:min(len(a.Body()), causeBytes)]))
 	default:
 		t.Outcome = Unknown
 		t.Cause = fmt.Sprintf("status %d outcome %q", a.StatusCode(), outcome)
--- a/hornbench/generator/table.go
+++ b/hornbench/generator/table.go
@@ -4,11 +4,18 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
+	"regexp"
 	"slices"
 	"text/tabwriter"
 	"time"
 )
 
+// causeLines bounds the printed causes.
+const causeLines = 30
+
+var digits = regexp.MustCompile(`[0-9]+`)
+
 // Measure runs the load for a time and returns its requests.
 func (l *Load) Measure(ctx context.Context, d time.Duration) ([]Request, error) {
 	base, cancel := context.WithCancel(ctx)
@@ -61,3 +68,28 @@
 	fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t\n", name, len(part),
 		n[OK], n[NotRun], n[Unknown], n[Wrong], n[Cut], tries, ms(50), ms(90), ms(99), ms(100))
 }
+
+// Causes prints how many tries were not ok, by service, outcome and cause.
+func Causes(w io.Writer, list []Request) error {
+	n := map[string]int{}
+	for _, r := range list {
+		for _, t := range r.Tries {
+			if t.Outcome != OK {
+				n[fmt.Sprintf("%s %s %d %s", r.Service, t.Outcome, t.Status, cut(t.Cause))]++
+			}
+		}
+	}
+	keys := slices.SortedFunc(maps.Keys(n), func(a, b string) int { return n[b] - n[a] })
+	for _, k := range keys[:min(len(keys), causeLines)] {
+		if _, err := fmt.Fprintf(w, "%8d %s\n", n[k], k); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// cut shortens a cause and removes what differs between connections.
+func cut(cause string) string {
+	cause = digits.ReplaceAllString(cause, "#")
+	return cause[:min(len(cause), 90)]
+}
--- a/hornbench/generator/wire.go
+++ b/hornbench/generator/wire.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -54,7 +55,7 @@
 func (w *wire) send(ctx context.Context, entry string, q *fasthttp.Request, a *fasthttp.Response, deadline time.Time) error {
 	l, err := w.open(ctx, entry, deadline)
 	if err != nil {
-		return errors.Join(errUnsent, err)
+		return fmt.Errorf("%w: %w", errUnsent, err)
 	}
 	if err := l.exchange(q, a, deadline); err != nil {
 		_ = l.Close()
