--- a/core/granter/election.go
+++ b/core/granter/election.go
@@ -183,6 +183,10 @@
 // elector that voted for an epoch never supports a lower one again, so a vote
 // is safe to use however late it arrives.
 func (s *State) voteReceived(e VoteReceived) {
+	if !s.elector() && s.Unanswered == 0 {
+		// Only electors are asked, so the lease object has changed.
+		s.ReadAt = s.Now
+	}
 	same := e.Epoch == s.Voted && e.Candidate == s.VotedFor
 	if !s.elector() || s.Leading || e.Epoch < s.Voted || !same && !s.freeToVote(e.Epoch) {
 		s.emit(AnswerVote{Call: e.Call, Epoch: s.Voted})
--- a/core/granter/fault_test.go
+++ b/core/granter/fault_test.go
@@ -51,6 +51,12 @@
 
 var failures = []failure{
 	{name: "leader dies", n: 3, hurt: func(w *world, l, _ int) { w.kill(l) }, most: 10 * time.Second, leaves: true},
+	{name: "platform down after an elector restarts", n: 2, hurt: func(w *world, _, o int) {
+		w.run(300 * time.Millisecond)
+		replace(w, o)
+		w.run(3 * time.Second)
+		w.down = true
+	}, most: 12 * time.Second, stays: true},
 	{name: "leader of two dies", n: 2, hurt: func(w *world, l, _ int) { w.kill(l) }, most: 10 * time.Second, leaves: true},
 	{name: "leader and elector of five die", n: 5, hurt: func(w *world, l, _ int) {
 		w.kill(l)
--- a/core/granter/grant.go
+++ b/core/granter/grant.go
@@ -75,7 +75,6 @@
 		s.emit(answer)
 		return
 	}
-	s.refresh()
 	if e.Epoch == s.Epoch {
 		s.claim(a, e.Held)
 		s.release(a, e.Seen, e.Held)
@@ -84,7 +83,6 @@
 	answer.Valid = max(0, g.Deadline.Sub(s.Now))
 	answer.Sequence, answer.Parts, answer.Quotas = g.Sequence, g.Parts, g.Quotas
 	s.emit(answer)
-	s.publishView()
 }
 
 // hearHigher looks for a leader that the sender knows and this process doesn't.
--- a/core/granter/lease.go
+++ b/core/granter/lease.go
@@ -304,8 +304,8 @@
 	}
 	s.refresh()
 	s.askSupport()
-	s.planReserve()
 	if s.canWrite() {
+		s.planReserve()
 		s.write(s.nextLease(), time.Time{}, false)
 	}
 	if !s.Now.Before(s.SelfAt) {
--- a/core/granter/quota.go
+++ b/core/granter/quota.go
@@ -9,11 +9,12 @@
 // as far as the grants that others may still use leave room.
 func (s *State) quotas(a *Account) []Quota {
 	s.trimOutstanding()
+	used := s.outstanding(a)
 	var quotas []Quota
 	for i, q := range s.Plan.Quotas {
 		rate := 0.0
 		if slices.Contains(s.Live, a.Member.Name) && !s.Now.Before(s.Ends.Add(LeaseMargin)) {
-			rate = min(q.Rate/float64(len(s.Live)), max(0, q.Rate-s.outstanding(i, q.Name, a)))
+			rate = min(q.Rate/float64(len(s.Live)), max(0, q.Rate-used[i]))
 		}
 		quotas = append(quotas, Quota{Name: q.Name, Rate: rate})
 	}
@@ -29,14 +30,18 @@
 	}
 }
 
-// outstanding returns the rate that members other than a may use now of the
-// quota at index i of the plan. The order of the sum is fixed, because sums of
-// floating-point numbers depend on it.
-func (s *State) outstanding(i int, name string, a *Account) float64 {
-	total := 0.0
+// outstanding returns the rates of the plan's quotas that members other than a
+// may use now. The order of the sums is fixed, because sums of floating-point
+// numbers depend on it.
+func (s *State) outstanding(a *Account) []float64 {
+	total := make([]float64, len(s.Plan.Quotas))
 	for _, member := range slices.Sorted(maps.Keys(s.Members)) {
-		if other := s.Members[member]; other != a {
-			total += largest(i, name, other.Outstanding)
+		other := s.Members[member]
+		if other == a {
+			continue
+		}
+		for i, q := range s.Plan.Quotas {
+			total[i] += largest(i, q.Name, other.Outstanding)
 		}
 	}
 	return total
--- a/core/granter/sim_test.go
+++ b/core/granter/sim_test.go
@@ -27,6 +27,8 @@
 	Reserve: 0.1,
 }
 
+var epoch = time.Unix(1e9, 0).UTC()
+
 type call struct {
 	at  time.Time
 	seq int
@@ -89,12 +91,12 @@
 	// message that takes seconds.
 	loss, lost, late, slow int
 	faults                 []string
-	trace                  func(string)
+	script                 func(*node, Event, []Effect)
 }
 
 func newWorld(seed uint64, n int) *world {
 	w := &world{
-		now:    time.Unix(1e9, 0),
+		now:    epoch,
 		late:   70,
 		rng:    rand.New(rand.NewPCG(seed, 1)),
 		named:  map[string]time.Time{},
@@ -115,7 +117,7 @@
 func (w *world) percent(p int) bool { return w.rng.IntN(100) < p }
 
 func (w *world) fault(format string, args ...any) {
-	w.faults = append(w.faults, fmt.Sprintf("%v ", w.now.Sub(time.Unix(1e9, 0)))+fmt.Sprintf(format, args...))
+	w.faults = append(w.faults, fmt.Sprintf("%v ", w.now.Sub(epoch))+fmt.Sprintf(format, args...))
 }
 
 func (w *world) start(i int, incarnation uint64) {
@@ -216,8 +218,8 @@
 	}
 	gap := eventTime(e).Sub(n.st.Ticked) > PauseGap
 	effects := n.st.Step(e)
-	if n.w.trace != nil {
-		n.w.trace(fmt.Sprintf("%v %s %T%+v -> %+v", n.w.now.Sub(time.Unix(1e9, 0)), n.st.Self.Name, e, e, effects))
+	if n.w.script != nil {
+		n.w.script(n, e, effects)
 	}
 	if gap && (len(n.st.Holdings.Parts) > 0 || n.st.Leading) {
 		n.w.fault("%s kept grants or its lease over a pause", n.st.Self.Name)
@@ -264,136 +266,6 @@
 	}
 }
 
-// send runs a function at the receiver, after a delay, unless the message is lost.
-func (w *world) send(from, to *node, run func()) {
-	w.after(w.delay(), func() {
-		if from.group == to.group && from.cut != to && to.cut != from && to.alive && !w.percent(w.loss) {
-			run()
-		}
-	})
-}
-
-func (w *world) delay() time.Duration {
-	if w.percent(w.slow) {
-		return time.Duration(w.rng.IntN(4000)) * time.Millisecond
-	}
-	return time.Duration(1+w.rng.IntN(10)) * time.Millisecond
-}
-
-func (w *world) answer(n *node, id uint64, f Effect) {
-	reply := w.calls[id]
-	delete(w.calls, id)
-	reply(n, f)
-}
-
-func (n *node) request(to string, e func(*node, uint64) Event, reply func(*node, Effect) Event) {
-	i := slices.IndexFunc(n.w.nodes, func(o *node) bool { return o.st.Self.Peer == to })
-	if i < 0 {
-		return
-	}
-	n.w.lastID++
-	id, peer := n.w.lastID, n.w.nodes[i]
-	n.w.calls[id] = func(by *node, f Effect) {
-		n.w.send(by, n, func() { n.deliver(func() Event { return reply(by, f) }) })
-	}
-	n.w.send(n, peer, func() { peer.deliver(func() Event { return e(peer, id) }) })
-}
-
-func (n *node) heartbeat(f SendHeartbeat) {
-	sent, self := n.clock(), n.st.Self
-	n.request(f.To, func(to *node, id uint64) Event {
-		return HeartbeatReceived{Now: to.clock(), From: self, Call: id, Epoch: f.Epoch, Seen: f.Seen, Held: f.Held}
-	}, func(by *node, f Effect) Event {
-		a := f.(AnswerHeartbeat)
-		return HeartbeatAnswered{
-			Sent: sent, Now: n.clock(), From: by.st.Self, Leader: a.Leader, Epoch: a.Epoch,
-			Valid: a.Valid, Sequence: a.Sequence, Parts: a.Parts, Quotas: a.Quotas,
-		}
-	})
-}
-
-func (n *node) vote(f SendVote) {
-	sent := n.clock()
-	n.request(f.To, func(to *node, id uint64) Event {
-		return VoteReceived{Now: to.clock(), Call: id, Candidate: n.st.Self.Name, Epoch: f.Epoch}
-	}, func(by *node, f Effect) Event {
-		a := f.(AnswerVote)
-		return VoteAnswered{
-			Sent: sent, Now: n.clock(), From: by.st.Self.Name, Epoch: a.Epoch, Granted: a.Granted, Valid: a.Valid,
-		}
-	})
-}
-
-func (n *node) read() {
-	asked := n.clock()
-	n.w.after(n.w.delay(), func() {
-		if n.w.down || !n.platform {
-			return
-		}
-		version, lease := n.w.version, n.w.lease
-		n.w.after(n.w.delay(), func() {
-			n.deliver(func() Event { return LeaseSeen{Asked: asked, Now: n.clock(), Version: version, Lease: lease} })
-		})
-	})
-}
-
-func (n *node) list() {
-	if n.w.down || !n.platform {
-		return
-	}
-	var names []string
-	for _, o := range n.w.nodes {
-		t, ok := n.w.absent[o.st.Self.Name]
-		if (!ok || n.w.now.Before(t)) && !n.w.now.Before(n.w.named[o.st.Self.Name]) {
-			names = append(names, o.st.Self.Name)
-		}
-	}
-	n.w.after(n.w.delay(), func() {
-		n.deliver(func() Event { return ListSeen{Now: n.clock(), Names: names} })
-	})
-}
-
-func (n *node) write(f WriteLease) {
-	asked := n.clock()
-	end := func(d time.Duration, r WriteResult, version uint64) {
-		n.w.after(d, func() {
-			n.deliver(func() Event {
-				return WriteEnded{Asked: asked, Now: n.clock(), Nonce: f.Lease.Nonce, Result: r, Version: version}
-			})
-		})
-	}
-	if n.w.percent(n.w.lost) {
-		// The answer is lost; the write is lost too, or takes effect, perhaps late.
-		end(100*time.Millisecond, WriteUnknown, 0)
-		if n.w.percent(n.w.late) {
-			n.w.after(time.Duration(n.w.rng.IntN(3000))*time.Millisecond, func() { n.w.update(f) })
-		}
-		return
-	}
-	n.w.after(n.w.delay(), func() {
-		switch {
-		case n.w.down || !n.platform:
-			end(time.Second, WriteFailed, 0)
-		case n.w.update(f):
-			end(n.w.delay(), WriteDone, n.w.version)
-		default:
-			end(n.w.delay(), WriteConflict, 0)
-		}
-	})
-}
-
-func (w *world) update(f WriteLease) bool {
-	if f.Version != w.version || w.down {
-		return false
-	}
-	if f.Lease.Epoch < w.lease.Epoch {
-		w.fault("lease epoch fell from %d to %d", w.lease.Epoch, f.Lease.Epoch)
-	}
-	w.version++
-	w.lease = f.Lease
-	return true
-}
-
 // usable returns the slots that a node's traffic may use on its parts, and
 // those that requests in flight may still use.
 func (n *node) usable(add func(k Key, slots int)) {
