executor: tables follow only what changed

Cause: a grant comes with every heartbeat and made a new address of the same configuration, so that the router built peers and plans anew; the resolver's table was made without the previous one, with all blocks, twice a second. Change: the configuration keeps its address while its version is the same; the resolver's table is built only for a new configuration or changed views, and takes the blocks over.

--- a/core/resolver/capacity_test.go
+++ b/core/resolver/capacity_test.go
@@ -12,8 +12,13 @@
 // from nothing, and after a change of a view.
 func BenchmarkCapacity(b *testing.B) {
 	for _, z := range []struct{ blocks, instances int }{
-		{1_200, 640}, {12_000, 640}, {60_000, 640}, {120_000, 640},
-		{12_000, 11}, {12_000, 44}, {12_000, 165},
+		{1_200, 640},
+		{12_000, 640},
+		{60_000, 640},
+		{120_000, 640},
+		{12_000, 11},
+		{12_000, 44},
+		{12_000, 165},
 	} {
 		in := large(z.blocks)
 		in.Views = in.Views[:0]
--- a/hornbeamd/executor/executor.go
+++ b/hornbeamd/executor/executor.go
@@ -7,7 +7,6 @@
 	"context"
 	"net/http"
 	"net/netip"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -92,6 +91,9 @@
 	calls    map[uint64]func(reducer.Effect)
 	lastCall uint64
 
+	// published is the last table's input. Only the control goroutine uses it.
+	published published
+
 	table    atomic.Pointer[router.Table]
 	resolver atomic.Pointer[resolver.Table]
 	witness  atomic.Pointer[witnesses]
@@ -198,39 +200,6 @@
 	}
 }
 
-func (x *Executor) publish(p reducer.Publish) {
-	table := router.Build(router.Input{
-		Now:      x.cfg.Clock.Now(),
-		Config:   &p.Config,
-		Self:     x.cfg.Self.Name,
-		Domain:   x.cfg.Self.Domain,
-		Region:   x.cfg.Region,
-		Holdings: p.Holdings,
-		Views:    p.Views,
-		Verdicts: p.Verdicts,
-		Previous: x.Table(),
-	})
-	x.table.Store(table)
-	x.resolver.Store(resolver.Build(resolver.Input{
-		Config: &p.Config,
-		Region: x.cfg.Region,
-		Views:  x.withSelf(p.Views),
-	}))
-	x.witness.Store(x.witness.Load().next(p, x.cfg.Self.Name, x.cfg.Clock.Now()))
-}
-
-// withSelf adds this instance to the views if its failure domain has none yet,
-// so that look-ups are answered before the first contact with others.
-func (x *Executor) withSelf(views []granter.View) []granter.View {
-	for _, v := range views {
-		if v.Domain == x.cfg.Self.Domain {
-			return views
-		}
-	}
-	own := granter.View{Domain: x.cfg.Self.Domain, Members: []granter.Member{x.state.Self}}
-	return append(slices.Clone(views), own)
-}
-
 // record adds an event that doesn't come from the reducer.
 func (x *Executor) record(e recorder.Event) {
 	now := x.cfg.Clock.Now()
--- /dev/null
+++ b/hornbeamd/executor/publish.go
@@ -0,0 +1,71 @@
+package executor
+
+import (
+	"slices"
+
+	"hornbeamstream.example/core/granter"
+	"hornbeamstream.example/core/loader"
+	"hornbeamstream.example/core/reducer"
+	"hornbeamstream.example/core/resolver"
+	"hornbeamstream.example/core/router"
+)
+
+// published is what the tables in force were made of.
+type published struct {
+	// config keeps its address while its version is the same, because the
+	// router takes peers and plans over only then.
+	config *loader.State
+	// views are those of the resolver's table.
+	views []granter.View
+}
+
+// publish gives traffic new tables. Most changes are new grants, which come
+// with every heartbeat and leave the resolver's table as it is.
+func (x *Executor) publish(p reducer.Publish) {
+	config := x.published.config
+	changed := config == nil || config.Version != p.Config.Version
+	if changed {
+		fresh := p.Config
+		config = &fresh
+	}
+	x.table.Store(router.Build(router.Input{
+		Now:      x.cfg.Clock.Now(),
+		Config:   config,
+		Self:     x.cfg.Self.Name,
+		Domain:   x.cfg.Self.Domain,
+		Region:   x.cfg.Region,
+		Holdings: p.Holdings,
+		Views:    p.Views,
+		Verdicts: p.Verdicts,
+		Previous: x.Table(),
+	}))
+	views := x.withSelf(p.Views)
+	if changed || !slices.EqualFunc(views, x.published.views, sameView) {
+		x.resolver.Store(resolver.Build(resolver.Input{
+			Config:   config,
+			Region:   x.cfg.Region,
+			Views:    views,
+			Previous: x.resolver.Load(),
+		}))
+	}
+	x.published = published{config: config, views: views}
+	x.witness.Store(x.witness.Load().next(p, x.cfg.Self.Name, x.cfg.Clock.Now()))
+}
+
+// sameView tells whether two views are the same. The epochs of leaders start at
+// one; a view without an epoch comes from withSelf and can change.
+func sameView(a, b granter.View) bool {
+	return a.Epoch > 0 && a.Domain == b.Domain && a.Epoch == b.Epoch && a.Sequence == b.Sequence
+}
+
+// withSelf adds this instance to the views if its failure domain has none yet,
+// so that look-ups are answered before the first contact with others.
+func (x *Executor) withSelf(views []granter.View) []granter.View {
+	for _, v := range views {
+		if v.Domain == x.cfg.Self.Domain {
+			return views
+		}
+	}
+	own := granter.View{Domain: x.cfg.Self.Domain, Members: []granter.Member{x.state.Self}}
+	return append(slices.Clone(views), own)
+}
