--- a/core/recorder/types.go
+++ b/core/recorder/types.go
@@ -36,10 +36,14 @@
 	Instance string    `json:"instance"`
 	Domain   string    `json:"domain"`
 	Kind     Kind      `json:"kind"`
-	// Version is the configuration version or the lease epoch.
-	Version  uint64 `json:"version,omitempty"`
+	// Version is the number of the ticket that the event belongs to.
+	Version uint64 `json:"version,omitempty"`
+	// Epoch is the lease epoch that the event belongs to.
+	Epoch    uint64 `json:"epoch,omitempty"`
 	Upstream string `json:"upstream,omitempty"`
 	Peer     string `json:"peer,omitempty"`
+	// Since is the beginning of what the event ends, such as a drain.
+	Since time.Time `json:"since,omitzero"`
 	// Cause is one short sentence.
 	Cause string `json:"cause,omitempty"`
 }
--- a/core/router/table.go
+++ b/core/router/table.go
@@ -1,59 +1,49 @@
 package router
 
-// Table is an immutable snapshot of where requests can go.
+import (
+	"hornbeamstream.example/core/granter"
+	"hornbeamstream.example/core/loader"
+)
+
+// Table is an immutable snapshot of where requests can go. Its counters go on
+// in the table that is built after it.
 type Table struct {
 	Version  uint64
 	Self     string
 	Region   string
 	Domain   string
 	Services map[string]*Service
-}
 
-// Tried remembers the places that a request has been to.
-type Tried struct {
-	targets [4]*Target
-	peers   [4]*Peer
-	count   int
+	counters counters
+	holdings granter.Holdings
+	config   *loader.State
+	source   source
+	// short tells that limits are lowered because closed gates are not empty.
+	short bool
+	// headroom is the weight of free slots against delay.
+	headroom float64
 }
 
-// Add remembers the place of a choice.
-func (t *Tried) Add(c Choice) {
-	if t.count == len(t.targets) {
-		return
+// Free returns the number of free slots of a service at this instance, which
+// other instances take as credits.
+func (t *Table) Free(service string, now int64) int {
+	s := t.Services[service]
+	if s == nil {
+		return 0
 	}
-	t.targets[t.count] = c.Target
-	t.peers[t.count] = c.Peer
-	t.count++
-}
-
-func (t *Tried) has(target *Target, peer *Peer) bool {
-	for i := range t.count {
-		if (target != nil && t.targets[i] == target) || (peer != nil && t.peers[i] == peer) {
-			return true
-		}
+	free := 0
+	for i := range s.Targets {
+		free += s.Targets[i].Gate.Free(now)
 	}
-	return false
+	return free
 }
 
-// Choose picks a place for the request. On success with a Target, its gate has
-// been acquired and the caller releases it.
-func (t *Table) Choose(q *Request, now int64, tried *Tried) (Choice, Reason) {
-	if now >= q.Deadline {
-		return Choice{}, TooLate
-	}
-	for i := range q.Service.Targets {
-		g := &q.Service.Targets[i]
-		if !tried.has(g, nil) && g.Gate.Acquire(now) {
-			return Choice{Target: g}, Placed
-		}
-	}
-	if q.Hop {
-		return Choice{}, Full
-	}
-	for _, p := range q.Service.Peers {
-		if !tried.has(nil, p) && p.Path.Usable(now) && p.Credits[q.Service.Name].Take(now) {
-			return Choice{Peer: p}, Placed
-		}
-	}
-	return Choice{}, Full
+// weightSeed and mix make the choice by weight and the choice among owners
+// independent of the choice by shift, which compares the request's hash itself.
+const weightSeed = 0x9e3779b97f4a7c15
+
+func mix(h uint64) uint64 {
+	h ^= h >> 32
+	h *= 0xd6e8feb86659fd93
+	return h ^ h>>32
 }
