hornctl: timeline merges and filters by recorder

Cause: hornctl had its own merge of rings, which printed an event twice when two answers held it, and its own filter. Change: recorder.Merge and recorder.Filter; the test's base of stamps keeps its own constant; assertions and golden files are unchanged.

--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 PACKAGES := $(foreach m,$(MODULES),./$(m)/...)
 SOURCES = $(shell find $(MODULES) -name '*.go' -not -path '*/hornpb/*')
 DEPLOY ?= kasa
+FUZZTIME ?= 5s
 
-.PHONY: all build test unit lint format bench demo generate
+.PHONY: all build test unit lint format bench fuzz demo generate
 
 all: build
 
@@ -31,6 +32,14 @@
 bench:
 	go test -run '^$$' -bench . -benchmem $(PACKAGES)
 
+# go test runs one fuzz target at a time.
+fuzz:
+	@grep -rn '^func Fuzz' --include='*_test.go' $(MODULES) | \
+	sed 's|/[^/]*_test.go:[0-9]*:func \(Fuzz[A-Za-z0-9]*\).*| \1|' | \
+	while read -r package target; do \
+		go test -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZTIME) "./$$package" || exit 1; \
+	done
+
 demo: build
 	./bin/hornbench demo --deploy $(DEPLOY)
 
--- a/hornctl/commands/commands_test.go
+++ b/hornctl/commands/commands_test.go
@@ -23,6 +23,9 @@
 	"hornbeamstream.example/core/submitter/verifier"
 )
 
+// stampShift separates the milliseconds of a stamp from its counter.
+const stampShift = 16
+
 var update = flag.Bool("update", false, "rewrite golden files")
 
 var masks = []struct {
--- a/hornctl/commands/timeline.go
+++ b/hornctl/commands/timeline.go
@@ -1,14 +1,12 @@
 package commands
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"slices"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -16,11 +14,7 @@
 	"hornbeamstream.example/core/reporter"
 )
 
-const (
-	// stampShift separates the milliseconds of a stamp from its counter.
-	stampShift = 16
-	timeLayout = "2006-01-02T15:04:05.000Z"
-)
+const timeLayout = "2006-01-02T15:04:05.000Z"
 
 func (p *program) timelineCommand() *cli.Command {
 	return &cli.Command{
@@ -83,7 +77,7 @@
 		}
 	}
 	match := p.filter(c)
-	for _, e := range merge(rings...) {
+	for _, e := range recorder.Merge(rings...) {
 		if match(e) {
 			p.printEvent(c, e)
 		}
@@ -110,27 +104,15 @@
 	return rings, missing
 }
 
-// merge joins rings by stamp, then by instance.
-func merge(rings ...[]recorder.Event) []recorder.Event {
-	all := slices.Concat(rings...)
-	slices.SortStableFunc(all, func(a, b recorder.Event) int {
-		return cmp.Or(cmp.Compare(a.Stamp, b.Stamp), cmp.Compare(a.Instance, b.Instance))
-	})
-	return all
-}
-
 // filter returns the condition that the flags describe.
 func (p *program) filter(c *cli.Command) func(recorder.Event) bool {
-	var after time.Time
+	f := recorder.Filter{Version: c.Uint64("ticket"), Upstream: c.String("upstream"), Domain: c.String("domain")}
 	if c.IsSet("since") {
-		after = p.now().Add(-c.Duration("since"))
+		var first recorder.Clock
+		f.After = first.Now(p.now().Add(-c.Duration("since"))) - 1
 	}
-	ticket, upstream, domain := c.Uint64("ticket"), c.String("upstream"), c.String("domain")
 	return func(e recorder.Event) bool {
-		return (ticket == 0 || e.Version == ticket && ofTicket(e.Kind)) &&
-			(upstream == "" || e.Upstream == upstream) &&
-			(domain == "" || e.Domain == domain) &&
-			!stampTime(e.Stamp).Before(after)
+		return f.Match(e) && (f.Version == 0 || ofTicket(e.Kind))
 	}
 }
 
@@ -139,14 +121,12 @@
 	return k == recorder.Submitted || k == recorder.Configured || k == recorder.Rejected
 }
 
-func stampTime(stamp uint64) time.Time { return time.UnixMilli(int64(stamp >> stampShift)).UTC() }
-
 func (p *program) printEvent(c *cli.Command, e recorder.Event) {
 	if c.Bool("json") {
 		_ = json.NewEncoder(p.out).Encode(e)
 		return
 	}
-	line := fmt.Sprintf("%s  %-12s %-10s", stampTime(e.Stamp).Format(timeLayout), e.Instance, e.Kind)
+	line := fmt.Sprintf("%s  %-12s %-10s", recorder.Wall(e.Stamp).UTC().Format(timeLayout), e.Instance, e.Kind)
 	if e.Version > 0 {
 		line += " " + strconv.FormatUint(e.Version, 10)
 	}
