reducer: benchmark answers probes and watches

Cause: an unanswered watch or probe is never repeated before its time-out, so that the counts of calls were too low.

--- a/core/reducer/bench_test.go
+++ b/core/reducer/bench_test.go
@@ -9,6 +9,7 @@
 	"hornbeamstream.example/core/follower"
 	"hornbeamstream.example/core/granter"
 	"hornbeamstream.example/core/loader"
+	"hornbeamstream.example/core/observer"
 	"hornbeamstream.example/core/reducer"
 )
 
@@ -19,7 +20,7 @@
 	nodes   []*reducer.State
 	byPeer  map[string]*reducer.State
 	leases  granter.LeaseSeen
-	calls   uint64
+	watches map[*reducer.State]time.Time
 	spent   map[string]time.Duration
 	steps   map[string]int
 	effects map[string]int
@@ -52,7 +53,7 @@
 }
 
 func newPlant(members, upstreams, slots int) *plant {
-	p := &plant{now: start, byPeer: map[string]*reducer.State{}}
+	p := &plant{now: start, byPeer: map[string]*reducer.State{}, watches: map[*reducer.State]time.Time{}}
 	p.reset()
 	config := plantConfig(members, upstreams, slots)
 	for i := range members {
@@ -89,6 +90,10 @@
 		p.now = p.now.Add(tickInterval)
 		for _, n := range p.nodes {
 			p.step(n, reducer.Tick{Now: p.now})
+			if until, ok := p.watches[n]; ok && !p.now.Before(until) {
+				delete(p.watches, n)
+				p.step(n, reducer.Following{Event: follower.Watched{Now: p.now, Revision: 1}})
+			}
 		}
 	}
 }
@@ -126,6 +131,13 @@
 		p.grant(n, e.Effect)
 	case reducer.Follow:
 		kind = fmt.Sprintf("%T", e.Effect)
+		if _, ok := e.Effect.(follower.Watch); ok {
+			p.watches[n] = p.now.Add(follower.WatchWait)
+		}
+	case reducer.Probe:
+		p.step(n, reducer.Observing{Event: observer.Probed{
+			Sent: p.now, Now: p.now, Health: observer.Health{Upstream: e.Upstream, State: "ready", Slots: 6},
+		}})
 	case reducer.Send:
 		p.send(n, e)
 	}
