executor: answers to heartbeats are not compressed

Cause: connect compresses every answer; for an answer of 300 bytes that took longer than the rest of the call, and the leader of 58 members answers 114 a second. Change: answers below 512 bytes go out as they are.

--- a/hornbeamd/executor/capacity_test.go
+++ b/hornbeamd/executor/capacity_test.go
@@ -193,9 +193,7 @@
 		r.Views = []granter.View{p.view(0)}
 	}
 	response := responseToProto(r)
-	mux := http.NewServeMux()
-	mux.Handle(hornpbconnect.NewPeerHandler(peerStub{response: response}))
-	count, url := serve(b, mux)
+	count, url := serve(b, peerMux(peerStub{response: response}))
 	client := newPeerClient()
 	defer client.CloseIdleConnections()
 	peer := hornpbconnect.NewPeerClient(client, url)
@@ -225,9 +223,7 @@
 
 // BenchmarkVote reports the bytes of a call for support.
 func BenchmarkVote(b *testing.B) {
-	mux := http.NewServeMux()
-	mux.Handle(hornpbconnect.NewPeerHandler(peerStub{}))
-	count, url := serve(b, mux)
+	count, url := serve(b, peerMux(peerStub{}))
 	client := newPeerClient()
 	defer client.CloseIdleConnections()
 	peer := hornpbconnect.NewPeerClient(client, url)
--- a/hornbeamd/executor/peer.go
+++ b/hornbeamd/executor/peer.go
@@ -23,6 +23,10 @@
 	maxIdle      = 2
 	idleTimeout  = 30 * time.Second
 	headerLength = 4 << 10
+	// compressMin is the length of the shortest answer that is compressed. The
+	// answers to heartbeats are shorter; compressing them takes longer than the
+	// rest of the call.
+	compressMin = 512
 )
 
 // errStopping is the answer to a peer while the process ends.
@@ -45,10 +49,8 @@
 
 // PeerServer returns the HTTP server for calls from other instances.
 func (x *Executor) PeerServer() *http.Server {
-	mux := http.NewServeMux()
-	mux.Handle(hornpbconnect.NewPeerHandler(peerHandler{x}, connect.WithReadMaxBytes(maxMessage)))
 	return &http.Server{
-		Handler:           mux,
+		Handler:           peerMux(peerHandler{x}),
 		ReadHeaderTimeout: peerTimeout,
 		ReadTimeout:       platformTimeout,
 		WriteTimeout:      platformTimeout,
@@ -57,6 +59,12 @@
 	}
 }
 
+func peerMux(h hornpbconnect.PeerHandler) *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.Handle(hornpbconnect.NewPeerHandler(h, connect.WithReadMaxBytes(maxMessage), connect.WithCompressMinBytes(compressMin)))
+	return mux
+}
+
 func (x *Executor) send(ctx context.Context, e reducer.Send) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
