reducer, executor: benchmarks report healthy upstreams and encoded sizes

Cause: probes answered with 6 slots for upstreams of 64, so that limits changed and tables were published ten times a second.

--- a/core/reducer/bench_test.go
+++ b/core/reducer/bench_test.go
@@ -135,8 +135,9 @@
 			p.watches[n] = p.now.Add(follower.WatchWait)
 		}
 	case reducer.Probe:
+		slots := n.Follower.Config.Upstreams[e.Upstream].Slots
 		p.step(n, reducer.Observing{Event: observer.Probed{
-			Sent: p.now, Now: p.now, Health: observer.Health{Upstream: e.Upstream, State: "ready", Slots: 6},
+			Sent: p.now, Now: p.now, Health: observer.Health{Upstream: e.Upstream, State: "ready", Slots: slots},
 		}})
 	case reducer.Send:
 		p.send(n, e)
--- a/hornbeamd/executor/capacity_test.go
+++ b/hornbeamd/executor/capacity_test.go
@@ -1,6 +1,8 @@
 package executor
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -245,7 +247,7 @@
 	for _, members := range []int{2, 8, 15, 58} {
 		p := plan{members: members, domains: 11, upstreams: 41, slots: 320}
 		value, _ := json.Marshal(p.lease())
-		object, _ := json.Marshal(map[string]any{"key": "lease/d0", "version": 900_000, "value": value})
+		object, _ := json.Marshal(map[string]any{"key": "lease/d0", "version": 900_000, "value": json.RawMessage(value)})
 		count, url := serve(b, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			switch {
 			case r.Method == http.MethodPut:
@@ -345,6 +347,14 @@
 		x = New(Config{Clock: NewClock(), Self: p.member(0, 1), Region: "r0"})
 		x.publish(reducer.Publish{Config: config, Views: views})
 		built := heap()
+		for i := range 20 {
+			views = p.views()
+			views[0].Sequence += uint64(i) + 1
+			x.publish(reducer.Publish{Config: config, Views: views})
+		}
+		var all runtime.MemStats
+		runtime.ReadMemStats(&all)
+		b.ReportMetric(float64(all.Sys)/1e6, "MB/process")
 		for i := range 512 {
 			tickets = append(tickets, loader.Ticket{
 				Number: uint64(i), Author: "operator", Reason: "maintenance of the power supply", Nonce: fmt.Sprint(i),
@@ -359,6 +369,12 @@
 		b.ReportMetric(float64(full-built)/512, "B/ticket")
 		snapshot, _ := loader.EncodeState(config)
 		b.ReportMetric(float64(len(snapshot)), "bytes/snapshot")
+		b.ReportMetric(float64(compressed(snapshot)), "bytes/compressed")
+		ticket, _ := loader.EncodeTicket(tickets[100])
+		b.ReportMetric(float64(len(ticket)), "bytes/ticket")
+		blocks, _ := json.Marshal(config.Blocks["0"])
+		b.ReportMetric(float64(len(blocks)), "bytes/blocks")
+		b.ReportMetric(float64(compressed(blocks)), "bytes/compressedblocks")
 		config.Blocks = nil
 		snapshot, _ = loader.EncodeState(config)
 		b.ReportMetric(float64(len(snapshot)), "bytes/withoutblocks")
@@ -368,6 +384,15 @@
 	runtime.KeepAlive(tickets)
 }
 
+// compressed returns the length as connect sends a message.
+func compressed(data []byte) int {
+	var buffer bytes.Buffer
+	w := gzip.NewWriter(&buffer)
+	_, _ = w.Write(data)
+	_ = w.Close()
+	return buffer.Len()
+}
+
 func heap() int64 {
 	runtime.GC()
 	runtime.GC()
