--- a/hornctl/commands/commands_test.go
+++ b/hornctl/commands/commands_test.go
@@ -28,6 +28,9 @@
 	"hornbeamstream.example/core/submitter/verifier"
 )
 
+// stampShift separates the milliseconds of a stamp from its counter.
+const stampShift = 16
+
 var update = flag.Bool("update", false, "rewrite golden files")
 
 var masks = []struct {
