--- a/core/router/choose.go
+++ b/core/router/choose.go
@@ -180,11 +180,11 @@
 }
 
 // capped tells whether a placement would leave the home region for the target
-// of the service's shift. All that moves there counts against the cap, also
-// requests that spill over.
+// of the service's shift. Once the shift has started, all that moves there counts
+// against the cap, also requests that spill over.
 func (s *search) capped(a *area) bool {
 	h := s.q.Service.shift
-	return h != nil && s.home.region == h.from && a.region == h.to
+	return h != nil && s.now >= h.start && s.home.region == h.from && a.region == h.to
 }
 
 // look collects the candidates of a region. It tells whether one has headroom,
