--- a/core/router/model_test.go
+++ b/core/router/model_test.go
@@ -1,7 +1,7 @@
 package router
 
 import (
-	"container/heap"
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -27,12 +27,12 @@
 // delay and capacity. Time is virtual and all randomness comes from the seed.
 type model struct {
 	fleet
-	policy    string
-	loads     []load
-	rng       *rand.Rand
-	now, end  int64
-	events    events
-	seq       int
+	policy   string
+	loads    []load
+	rng      *rand.Rand
+	now, end int64
+	// events are in order of time.
+	events    []event
 	servers   map[string][]*server
 	byName    map[string]*server
 	instances []*instance
@@ -97,24 +97,9 @@
 
 type event struct {
 	at  int64
-	seq int
 	run func()
 }
 
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	x := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return x
-}
-
 const (
 	warmup   = int64(4 * time.Second)
 	triesMax = 4
@@ -152,8 +137,10 @@
 }
 
 func (m *model) after(d int64, run func()) {
-	m.seq++
-	heap.Push(&m.events, event{m.now + d, m.seq, run})
+	// Events at the same time run in the order in which they were made.
+	at := m.now + d
+	i, _ := slices.BinarySearchFunc(m.events, at+1, func(e event, at int64) int { return cmp.Compare(e.at, at) })
+	m.events = slices.Insert(m.events, i, event{at, run})
 }
 
 func (m *model) run() map[string]*result {
@@ -164,7 +151,8 @@
 		m.observe(n)
 	}
 	for len(m.events) > 0 && m.events[0].at < m.end {
-		e := heap.Pop(&m.events).(event)
+		e := m.events[0]
+		m.events = m.events[1:]
 		m.now = e.at
 		e.run()
 	}
