granter: requests on reserve slots and changes of the plan in the property test

Cause: the simulation let one request fly per part, none on the reserve, and never changed the configuration. Change: requests fill all slots of a part or reserve, plans shrink and grow at different times on each instance; holders must keep their grants when the leader leaves or restarts; an example.

--- a/core/granter/fault_test.go
+++ b/core/granter/fault_test.go
@@ -152,3 +152,35 @@
 	}
 	return low, outage
 }
+
+// Guards against holders that stop working although only the leader changes.
+func TestHoldersKeepWorking(t *testing.T) {
+	for name, tt := range map[string]struct {
+		change func(w *world, l int)
+		most   time.Duration
+	}{
+		"leader leaves":   {func(w *world, l int) { leave(w.nodes[l]) }, 0},
+		"leader restarts": {func(w *world, l int) { replace(w, l) }, 0},
+		"leader dies":     {func(w *world, l int) { w.kill(l) }, 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(5) {
+				w := newWorld(seed, 3)
+				w.run(25 * time.Second)
+				l := w.leader()
+				tt.change(w, l)
+				gap := time.Duration(0)
+				for range 1000 {
+					w.run(10 * time.Millisecond)
+					o := w.nodes[(l+1)%3]
+					if !o.clock().Before(o.uses.Deadline) {
+						gap += 10 * time.Millisecond
+					}
+				}
+				t.Log("without a grant for", gap)
+				is.True(gap <= tt.most)
+			}
+		})
+	}
+}
--- a/core/granter/property_test.go
+++ b/core/granter/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -28,7 +29,7 @@
 
 var kinds = []string{
 	"pause", "pause", "kill", "restart", "restart", "split", "heal", "cut", "cut", "join", "unlink", "isolate", "isolate",
-	"down", "up", "leave", "lost", "slow",
+	"down", "up", "leave", "lost", "slow", "plan",
 }
 
 func drawFault(t *rapid.T) fault {
@@ -78,6 +79,8 @@
 		w.down = true
 	case "up":
 		w.down = false
+	case "plan":
+		w.plan(plan.shrunk(f.Other), 3*time.Second)
 	case "leave":
 		n.deliver(func() Event { return LeaveAsked{Now: n.clock()} })
 	case "lost":
@@ -87,9 +90,29 @@
 	}
 }
 
+// shrunk returns the plan with fewer slots. The checks keep to the full ones.
+func (p Plan) shrunk(by int) Plan {
+	p.Demands = slices.Clone(p.Demands)
+	for i := range p.Demands {
+		p.Demands[i].Slots /= by + 1
+	}
+	return p
+}
+
+// plan brings a configuration to every instance within the given time.
+func (w *world) plan(p Plan, within time.Duration) {
+	w.current = p
+	for _, n := range w.nodes {
+		w.after(time.Duration(w.rng.Int64N(int64(within))), func() {
+			n.deliver(func() Event { return PlanChanged{Now: n.clock(), Plan: w.current} })
+		})
+	}
+}
+
 // heal ends all disturbances; instances that are dead or leaving start anew.
 func (w *world) heal() {
 	w.down, w.lost, w.slow, w.loss = false, 0, 0, 0
+	w.plan(plan, time.Second)
 	for i, n := range w.nodes {
 		n.group, n.cut, n.platform = 0, nil, true
 		if !n.alive || n.st.Self.Leaving {
--- a/core/granter/sim_test.go
+++ b/core/granter/sim_test.go
@@ -50,6 +50,12 @@
 	return last
 }
 
+// flight is a number of requests in flight that end at the same time.
+type flight struct {
+	end   time.Time
+	slots int
+}
+
 // node is an instance: a State, its traffic and its own clock.
 type node struct {
 	w      *world
@@ -63,8 +69,8 @@
 	cut      *node
 	platform bool
 	uses     Holdings
-	// flying maps parts to the end of the last request in flight.
-	flying map[Key]time.Time
+	// flying maps parts, and reserves at index -1, to the requests in flight.
+	flying map[Key]flight
 	known  uint64
 	// changed tells that the use of slots or the lease may have grown.
 	changed bool
@@ -80,6 +86,7 @@
 	dead    []*node
 	down    bool
 	version uint64
+	current Plan
 	lease   Lease
 	// named and absent say from when on the list, which lags, names an instance
 	// or no longer does.
@@ -96,12 +103,13 @@
 
 func newWorld(seed uint64, n int) *world {
 	w := &world{
-		now:    epoch,
-		late:   70,
-		rng:    rand.New(rand.NewPCG(seed, 1)),
-		named:  map[string]time.Time{},
-		absent: map[string]time.Time{},
-		calls:  map[uint64]func(*node, Effect){},
+		now:     epoch,
+		late:    70,
+		current: plan,
+		rng:     rand.New(rand.NewPCG(seed, 1)),
+		named:   map[string]time.Time{},
+		absent:  map[string]time.Time{},
+		calls:   map[uint64]func(*node, Effect){},
 	}
 	for i := range n {
 		w.start(i, 1)
@@ -122,7 +130,7 @@
 
 func (w *world) start(i int, incarnation uint64) {
 	name := string(rune('a' + i))
-	n := &node{w: w, alive: true, platform: true, flying: map[Key]time.Time{}}
+	n := &node{w: w, alive: true, platform: true, flying: map[Key]flight{}}
 	n.offset = time.Duration(w.rng.IntN(1000)) * time.Hour
 	m := Member{Name: name, Incarnation: incarnation, Peer: name, Domain: "d"}
 	n.st = New(m, n.clock())
@@ -136,7 +144,7 @@
 		w.named[name] = w.now.Add(listLag)
 	}
 	delete(w.absent, name)
-	n.step(PlanChanged{Now: n.clock(), Plan: plan})
+	n.step(PlanChanged{Now: n.clock(), Plan: w.current})
 	n.step(SeedsSeen{Now: n.clock(), Peers: []string{"a", "b", "c", "d", "e"}})
 	w.after(time.Duration(w.rng.IntN(100))*time.Millisecond, n.tick)
 }
@@ -189,22 +197,33 @@
 // traffic starts requests that run up to the limit on parts that are usable.
 func (n *node) traffic() {
 	for _, p := range n.uses.Parts {
-		if n.clock().Before(n.uses.Deadline) && n.w.percent(30) {
-			l := n.st.demand(p.Upstream).Limit
-			if n.w.percent(50) {
-				l = time.Duration(n.w.rng.Int64N(int64(l)))
-			}
-			k := Key{p.Upstream, p.Index}
-			n.flying[k] = later(n.flying[k], n.w.now.Add(l))
-			n.changed = true
+		if n.clock().Before(n.uses.Deadline) {
+			n.fly(Key{p.Upstream, p.Index}, p.Slots)
 		}
 	}
+	for _, r := range n.uses.Reserve {
+		n.fly(Key{r.Upstream, -1}, r.Slots)
+	}
+}
+
+// fly fills the slots now and then, unless more of them are still filled.
+func (n *node) fly(k Key, slots int) {
+	f := n.flying[k]
+	if !n.w.percent(30) || n.w.now.Before(f.end) && f.slots > slots {
+		return
+	}
+	l := n.st.demand(k.Upstream).Limit
+	if n.w.percent(50) {
+		l = time.Duration(n.w.rng.Int64N(int64(l)))
+	}
+	n.flying[k] = flight{later(f.end, n.w.now.Add(l)), slots}
+	n.changed = true
 }
 
 func (n *node) inFlight() InFlightChanged {
 	e := InFlightChanged{Now: n.clock(), Version: n.uses.Version}
-	for k, end := range n.flying {
-		if n.w.now.Before(end) {
+	for k, f := range n.flying {
+		if n.w.now.Before(f.end) && k.Index >= 0 {
 			e.Busy = append(e.Busy, Part{Upstream: k.Upstream, Index: k.Index})
 		}
 	}
@@ -274,9 +293,9 @@
 			add(Key{p.Upstream, p.Index}, p.Slots)
 		}
 	}
-	for k, end := range n.flying {
-		if n.w.now.Before(end) {
-			add(k, 1)
+	for k, f := range n.flying {
+		if n.w.now.Before(f.end) {
+			add(k, f.slots)
 		}
 	}
 	for _, r := range n.uses.Reserve {
@@ -342,13 +361,17 @@
 		all += d.Slots
 	}
 	for _, n := range w.nodes {
-		n.usable(func(k Key, c int) {
-			if k.Index < 0 || slices.ContainsFunc(n.uses.Parts, func(p Part) bool {
-				return p.Upstream == k.Upstream && p.Index == k.Index && p.Slots == c && n.clock().Before(n.uses.Deadline)
-			}) {
-				used += c
+		if !n.alive {
+			continue
+		}
+		for _, p := range n.uses.Parts {
+			if n.clock().Before(n.uses.Deadline) {
+				used += p.Slots
 			}
-		})
+		}
+		for _, r := range n.uses.Reserve {
+			used += r.Slots
+		}
 	}
 	return float64(used) / float64(all)
 }
