--- a/core/granter/example_test.go
+++ b/core/granter/example_test.go
@@ -7,17 +7,20 @@
 	"hornbeamstream.example/core/granter"
 )
 
-// The platform has no lease of the failure domain yet, so the first instance
-// writes one that names itself.
+// An instance that is alone in its domain takes the lease and grants itself all
+// slots.
 func ExampleState_Step() {
-	now := time.Unix(1_800_000_000, 0)
-	s := granter.New(granter.Member{Name: "sofia-a-1", Domain: "sofia-a", Incarnation: 1}, now)
-	s.Step(granter.Tick{Now: now})
+	now := time.Unix(0, 0)
+	s := granter.New(granter.Member{Name: "a", Incarnation: 1, Domain: "d"}, now)
+	s.Step(granter.PlanChanged{Now: now, Plan: granter.Plan{
+		Demands: []granter.Demand{{Upstream: "u", Service: "lookup", Slots: 6, Limit: time.Second}},
+	}})
 	s.Step(granter.LeaseSeen{Asked: now, Now: now})
-	for _, e := range s.Step(granter.Tick{Now: now.Add(100 * time.Millisecond)}) {
+	for _, e := range s.Step(granter.Tick{Now: now}) {
 		if w, ok := e.(granter.WriteLease); ok {
-			fmt.Println(w.Version, w.Lease.Leader, w.Lease.Epoch, w.Lease.Electors)
+			s.Step(granter.WriteEnded{Asked: now, Now: now, Nonce: w.Lease.Nonce, Version: 1})
 		}
 	}
-	// Output: 0 sofia-a-1 1 [sofia-a-1]
+	fmt.Println(s.Leading, s.Holdings.Parts)
+	// Output: true [{u 0 6}]
 }
