director: CPU time per request in cost, ratios by round, runs by state

Rates on a shared machine differed by a factor of two between rounds, so cost now compares within each round and also measures CPU time per request.

--- a/hornbench/director/cost.go
+++ b/hornbench/director/cost.go
@@ -42,18 +42,29 @@
 type side struct {
 	name    string
 	address string
-	speeds  []generator.Speed
+	// pid is 0 for an instance that was not started here.
+	pid    int
+	speeds []speed
+}
+
+// speed is one measurement. CPU is the process's CPU time for one request, which
+// depends less than the rate on what else the machine does; 0 if unknown.
+type speed struct {
+	generator.Speed
+	cpu time.Duration
 }
 
 // Run measures and prints the speeds and their ratio.
 func (c Cost) Run(ctx context.Context, d *Deployment, out io.Writer) error {
+	pid := 0
 	if c.Front == "" {
-		stop, err := c.startAll(ctx, d)
-		defer stop()
+		demo, err := c.startAll(ctx, d)
+		defer demo.stop()
 		if err != nil {
 			return err
 		}
 		c.Front = d.Settings[0].Front
+		pid = demo.fleet.list[0].cmd.Process.Pid
 	}
 	if len(c.Upstreams) == 0 {
 		c.Upstreams = d.neighbours(c.Front, c.Service)
@@ -70,18 +81,21 @@
 	if err := dialable(ctx, listen); err != nil {
 		return err
 	}
-	sides := []*side{{name: "bare forwarder", address: listen}, {name: "instance", address: c.Front}}
+	sides := []*side{
+		{name: "bare forwarder", address: listen, pid: forwarder.Process.Pid},
+		{name: "instance", address: c.Front, pid: pid},
+	}
 	c.measure(ctx, sides)
 	return compare(out, sides)
 }
 
-// startAll starts stand-ins and instances and returns how to stop them.
-func (c Cost) startAll(ctx context.Context, d *Deployment) (stop func(), err error) {
+// startAll starts stand-ins and instances, which the caller stops.
+func (c Cost) startAll(ctx context.Context, d *Deployment) (*Demo, error) {
 	demo := NewDemo(d, Options{Binary: c.Binary, Logs: c.Logs, Procs: c.Procs}, io.Discard)
 	if err := demo.start(ctx); err != nil {
-		return demo.stop, errors.Join(err, demo.tails())
+		return demo, errors.Join(err, demo.tails())
 	}
-	return demo.stop, nil
+	return demo, nil
 }
 
 // neighbours returns the addresses of a service's upstreams in the failure
@@ -133,51 +147,66 @@
 func (c Cost) measure(ctx context.Context, sides []*side) {
 	for round := 0; round <= c.Rounds && ctx.Err() == nil; round++ {
 		for _, s := range sides {
-			speed := generator.Closed{
-				Address: s.address, Service: c.Service, Conns: c.Conns, Limit: 2 * time.Second,
-				Prefix: "cost" + strconv.FormatInt(time.Now().UnixMicro(), 36) + "-",
-			}.Run(ctx, c.Time)
+			v := c.once(ctx, s)
 			if round > 0 {
-				s.speeds = append(s.speeds, speed)
+				s.speeds = append(s.speeds, v)
 			}
 		}
 	}
 }
 
+// once measures one side for the given time.
+func (c Cost) once(ctx context.Context, s *side) speed {
+	before, err := cpuTime(s.pid)
+	v := speed{Speed: generator.Closed{
+		Address: s.address, Service: c.Service, Conns: c.Conns, Limit: 2 * time.Second,
+		Prefix: "cost" + strconv.FormatInt(time.Now().UnixMicro(), 36) + "-",
+	}.Run(ctx, c.Time)}
+	after, err2 := cpuTime(s.pid)
+	if n := v.Rate * c.Time.Seconds(); err == nil && err2 == nil && n >= 1 {
+		v.cpu = time.Duration(float64(after-before) / n)
+	}
+	return v
+}
+
 func compare(out io.Writer, sides []*side) error {
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "\trequests/s\tp50 us\tp99 us\tbad\t")
+	fmt.Fprintln(t, "\trequests/s\tp50 us\tp99 us\tCPU us\tbad\t")
 	for _, s := range sides {
 		for _, v := range s.speeds {
-			fmt.Fprintf(t, "%s\t%.0f\t%d\t%d\t%d\t\n", s.name, v.Rate, v.P50.Microseconds(), v.P99.Microseconds(), v.Bad)
+			fmt.Fprintf(t, "%s\t%.0f\t%d\t%d\t%.1f\t%d\t\n", s.name, v.Rate, v.P50.Microseconds(), v.P99.Microseconds(), float64(v.cpu)/float64(time.Microsecond), v.Bad)
 		}
 	}
 	if err := t.Flush(); err != nil {
 		return err
 	}
 	for _, s := range sides {
-		if i := slices.IndexFunc(s.speeds, func(v generator.Speed) bool { return v.Bad > 0 }); i >= 0 {
+		if i := slices.IndexFunc(s.speeds, func(v speed) bool { return v.Bad > 0 }); i >= 0 {
 			fmt.Fprintf(out, "! %s: %s\n", s.name, s.speeds[i].Cause)
 		}
 	}
-	bare, instance := sides[0], sides[1]
-	ratio := func(of func(generator.Speed) float64) float64 {
-		return median(instance.speeds, of) / median(bare.speeds, of)
+	ratio := func(of func(speed) float64) float64 {
+		return ratio(sides[1].speeds, sides[0].speeds, of)
 	}
-	_, err := fmt.Fprintf(out, "instance / bare forwarder, medians: requests/s %.2f, p50 %.2f, p99 %.2f\n",
-		ratio(func(v generator.Speed) float64 { return v.Rate }),
-		ratio(func(v generator.Speed) float64 { return float64(v.P50) }),
-		ratio(func(v generator.Speed) float64 { return float64(v.P99) }))
+	_, err := fmt.Fprintf(out, "instance / bare forwarder, medians of the rounds: requests/s %.2f, p50 %.2f, p99 %.2f, CPU %.2f\n",
+		ratio(func(v speed) float64 { return v.Rate }),
+		ratio(func(v speed) float64 { return float64(v.P50) }),
+		ratio(func(v speed) float64 { return float64(v.P99) }),
+		ratio(func(v speed) float64 { return float64(v.cpu) }))
 	return err
 }
 
-func median(list []generator.Speed, of func(generator.Speed) float64) float64 {
-	if len(list) == 0 {
-		return 0
+// ratio returns the median of the ratios of rounds. What else the machine does
+// changes between rounds more than within one.
+func ratio(a, b []speed, of func(speed) float64) float64 {
+	var values []float64
+	for i := range min(len(a), len(b)) {
+		if of(b[i]) > 0 {
+			values = append(values, of(a[i])/of(b[i]))
+		}
 	}
-	values := make([]float64, len(list))
-	for i, v := range list {
-		values[i] = of(v)
+	if len(values) == 0 {
+		return 0
 	}
 	slices.Sort(values)
 	return values[len(values)/2]
--- a/hornbench/director/result.go
+++ b/hornbench/director/result.go
@@ -55,6 +55,7 @@
 	runs     []emulator.Run
 	accounts []emulator.Account
 	calls    map[string]int
+	lookups  string
 	findings []string
 	steps    []string
 }
@@ -76,6 +77,8 @@
 		from: from, to: to, runs: runs, requests: requests, accounts: accounts, calls: d.world.Platform.Calls(),
 		findings: f.lines, steps: d.failed,
 	}
+	asked, failed := d.load.Lookups()
+	r.lookups = fmt.Sprintf("%d, not answered %d, used after their expiry %d", asked, failed, expired(requests))
 	n := generator.Outcomes(requests)
 	r.OK, r.NotRun, r.Unknown = n[generator.OK], n[generator.NotRun], n[generator.Unknown]
 	h := generator.Latency(requests, func(generator.Request) bool { return true })
@@ -92,6 +95,15 @@
 	return r
 }
 
+func expired(list []generator.Request) (n int) {
+	for _, q := range list {
+		if q.Expired {
+			n++
+		}
+	}
+	return n
+}
+
 // drained computes the time that the drained upstream took to empty.
 func (r *Result) drained(d *drained, runs []emulator.Run) {
 	if d == nil {
@@ -145,7 +157,9 @@
 		{"drained upstream empty after", fmt.Sprintf("%d ms", r.Drain)},
 		{"longest time until a ticket was in force", fmt.Sprintf("%d ms", r.Force)},
 		{"mean share of free slots", r.Headroom},
+		{"look-ups", r.lookups},
 		{"platform calls", fmt.Sprint(r.calls)},
+		{"runs at upstreams", fmt.Sprint(states(r.runs))},
 		{"upstreams: most in flight", most(r.accounts)},
 	} {
 		fmt.Fprintf(t, "%v\t%v\n", line[0], line[1])
@@ -164,6 +178,16 @@
 	return err
 }
 
+// states counts runs by the way in which they ended. Runs that no caller got an
+// answer from are lost capacity.
+func states(runs []emulator.Run) map[string]int {
+	n := map[string]int{}
+	for _, r := range runs {
+		n[r.State]++
+	}
+	return n
+}
+
 // most tells the largest share of slots in use at any upstream, and connections.
 func most(accounts []emulator.Account) string {
 	var share float64
--- a/hornbench/emulator/ledger.go
+++ b/hornbench/emulator/ledger.go
@@ -34,7 +34,11 @@
 	State    string    `json:"state"`
 }
 
-// Ledger holds all runs of many upstreams. Its zero value is empty.
+// maxRuns bounds the ledger of stand-ins that run for hours; when it is reached,
+// the older half is dropped.
+const maxRuns = 1 << 20
+
+// Ledger holds the runs of many upstreams. Its zero value is empty.
 type Ledger struct {
 	mu   sync.Mutex
 	runs []Run
@@ -43,6 +47,9 @@
 func (l *Ledger) add(r Run) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(l.runs) == maxRuns {
+		l.runs = append(l.runs[:0], l.runs[maxRuns/2:]...)
+	}
 	l.runs = append(l.runs, r)
 }
 
--- a/hornbench/generator/load.go
+++ b/hornbench/generator/load.go
@@ -83,6 +83,20 @@
 	return nil
 }
 
+// Lookups returns how many look-ups the callers made and how many of them were
+// not answered.
+func (l *Load) Lookups() (asked, failed int) {
+	for _, list := range l.callers {
+		for _, c := range list {
+			c.lookup.mu.Lock()
+			asked += c.lookup.asked
+			failed += c.lookup.failed
+			c.lookup.mu.Unlock()
+		}
+	}
+	return asked, failed
+}
+
 func (l *Load) sources(region string) []string {
 	if list := l.Sources[region]; len(list) > 0 {
 		return list
