emulator: test that a closed connection frees its slot at once

The earlier test passed without the check of open connections, because the cancelled handler ends within microseconds. The new one has no handler and fails without the check. An interrupted demo no longer prints the instances' logs.

--- a/hornbench/director/demo.go
+++ b/hornbench/director/demo.go
@@ -85,15 +85,13 @@
 	defer cancel()
 	d.began = time.Now()
 	if err := d.start(ctx); err != nil {
-		d.stop()
-		return errors.Join(err, d.tails())
+		return d.fail(ctx, err)
 	}
 	from := time.Now()
 	requests, err := d.drive(ctx)
 	to := time.Now()
 	if err != nil {
-		d.stop()
-		return errors.Join(err, d.tails())
+		return d.fail(ctx, err)
 	}
 	d.settle(ctx)
 	d.stop()
@@ -221,6 +219,17 @@
 	http.DefaultClient.CloseIdleConnections()
 }
 
+// fail stops everything and adds the logs to the error, unless the demo was
+// interrupted.
+func (d *Demo) fail(ctx context.Context, err error) error {
+	interrupted := ctx.Err() != nil
+	d.stop()
+	if interrupted {
+		return err
+	}
+	return errors.Join(err, d.tails())
+}
+
 // tailBytes is how much of each log is shown after a failed start.
 const tailBytes = 600
 
--- a/hornbench/emulator/upstream_test.go
+++ b/hornbench/emulator/upstream_test.go
@@ -176,6 +176,33 @@
 	is.Equal(u.Count().Over, 1)
 }
 
+// Guards against overload that is counted although the caller has closed the
+// connection of the other request: the handler of that one may end later.
+func TestUpstreamSweep(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	here, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	there, err := l.Accept()
+	is.NoErr(err)
+	defer there.Close()
+	u := NewUpstream(Place{Name: "u"}, Behavior{Slots: 1}, &Ledger{})
+	r, err := http.NewRequest("GET", "/", nil)
+	is.NoErr(err)
+	_, _, reason := u.begin(r, &conn{Conn: there, owner: u}, "a")
+	is.Equal(reason, "")
+	_, _, reason = u.begin(r, nil, "b")
+	is.Equal(reason, RefusedFull)
+	is.NoErr(here.Close())
+	until(t, "the close arrives", func() bool { open, _ := Open(there); return !open })
+	_, _, reason = u.begin(r, nil, "c")
+	is.Equal(reason, "")
+	is.Equal(u.Count().Over, 1)
+	is.Equal(u.ledger.Runs()[0].State, Cancelled)
+}
+
 // Guards against silent connections that answer again, and against an upstream
 // on which new connections are silent too.
 func TestUpstreamSilence(t *testing.T) {
