forwarder: samples tested, deadlines of callers not counted against upstreams

Cause: short deadlines of callers made a healthy upstream look failing; tests relied on the order in which a table places requests.

--- a/hornbeamd/forwarder/fault_test.go
+++ b/hornbeamd/forwarder/fault_test.go
@@ -189,8 +189,7 @@
 		return reply(c, a.id, a.id)
 	})
 	n := newNode(t, "a", service("posting", true, u))
-	at := strconv.FormatInt(time.Now().Add(50*time.Millisecond).UnixMilli(), 10)
-	got := call(n.front, "POST", "/s/posting/", "", "Horn-Id", "slow", "Horn-Deadline", at)
+	got := call(n.front, "POST", "/s/posting/", "", "Horn-Id", "slow", "Horn-Deadline", at(50*time.Millisecond))
 	is.Equal(got.outcome, "unknown")
 	is.Equal(got.status, 504)
 	close(release)
@@ -213,8 +212,7 @@
 		wg.Go(func() {
 			for i := range 40 {
 				id := fmt.Sprintf("%d-%d", w, i)
-				at := strconv.FormatInt(time.Now().Add(time.Duration(3+i%3)*time.Millisecond).UnixMilli(), 10)
-				got := call(n.front, "POST", "/s/posting/", "", "Horn-Id", id, "Horn-Deadline", at)
+				got := call(n.front, "POST", "/s/posting/", "", "Horn-Id", id, "Horn-Deadline", at(time.Duration(3+i%3)*time.Millisecond))
 				if got.outcome == "ran" && got.body != id {
 					t.Errorf("%s got %q", id, got.body)
 				}
--- a/hornbeamd/forwarder/forward_test.go
+++ b/hornbeamd/forwarder/forward_test.go
@@ -1,9 +1,13 @@
 package forwarder_test
 
 import (
+	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"hornbeamstream.example/core/observer"
 )
 
 // Guards the plain path: local upstream, hop to another instance, outcome
@@ -27,5 +31,50 @@
 	got := call(b.data, "POST", "/s/lookup/x", "body", "Horn-Id", "two", "Horn-Hop", "1")
 	is.Equal(got.header.Get("Horn-Free"), "8")
 	is.Equal(len(u.arrivals()), 3)
+	is.Equal(a.count("ran"), int64(1)) // each request is reported by its origin only
+	is.Equal(b.count("ran"), int64(1))
 	is.Equal(u.arrivals()[2].body, int64(4))
 }
+
+// Guards the account of an upstream that its limit is computed from.
+func TestSamples(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer func(c net.Conn, a arrival) bool
+		want   observer.Sample
+	}{
+		{"ok", nil, observer.Sample{OK: 1}},
+		{"shed", func(c net.Conn, a arrival) bool { return refuse(c, a.id) }, observer.Sample{Shed: 1}},
+		{"failed", func(net.Conn, arrival) bool { return false }, observer.Sample{Failed: 1}},
+		{"late for the caller only", func(net.Conn, arrival) bool { time.Sleep(50 * time.Millisecond); return false }, observer.Sample{}},
+		{"leaving", func(c net.Conn, a arrival) bool {
+			_, err := c.Write([]byte("HTTP/1.1 200 OK\r\nHorn-State: leaving\r\nContent-Length: 0\r\nHorn-Id: " + a.id + "\r\n\r\n"))
+			return err == nil
+		}, observer.Sample{OK: 1, Leaving: true}},
+		{"refused", nil, observer.Sample{Refused: 1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			u := newUpstream(t, tt.answer)
+			if tt.name == "refused" {
+				u.close()
+			}
+			n := newNode(t, "a", service("posting", true, u))
+			headers := []string{"Horn-Id", "one"}
+			if tt.name == "late for the caller only" {
+				headers = append(headers, "Horn-Deadline", at(20*time.Millisecond))
+			}
+			call(n.front, "POST", "/s/posting/", "", headers...)
+			var got observer.Sample
+			for _, s := range n.fwd.Samples() {
+				is.Equal(s.Upstream, "posting0")
+				is.Equal(s.Latency > 0, s.OK > 0)
+				s.Latency, s.Upstream = 0, ""
+				got = s
+			}
+			is.Equal(got, tt.want)
+			is.Equal(len(n.fwd.Samples()), 0)
+		})
+	}
+}
--- a/hornbeamd/forwarder/kit_test.go
+++ b/hornbeamd/forwarder/kit_test.go
@@ -150,6 +150,9 @@
 	is.New(t).Equal(n.fwd.Idle(), count)
 }
 
+// at is a time from now as a header value.
+func at(d time.Duration) string { return strconv.FormatInt(time.Now().Add(d).UnixMilli(), 10) }
+
 func reply(c net.Conn, id, body string) bool {
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nHorn-Id: %s\r\nContent-Type: text/x\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 	return err == nil
@@ -166,7 +169,7 @@
 	table       atomic.Pointer[router.Table]
 	fwd         *forwarder.Forwarder
 	front, data string
-	answered    sync.Map
+	answered    sync.Map // by outcome and reason
 	retried     atomic.Int64
 	witnesses   []*node
 	mute        atomic.Bool
@@ -181,6 +184,11 @@
 	v.(*atomic.Int64).Add(1)
 }
 
+func (n *node) count(key string) int64 {
+	v, _ := n.answered.LoadOrStore(key, new(atomic.Int64))
+	return v.(*atomic.Int64).Load()
+}
+
 // Ask asks the other nodes directly, as the control calls would.
 func (n *node) Ask(_ context.Context, service, id string, sent int64) []forwarder.Account {
 	var list []forwarder.Account
@@ -233,7 +241,7 @@
 	s := &router.Service{Name: name, Once: once, Limit: int64(2 * time.Second), Body: 64 << 20, Retries: new(limiter.Budget)}
 	for i, u := range ups {
 		gate := new(limiter.Gate)
-		gate.Set(8, far)
+		gate.Set(max(8-7*i, 1), far) // the first one is preferred by free slots
 		s.Targets = append(s.Targets, router.Target{
 			Upstream: name + strconv.Itoa(i), Address: u.ln.Addr().String(), Conns: 16, Gate: gate, Path: new(limiter.Path),
 		})
--- a/hornbeamd/forwarder/repeat_test.go
+++ b/hornbeamd/forwarder/repeat_test.go
@@ -34,7 +34,7 @@
 
 // now is the present as a header value. Waiting for the skew makes records old
 // enough to vouch for requests that are sent from now on.
-func now() string { return strconv.FormatInt(time.Now().Add(600*time.Millisecond).UnixMilli(), 10) }
+func now() string { return at(600 * time.Millisecond) }
 
 // Guards against a second run when a request is sent again, through the same
 // instance or another one.
--- a/hornbeamd/forwarder/try.go
+++ b/hornbeamd/forwarder/try.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		res := f.failed(c, x, err)
 		if err != errHedged {
-			f.count(p, err, res)
+			f.count(x, err, res)
 		}
 		f.freeLater(service, t, x.sent && !ended(err))
 		x.release()
@@ -234,10 +234,12 @@
 	return res
 }
 
-// count adds a failed try to the upstream's sample. Limits of this instance say
-// nothing about the upstream.
-func (f *Forwarder) count(p *pool, err error, res result) {
+// count adds a failed try to the upstream's sample. Limits of this instance and
+// deadlines that pass within the usual time say nothing about the upstream.
+func (f *Forwarder) count(x *exchange, err error, res result) {
+	p := x.pool
 	switch {
+	case err == errLate && f.now()-x.start < int64(p.suspicion()):
 	case errors.Is(err, errConns), errors.Is(err, errExpired), res.reason == Cut, res.reason == Gone:
 	case refusedDial(err):
 		p.stats.refused.Add(1)
