server: a late repeat of a once-request is unknown, not notrun

Cause: a repeat whose deadline had passed was refused as notrun although its first send had run; a ledger of upstreams under random faults showed it. Change: such a repeat is unknown.

--- a/hornbeamd/server/handle.go
+++ b/hornbeamd/server/handle.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"hornbeamstream.example/core/router"
 	"hornbeamstream.example/hornbeamd/forwarder"
 )
 
@@ -116,7 +117,12 @@
 		return
 	}
 	if s.cfg.Now() >= r.Deadline {
-		forwarder.Refuse(ctx, forwarder.NotRun, "toolate", s.cfg.Now())
+		outcome := forwarder.NotRun
+		if r.Service.Once && r.Attempt > 1 && !r.Hop {
+			// An earlier send may have run.
+			outcome = forwarder.Unknown
+		}
+		forwarder.Refuse(ctx, outcome, router.TooLate, s.cfg.Now())
 		ctx.Response.Header.SetBytesV(forwarder.HeaderID, r.ID)
 		return
 	}
