--- a/hornbeamd/forwarder/kit_test.go
+++ b/hornbeamd/forwarder/kit_test.go
@@ -175,10 +175,12 @@
 	mute        atomic.Bool
 }
 
-func (n *node) Table() *router.Table                        { return n.table.Load() }
-func (n *node) Region(netip.Addr) string                    { return "north" }
-func (n *node) Append(list []string, _ netip.Addr) []string { return append(list, n.front) }
-func (n *node) Retried(string)                              { n.retried.Add(1) }
+func (n *node) Table() *router.Table     { return n.table.Load() }
+func (n *node) Region(netip.Addr) string { return "north" }
+func (n *node) Append(dst []byte, _ netip.Addr, until int64) []byte {
+	return fmt.Appendf(dst, `{"entries":[%q],"until":%d}`, n.front, until)
+}
+func (n *node) Retried(string) { n.retried.Add(1) }
 func (n *node) Answered(_ string, o forwarder.Outcome, r router.Reason, _ time.Duration) {
 	v, _ := n.answered.LoadOrStore(o.String()+string(r), new(atomic.Int64))
 	v.(*atomic.Int64).Add(1)
