--- a/core/follower/types.go
+++ b/core/follower/types.go
@@ -22,9 +22,12 @@
 	WatchWait = 10 * time.Second
 	// CallTimeout is the deadline of platform and peer calls beyond the wait.
 	CallTimeout = 2 * time.Second
-	// MinBackoff and MaxBackoff bound the time between failed platform calls.
+	// MinBackoff and MaxBackoff bound the time between failed platform calls. A
+	// ticket accepted when the platform returns is in force within 2 s only if
+	// relays try at least once a second; 22 relays then make 44 calls a second
+	// at most, of 2,000 that the platform takes.
 	MinBackoff = 200 * time.Millisecond
-	MaxBackoff = 5 * time.Second
+	MaxBackoff = time.Second
 	// MinInterval is the shortest time between two calls of one kind. It bounds
 	// an instance's platform calls to 5 a second when watches end at once.
 	MinInterval = 200 * time.Millisecond
--- a/core/reducer/control.go
+++ b/core/reducer/control.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"hornbeamstream.example/core/follower"
 	"hornbeamstream.example/core/granter"
@@ -72,7 +73,32 @@
 		s.record(recorder.Event{Kind: recorder.Configured, Version: a.State.Version, Cause: "snapshot"})
 	}
 	s.grant(s.Granter.Step(granter.PlanChanged{Now: s.now, Plan: Plan(a.State, s.Self.Domain)}))
-	s.observe(observer.SpecsChanged{Now: s.now, Specs: specs(a.State, s.Self.Domain, s.now)})
+	s.respec()
+}
+
+// respec tells the observer which upstreams are drained now.
+func (s *State) respec() {
+	config := s.Follower.Config
+	s.DrainEnd = nextDrainEnd(config, s.now)
+	s.changed = true
+	s.observe(observer.SpecsChanged{Now: s.now, Specs: specs(config, s.Self.Domain, s.now)})
+}
+
+// endDrains puts upstreams back into use whose drain ends by itself.
+func (s *State) endDrains() {
+	if !s.DrainEnd.IsZero() && !s.now.Before(s.DrainEnd) {
+		s.respec()
+	}
+}
+
+// nextDrainEnd returns the earliest end of a drain after now, or zero.
+func nextDrainEnd(config loader.State, now time.Time) (end time.Time) {
+	for _, d := range config.Drains {
+		if d.Until.After(now) && (end.IsZero() || d.Until.Before(end)) {
+			end = d.Until
+		}
+	}
+	return end
 }
 
 func (s *State) configured(t loader.Ticket, rejected error) {
@@ -80,7 +106,7 @@
 		s.record(recorder.Event{Kind: recorder.Rejected, Version: t.Number, Cause: rejected.Error()})
 		return
 	}
-	s.record(recorder.Event{Kind: recorder.Configured, Version: t.Number, Cause: t.Reason})
+	s.record(recorder.Event{Kind: recorder.Configured, Version: t.Number, Cause: t.Reason, Peer: t.Author, Since: t.Time})
 }
 
 // observe passes an event to the observer and its verdicts to traffic.
@@ -100,11 +126,12 @@
 	before := s.Verdicts[v.Upstream]
 	s.Verdicts[v.Upstream] = v
 	s.changed = true
-	if v.Leaving == before.Leaving {
+	if !s.holds(v.Upstream) {
+		// Another member of the domain holds its slots and tells of the change.
 		return
 	}
-	if !s.holds(v.Upstream) {
-		// Another member of the domain holds its slots and tells of the drain.
+	if v.Leaving == before.Leaving {
+		s.limited(before, v)
 		return
 	}
 	version := drainVersion(s.Follower.Config, v.Upstream)
@@ -117,6 +144,20 @@
 	s.record(recorder.Event{Kind: recorder.Drained, Version: version, Upstream: v.Upstream, Cause: v.Cause})
 }
 
+// limited records when an upstream falls to less than half of its slots and when
+// it is back above. Smaller changes are left to the metrics.
+func (s *State) limited(before, v observer.Verdict) {
+	half := s.Follower.Config.Upstreams[v.Upstream].Slots / 2
+	if before.Upstream == "" || v.Leaving || (before.Limit < half) == (v.Limit < half) {
+		return
+	}
+	s.record(recorder.Event{
+		Kind:     recorder.Limited,
+		Upstream: v.Upstream,
+		Cause:    fmt.Sprintf("limit %d, %d before: %s", v.Limit, before.Limit, v.Cause),
+	})
+}
+
 // holds tells whether this instance may use slots of the upstream.
 func (s *State) holds(upstream string) bool {
 	for _, p := range s.Holdings.Parts {
--- /dev/null
+++ b/core/reducer/domains.go
@@ -0,0 +1,52 @@
+package reducer
+
+import (
+	"slices"
+	"time"
+
+	"hornbeamstream.example/core/recorder"
+)
+
+// lostAfter is the time without news from a failure domain after which its
+// instances are left out of look-ups. Leaders ask each of 10 other domains once
+// in 2.5 s, so that three messages may be lost.
+const lostAfter = 10 * time.Second
+
+// hear notes that an instance of a failure domain has spoken, and what it knows
+// of the others. Ages are relative, so clocks need not agree.
+func (s *State) hear(domain string, heard []ViewVersion) {
+	s.Heard[domain] = s.now
+	for _, v := range heard {
+		at := s.now.Add(-v.Age)
+		if at.After(s.Heard[v.Domain]) {
+			s.Heard[v.Domain] = at
+		}
+	}
+}
+
+// watchDomains updates the lost failure domains. The own one is never lost.
+func (s *State) watchDomains() {
+	s.Heard[s.Self.Domain] = s.now
+	var lost []string
+	for _, d := range sortedKeys(s.Views) {
+		if s.now.Sub(s.Heard[d]) > lostAfter {
+			lost = append(lost, d)
+		}
+	}
+	if slices.Equal(lost, s.Lost) {
+		return
+	}
+	s.recordDomains(recorder.Lost, lost, s.Lost, "failure domain not heard from")
+	s.recordDomains(recorder.Found, s.Lost, lost, "failure domain heard from again")
+	s.Lost = lost
+	s.changed = true
+}
+
+// recordDomains records the domains of one list that the other lacks.
+func (s *State) recordDomains(kind recorder.Kind, domains, others []string, cause string) {
+	for _, d := range domains {
+		if !slices.Contains(others, d) {
+			s.record(recorder.Event{Kind: kind, Peer: d, Cause: cause})
+		}
+	}
+}
--- a/core/reducer/gossip.go
+++ b/core/reducer/gossip.go
@@ -106,7 +106,12 @@
 func (s *State) versions() []ViewVersion {
 	versions := make([]ViewVersion, 0, len(s.Views))
 	for _, v := range sortedValues(s.Views) {
-		versions = append(versions, ViewVersion{Domain: v.Domain, Epoch: v.Epoch, Sequence: v.Sequence})
+		versions = append(versions, ViewVersion{
+			Domain:   v.Domain,
+			Epoch:    v.Epoch,
+			Sequence: v.Sequence,
+			Age:      s.now.Sub(s.Heard[v.Domain]),
+		})
 	}
 	return versions
 }
@@ -124,6 +129,7 @@
 	s.now = e.Now
 	q := e.Request
 	s.Clock.Observe(q.Clock)
+	s.hear(q.From.Domain, q.Views)
 	own := q.From.Domain == s.Self.Domain
 	var heartbeat granter.AnswerHeartbeat
 	if own {
@@ -141,6 +147,7 @@
 		Quotas:   heartbeat.Quotas,
 		Config:   s.Follower.Config.Version,
 		Views:    s.newer(q.Views),
+		Heard:    s.versions(),
 		Clock:    s.Clock.Now(s.now),
 	}
 	if own {
@@ -222,6 +229,7 @@
 	s.now = e.Now
 	r := e.Response
 	s.Clock.Observe(r.Clock)
+	s.hear(r.From.Domain, r.Heard)
 	if s.Gossip.Lost[e.To] {
 		delete(s.Gossip.Lost, e.To)
 		s.record(recorder.Event{Kind: recorder.Found, Peer: r.From.Name, Cause: "answers again"})
--- a/core/reducer/reducer.go
+++ b/core/reducer/reducer.go
@@ -24,8 +24,12 @@
 	Follower *follower.State
 	Observer *observer.State
 
-	// Views holds the newest view of every failure domain.
-	Views    map[string]granter.View
+	// Views holds the newest view of every failure domain, Heard the time at
+	// which any instance that news came from last heard from it.
+	Views map[string]granter.View
+	Heard map[string]time.Time
+	// Lost are the failure domains that have not been heard from for some time.
+	Lost     []string
 	Holdings granter.Holdings
 	Verdicts map[string]observer.Verdict
 	// Signals are the newest signals about upstreams of the own failure
@@ -35,6 +39,9 @@
 	Draining map[string]Drain
 	Clock    recorder.Clock
 	Gossip   Gossip
+	// DrainEnd is the time at which the next drain ends by itself; zero if
+	// none does.
+	DrainEnd time.Time
 
 	now     time.Time
 	changed bool
@@ -65,6 +72,7 @@
 		Follower: follower.New(now, seed),
 		Observer: observer.New(now),
 		Views:    map[string]granter.View{},
+		Heard:    map[string]time.Time{},
 		Verdicts: map[string]observer.Verdict{},
 		Signals:  map[SignalKey]observer.Signaled{},
 		Draining: map[string]Drain{},
@@ -88,10 +96,13 @@
 	case SendFailed:
 		s.sendFailed(e)
 	case Granting:
+		s.now = e.Now
 		s.grant(s.Granter.Step(e.Event))
 	case Following:
+		s.now = e.Now
 		s.follow(s.Follower.Step(e.Event))
 	case Observing:
+		s.now = e.Now
 		s.observe(e.Event)
 	case ListSeen:
 		s.listSeen(e)
@@ -123,6 +134,7 @@
 		Holdings: s.Holdings,
 		Views:    sortedValues(s.Views),
 		Verdicts: sortedValues(s.Verdicts),
+		Lost:     s.Lost,
 	})
 }
 
@@ -153,6 +165,8 @@
 	}
 	s.observe(observer.Tick{Now: e.Now})
 	s.emptied(e.Busy)
+	s.endDrains()
+	s.watchDomains()
 	s.gossip()
 }
 
--- a/core/reducer/reducer_test.go
+++ b/core/reducer/reducer_test.go
@@ -187,6 +187,42 @@
 	is.Equal(w.fault, "")
 }
 
+// Guards against look-ups that go on naming the instances of a failure domain
+// that nobody hears from, and against losing one of which others still hear.
+func TestLostDomainLeavesLookups(t *testing.T) {
+	is := is.New(t)
+	w := running(7)
+	for _, loss := range []float64{0, 0.2} {
+		w.loss = loss
+		w.runFor(time.Minute)
+		for _, n := range w.nodes {
+			is.Equal(len(n.table.Lost), 0) // members hear through their leader, and losses alone lose no domain
+		}
+	}
+	cut(w, "a")
+	w.runFor(15 * time.Second)
+	is.Equal(w.nodes[0].table.Lost, []string{"b", "c"})
+	is.Equal(w.nodes[4].table.Lost, []string{"a"})
+	heal(w)
+	w.runFor(5 * time.Second)
+	for _, n := range w.nodes {
+		is.Equal(len(n.table.Lost), 0)
+	}
+}
+
+// Guards against a drain that goes on after the time at which it ends by itself.
+func TestDrainEndsByItself(t *testing.T) {
+	is := is.New(t)
+	w := running(9)
+	until := w.now.Add(10 * time.Second)
+	w.submit(map[string]string{"drain/upstream/lookup-a": fmt.Sprintf(`{"until":%q}`, until.Format(time.RFC3339))})
+	leaving := func() bool { return w.nodes[0].state.Verdicts["lookup-a"].Leaving }
+	w.runFor(5 * time.Second)
+	is.True(leaving())
+	w.runFor(6 * time.Second)
+	is.True(!leaving())
+}
+
 // Guards against a drain that cannot be followed in the timeline from the
 // ticket to the empty upstream over three processes whose clocks differ.
 func TestTimelineFollowsDrain(t *testing.T) {
--- a/core/reducer/types.go
+++ b/core/reducer/types.go
@@ -19,6 +19,9 @@
 	Domain   string
 	Epoch    uint64
 	Sequence uint64
+	// Age is the time since the failure domain was last heard from, directly or
+	// through others.
+	Age time.Duration
 }
 
 // Request is the question of one instance to another: a heartbeat within the
@@ -47,8 +50,10 @@
 	Quotas   []granter.Quota
 	Config   uint64
 	Views    []granter.View
-	Signals  []observer.Signaled
-	Clock    uint64
+	// Heard tells when the sender last heard from each failure domain.
+	Heard   []ViewVersion
+	Signals []observer.Signaled
+	Clock   uint64
 }
 
 // Event is an input of Step.
@@ -83,13 +88,22 @@
 }
 
 // Granting wraps an event for the granter.
-type Granting struct{ Event granter.Event }
+type Granting struct {
+	Now   time.Time
+	Event granter.Event
+}
 
 // Following wraps an event for the follower.
-type Following struct{ Event follower.Event }
+type Following struct {
+	Now   time.Time
+	Event follower.Event
+}
 
 // Observing wraps an event for the observer.
-type Observing struct{ Event observer.Event }
+type Observing struct {
+	Now   time.Time
+	Event observer.Event
+}
 
 // ListSeen brings the platform's list of instances: the names of all, and of
 // those that it marks as leaving.
@@ -147,6 +161,9 @@
 	Holdings granter.Holdings
 	Views    []granter.View
 	Verdicts []observer.Verdict
+	// Lost names the failure domains that have not been heard from for some
+	// time; look-ups leave their instances out.
+	Lost []string
 }
 
 // Record adds an event to the timeline.
--- a/hornbeamd/executor/convert.go
+++ b/hornbeamd/executor/convert.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"math"
 	"time"
 
 	"hornbeamstream.example/core/granter"
@@ -19,9 +20,7 @@
 		Upstreams: signalsToProto(q.Signals),
 		Clock:     q.Clock,
 	}
-	for _, v := range q.Views {
-		m.Views = append(m.Views, &hornpb.ViewVersion{Domain: v.Domain, Epoch: v.Epoch, Sequence: v.Sequence})
-	}
+	m.Views = versionsToProto(q.Views)
 	return m
 }
 
@@ -35,12 +34,36 @@
 		Signals: signalsFromProto(m.GetUpstreams()),
 		Clock:   m.GetClock(),
 	}
-	for _, v := range m.GetViews() {
-		q.Views = append(q.Views, reducer.ViewVersion{Domain: v.GetDomain(), Epoch: v.GetEpoch(), Sequence: v.GetSequence()})
-	}
+	q.Views = versionsFromProto(m.GetViews())
 	return q
 }
 
+func versionsToProto(versions []reducer.ViewVersion) []*hornpb.ViewVersion {
+	messages := make([]*hornpb.ViewVersion, 0, len(versions))
+	for _, v := range versions {
+		messages = append(messages, &hornpb.ViewVersion{
+			Domain:   v.Domain,
+			Epoch:    v.Epoch,
+			Sequence: v.Sequence,
+			AgeMs:    millis(v.Age),
+		})
+	}
+	return messages
+}
+
+func versionsFromProto(messages []*hornpb.ViewVersion) []reducer.ViewVersion {
+	versions := make([]reducer.ViewVersion, 0, len(messages))
+	for _, m := range messages {
+		versions = append(versions, reducer.ViewVersion{
+			Domain:   m.GetDomain(),
+			Epoch:    m.GetEpoch(),
+			Sequence: m.GetSequence(),
+			Age:      duration(m.GetAgeMs()),
+		})
+	}
+	return versions
+}
+
 func responseToProto(r reducer.Response) *hornpb.ExchangeResponse {
 	m := &hornpb.ExchangeResponse{
 		From: memberToProto(r.From),
@@ -55,6 +78,7 @@
 		Config:    r.Config,
 		Clock:     r.Clock,
 		Upstreams: signalsToProto(r.Signals),
+		Heard:     versionsToProto(r.Heard),
 	}
 	for _, q := range r.Quotas {
 		m.Grant.Quotas = append(m.Grant.Quotas, &hornpb.Quota{Name: q.Name, Rate: q.Rate})
@@ -76,6 +100,7 @@
 		Parts:    partsFromProto(g.GetParts()),
 		Config:   m.GetConfig(),
 		Signals:  signalsFromProto(m.GetUpstreams()),
+		Heard:    versionsFromProto(m.GetHeard()),
 		Clock:    m.GetClock(),
 	}
 	for _, q := range g.GetQuotas() {
@@ -185,6 +210,8 @@
 	return signals
 }
 
-func millis(d time.Duration) uint32 { return uint32(max(0, d.Milliseconds())) }
+func millis(d time.Duration) uint32 {
+	return uint32(min(max(0, d.Milliseconds()), math.MaxUint32))
+}
 
 func duration(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/hornbeamd/executor/peer.go
+++ b/hornbeamd/executor/peer.go
@@ -101,7 +101,7 @@
 		return
 	}
 	x.post(func(now time.Time) reducer.Event {
-		return reducer.Granting{Event: granter.VoteAnswered{
+		return reducer.Granting{Now: now, Event: granter.VoteAnswered{
 			Sent:    sent,
 			Now:     now,
 			From:    m.Msg.GetVoter(),
@@ -125,7 +125,7 @@
 	}
 	x.post(func(now time.Time) reducer.Event {
 		fetched.Now = now
-		return reducer.Following{Event: fetched}
+		return reducer.Following{Now: now, Event: fetched}
 	})
 }
 
@@ -188,7 +188,7 @@
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("vote for another failure domain"))
 	}
 	e, err := h.x.call(ctx, func(now time.Time, call uint64) reducer.Event {
-		return reducer.Granting{Event: granter.VoteReceived{
+		return reducer.Granting{Now: now, Event: granter.VoteReceived{
 			Now:       now,
 			Call:      call,
 			Candidate: q.Msg.GetCandidate(),
--- a/hornbeamd/executor/platform.go
+++ b/hornbeamd/executor/platform.go
@@ -32,7 +32,7 @@
 }
 
 func (x *Executor) following(event func(now time.Time) follower.Event) {
-	x.post(func(now time.Time) reducer.Event { return reducer.Following{Event: event(now)} })
+	x.post(func(now time.Time) reducer.Event { return reducer.Following{Now: now, Event: event(now)} })
 }
 
 func (x *Executor) load(ctx context.Context, e follower.Load) {
@@ -126,7 +126,7 @@
 	x.post(func(now time.Time) reducer.Event {
 		seen.Asked = asked
 		seen.Now = now
-		return reducer.Granting{Event: seen}
+		return reducer.Granting{Now: now, Event: seen}
 	})
 }
 
@@ -150,7 +150,7 @@
 	}
 	x.cfg.Metrics.Called("renew", result != granter.WriteDone)
 	x.post(func(now time.Time) reducer.Event {
-		return reducer.Granting{Event: granter.WriteEnded{
+		return reducer.Granting{Now: now, Event: granter.WriteEnded{
 			Asked:   asked,
 			Now:     now,
 			Nonce:   e.Lease.Nonce,
--- a/hornbeamd/executor/probe.go
+++ b/hornbeamd/executor/probe.go
@@ -40,7 +40,7 @@
 		report.Busy = h.Busy
 	}
 	x.post(func(now time.Time) reducer.Event {
-		return reducer.Observing{Event: observer.Probed{Sent: sent, Now: now, Health: report}}
+		return reducer.Observing{Now: now, Event: observer.Probed{Sent: sent, Now: now, Health: report}}
 	})
 }
 
--- a/hornbeamd/executor/publish.go
+++ b/hornbeamd/executor/publish.go
@@ -39,7 +39,7 @@
 		Verdicts: p.Verdicts,
 		Previous: x.Table(),
 	}))
-	views := x.withSelf(p.Views)
+	views := x.withSelf(heard(p))
 	if changed || !slices.EqualFunc(views, x.published.views, sameView) {
 		x.resolver.Store(resolver.Build(resolver.Input{
 			Config:   config,
@@ -52,6 +52,20 @@
 	x.witness.Store(x.witness.Load().next(p, x.cfg.Self.Name, x.cfg.Clock.Now()))
 }
 
+// heard returns the views of the failure domains that are not lost.
+func heard(p reducer.Publish) []granter.View {
+	if len(p.Lost) == 0 {
+		return p.Views
+	}
+	var views []granter.View
+	for _, v := range p.Views {
+		if !slices.Contains(p.Lost, v.Domain) {
+			views = append(views, v)
+		}
+	}
+	return views
+}
+
 // sameView tells whether two views are the same. The epochs of leaders start at
 // one; a view without an epoch comes from withSelf and can change.
 func sameView(a, b granter.View) bool {
--- a/hornctl/commands/timeline.go
+++ b/hornctl/commands/timeline.go
@@ -42,7 +42,7 @@
 	seen, noted := map[string]uint64{}, ""
 	for first := true; ; first = false {
 		round, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
-		silent, err := p.round(round, c, y, seen)
+		silent, err := p.round(round, c, y, seen, first)
 		cancel()
 		if err != nil && (first || ctx.Err() != nil) {
 			return err
@@ -71,7 +71,7 @@
 
 // round prints the events after those in seen, which has the newest stamp of
 // each instance, and returns the instances that did not answer.
-func (p *program) round(ctx context.Context, c *cli.Command, y *surveyor, seen map[string]uint64) (silent []string, err error) {
+func (p *program) round(ctx context.Context, c *cli.Command, y *surveyor, seen map[string]uint64, first bool) (silent []string, err error) {
 	f, err := y.survey(ctx)
 	if err != nil {
 		return nil, err
@@ -83,7 +83,11 @@
 		}
 	}
 	match := p.filter(c)
-	for _, e := range recorder.Merge(rings...) {
+	merged := recorder.Merge(rings...)
+	if origin := submitted(merged, c.Uint64("ticket")); first && origin.Version != 0 {
+		p.printEvent(c, origin)
+	}
+	for _, e := range merged {
 		if match(e) {
 			p.printEvent(c, e)
 		}
@@ -93,6 +97,24 @@
 	return silent, nil
 }
 
+// submitted returns the submission of a ticket, which its first configured event
+// tells of, because no instance sees the submission itself.
+func submitted(events []recorder.Event, ticket uint64) recorder.Event {
+	for _, e := range events {
+		if ticket != 0 && e.Kind == recorder.Configured && e.Version == ticket && !e.Since.IsZero() {
+			return recorder.Event{
+				Stamp:    e.Stamp - 1,
+				Wall:     e.Since,
+				Instance: e.Peer,
+				Kind:     recorder.Submitted,
+				Version:  ticket,
+				Cause:    e.Cause,
+			}
+		}
+	}
+	return recorder.Event{}
+}
+
 // fetch reads the rings of the instances.
 func fetch(ctx context.Context, instances []reporter.Status, seen map[string]uint64) (rings [][]recorder.Event, missing []string) {
 	rings = make([][]recorder.Event, len(instances))
