forwarder: count callers' requests in the entry gate

The router's entry gate and its region of entry were not used by the forwarder, so that a rush of one service could fill an instance and a hop was charged to the link of the caller's home region. Callers' requests now enter before they are placed and leave at the end of the answer, streams when they are closed. A refused one is notrun with reason busy; a repeat of a once-request is unknown, because an earlier send may have run.

hornbeamd/forwarder and hornbeamd/server pass with -race.

--- a/hornbeamd/forwarder/answer.go
+++ b/hornbeamd/forwarder/answer.go
@@ -70,10 +70,11 @@
 		return
 	}
 	s := &stream{x: x, prefix: x.body, left: int64(x.length), link: res.link, bulk: c.req.Service.Bulk}
-	end, service, arrived, hop := res.end, c.req.Service.Name, c.req.Arrived, c.req.Hop
+	end, service, arrived, hop, table := res.end, c.req.Service.Name, c.req.Arrived, c.req.Hop, c.req.Table
 	s.end = func(whole bool) {
 		end(whole)
 		if !hop {
+			table.Exit()
 			f.metrics.Answered(service, Ran, router.Placed, time.Duration(f.now()-arrived))
 		}
 	}
--- a/hornbeamd/forwarder/call.go
+++ b/hornbeamd/forwarder/call.go
@@ -24,6 +24,7 @@
 	c.q = router.Request{
 		Service:  r.Service,
 		Region:   r.Region,
+		Entry:    r.Entry,
 		Block:    r.Block,
 		Hash:     hash(r),
 		Deadline: r.Deadline,
--- a/hornbeamd/forwarder/forward.go
+++ b/hornbeamd/forwarder/forward.go
@@ -78,6 +78,13 @@
 func (f *Forwarder) Forward(ctx *fasthttp.RequestCtx, r *Request) {
 	c := acquireCall(ctx, r)
 	defer c.release()
+	if !r.Hop {
+		if !r.Table.Enter(&c.q, f.now()) {
+			f.answer(c, result{outcome: r.Unsent(), reason: Busy})
+			return
+		}
+		defer f.exit(c)
+	}
 	if err := c.load(); err != nil {
 		f.refuseBody(c, err)
 		return
@@ -85,6 +92,14 @@
 	f.answer(c, f.place(c))
 }
 
+// exit ends the request's stay at this instance, unless a stream goes on, which
+// ends it later.
+func (f *Forwarder) exit(c *call) {
+	if !c.ctx.Response.IsBodyStream() {
+		c.req.Table.Exit()
+	}
+}
+
 // place runs a request, after it has settled whether it may run.
 func (f *Forwarder) place(c *call) result {
 	r := c.req
--- a/hornbeamd/forwarder/headers.go
+++ b/hornbeamd/forwarder/headers.go
@@ -84,7 +84,8 @@
 	Repeated router.Reason = "repeated"
 	// Fenced means that a repeat of the request has been given precedence.
 	Fenced router.Reason = "fenced"
-	// Busy means that the table of request ids is full.
+	// Busy means that this instance has no room for the request: too many are in
+	// flight, or the table of request ids is full.
 	Busy router.Reason = "busy"
 	// Gone means that the caller has closed its connection.
 	Gone router.Reason = "gone"
@@ -114,6 +115,15 @@
 	Hop bool
 }
 
+// Unsent is the outcome of a request that was refused before anything was sent:
+// an earlier send of a repeated once-request may have run.
+func (r *Request) Unsent() Outcome {
+	if r.Service.Once && r.Attempt > 1 && !r.Hop {
+		return Unknown
+	}
+	return NotRun
+}
+
 var (
 	errID     = errors.New("the request id is not 1 to 64 visible ASCII characters")
 	errNumber = errors.New("the value is not a decimal number in range")
--- a/hornbeamd/forwarder/kit_test.go
+++ b/hornbeamd/forwarder/kit_test.go
@@ -18,6 +18,7 @@
 	"github.com/matryer/is"
 
 	"hornbeamstream.example/core/limiter"
+	"hornbeamstream.example/core/loader"
 	"hornbeamstream.example/core/router"
 	"hornbeamstream.example/hornbeamd/forwarder"
 	"hornbeamstream.example/hornbeamd/server"
@@ -225,7 +226,8 @@
 }
 
 func (n *node) set(services ...*router.Service) {
-	table := &router.Table{Version: 1, Self: n.name, Services: map[string]*router.Service{}}
+	table := router.Build(router.Input{Config: &loader.State{Version: 1}, Self: n.name, Previous: n.table.Load()})
+	table.Services = map[string]*router.Service{}
 	for _, s := range services {
 		table.Services[s.Name] = s
 	}
--- a/hornbeamd/forwarder/load_test.go
+++ b/hornbeamd/forwarder/load_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"runtime"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,6 +16,7 @@
 
 	"github.com/matryer/is"
 
+	"hornbeamstream.example/core/router"
 	"hornbeamstream.example/hornbeamd/forwarder"
 )
 
@@ -221,6 +223,39 @@
 	is.Equal(len(u.arrivals()), 3)
 }
 
+// Guards against a rush of one priority that fills the instance, against an
+// entry that is kept after the request's end, and against calling a repeat that
+// was refused not run.
+func TestEntry(t *testing.T) {
+	is := is.New(t)
+	u := newUpstream(t, func(c net.Conn, a arrival) bool {
+		if a.method == "GET" {
+			return reply(c, a.id, strings.Repeat("x", 200<<10)) // streamed
+		}
+		return reply(c, a.id, "ok")
+	})
+	n := newNode(t, "a", service("posting", true, u))
+	q := &router.Request{Service: n.Table().Services["posting"]}
+	room := 0
+	for n.Table().Enter(q, 1) {
+		room++
+	}
+	got := call(n.front, "POST", "/s/posting/", "")
+	is.Equal(got.outcome+got.reason, "notrunbusy")
+	is.True(got.header.Get("Horn-Retry") != "")
+	is.Equal(call(n.front, "POST", "/s/posting/", "", "Horn-Id", "r", "Horn-Attempt", "2").outcome, "unknown")
+	is.Equal(call(n.data, "POST", "/s/posting/", "", "Horn-Hop", "1").outcome, "ran") // hops have entered elsewhere
+	n.Table().Exit()
+	for i := range 5 {
+		method := []string{"POST", "GET"}[i%2]
+		is.Equal(call(n.front, method, "/s/posting/", "").outcome, "ran")
+		until(t, "entry given back", func() bool { return n.Table().Enter(q, 1) })
+		is.True(!n.Table().Enter(q, 1))
+		n.Table().Exit()
+	}
+	is.True(room > 0)
+}
+
 // Guards against a queue that lets nobody through: a request that finds no slot
 // runs when one becomes free in time.
 func TestQueue(t *testing.T) {
--- a/hornbeamd/server/handle.go
+++ b/hornbeamd/server/handle.go
@@ -104,12 +104,7 @@
 		return
 	}
 	if s.cfg.Now() >= r.Deadline {
-		outcome := forwarder.NotRun
-		if r.Service.Once && r.Attempt > 1 && !r.Hop {
-			// An earlier send may have run.
-			outcome = forwarder.Unknown
-		}
-		forwarder.Refuse(ctx, outcome, router.TooLate, s.cfg.Now())
+		forwarder.Refuse(ctx, r.Unsent(), router.TooLate, s.cfg.Now())
 		ctx.Response.Header.SetBytesV(forwarder.HeaderID, r.ID)
 		return
 	}
