forwarder: wake waiting requests by the credits of peers

An instance without own slots of a service gives none back, so that its waiting requests were woken by nothing. An answer that reports free slots now wakes as many of them. A refusal for lack of slots goes to Credit.Refused, which spaces the next tries, instead of Credit.Set.

TestPeerQueue fails without the wake (0 of 1 woken) and passes with it.

--- a/hornbeamd/forwarder/export_test.go
+++ b/hornbeamd/forwarder/export_test.go
@@ -14,5 +14,12 @@
 // Waiting returns the number of requests that wait for a slot.
 func (f *Forwarder) Waiting(service string) int { return int(f.queue(service).waiting.Load()) }
 
+// Queue counts a request as waiting and returns the number of its wakes so far.
+func (f *Forwarder) Queue(service string) (woken func() int) {
+	q := f.queue(service)
+	q.waiting.Add(1)
+	return func() int { return len(q.woken) }
+}
+
 // Wake tells a waiting request that a slot is free.
-func (f *Forwarder) Wake(service string) { f.queue(service).wake() }
+func (f *Forwarder) Wake(service string) { f.queue(service).wake(1) }
--- a/hornbeamd/forwarder/forward.go
+++ b/hornbeamd/forwarder/forward.go
@@ -242,7 +242,7 @@
 		return
 	}
 	t.Gate.Release()
-	f.queue(service).wake()
+	f.queue(service).wake(1)
 }
 
 func (f *Forwarder) try(c *call, choice router.Choice) result {
--- a/hornbeamd/forwarder/load_test.go
+++ b/hornbeamd/forwarder/load_test.go
@@ -279,6 +279,35 @@
 	is.True(ran > 0)
 }
 
+// Guards against requests that no answer of a peer wakes, at an instance without
+// own slots, and against asking a peer again that has just refused.
+func TestPeerQueue(t *testing.T) {
+	is := is.New(t)
+	hold, ended := make(chan struct{}), make(chan answer, 2)
+	u := newUpstream(t, func(c net.Conn, a arrival) bool {
+		if a.id == "first" {
+			<-hold
+		}
+		return reply(c, a.id, "ok")
+	})
+	s := service("lookup", false, u)
+	s.Targets[0].Gate.Set(1, far)
+	b := newNode(t, "b", s)
+	p := b.peer("lookup")
+	s2 := service("lookup", false)
+	s2.Peers = []*router.Peer{p}
+	a := newNode(t, "a", s2)
+	p.Credits["lookup"].Set(2, time.Now().UnixNano())
+	go func() { ended <- call(a.front, "GET", "/s/lookup/", "", "Horn-Id", "first") }()
+	until(t, "the slot is taken", func() bool { return len(u.arrivals()) == 1 })
+	is.Equal(call(a.front, "GET", "/s/lookup/", "").reason, "full")
+	is.Equal(p.Credits["lookup"].Take(0), false) // a refusal puts the next try off
+	woken := a.fwd.Queue("lookup")
+	close(hold)
+	is.Equal((<-ended).outcome, "ran")
+	is.Equal(woken(), 1)
+}
+
 // Guards against a caller's body that ends early being taken for a whole one.
 func TestCutUpload(t *testing.T) {
 	for _, size := range []int{100, 30 << 10, 1 << 20} {
--- a/hornbeamd/forwarder/queue.go
+++ b/hornbeamd/forwarder/queue.go
@@ -46,14 +46,14 @@
 	return q
 }
 
-// wake lets one waiting request try again.
-func (q *queue) wake() {
-	if q.waiting.Load() == 0 {
-		return
-	}
-	select {
-	case q.woken <- struct{}{}:
-	default:
+// wake lets up to n waiting requests try again.
+func (q *queue) wake(n int64) {
+	for range min(n, q.waiting.Load()) {
+		select {
+		case q.woken <- struct{}{}:
+		default:
+			return
+		}
 	}
 }
 
--- a/hornbeamd/forwarder/try.go
+++ b/hornbeamd/forwarder/try.go
@@ -74,7 +74,7 @@
 	q := f.queue(service)
 	time.AfterFunc(settleTime, func() {
 		t.Gate.Release()
-		q.wake()
+		q.wake(1)
 	})
 }
 
@@ -91,16 +91,21 @@
 		x.release()
 		return res
 	}
-	c.credit(peer, x, f.now())
 	outcome, ok := ParseOutcome(x.header.Peek(HeaderOutcome))
 	if x.whole {
 		x.settle()
 	}
 	if ok && outcome == Ran {
+		f.credit(c, peer, x)
 		return result{outcome: Ran, x: x, end: func(bool) {}}
 	}
 	res := result{outcome: outcome, reason: peerReason(x.header.Peek(HeaderReason))}
 	res.miss = outcome == NotRun && (res.reason == router.Full || res.reason == router.NoUpstream)
+	if res.miss {
+		c.refused(peer, f.now())
+	} else {
+		f.credit(c, peer, x)
+	}
 	res.again = outcome == NotRun && res.reason != router.TooLate || outcome == Unknown && !c.req.Service.Once
 	x.abort()
 	x.release()
@@ -134,14 +139,23 @@
 	return Broken
 }
 
-// credit notes the free slots that an instance reports.
-func (c *call) credit(peer *router.Peer, x *exchange, now int64) {
-	credit := peer.Credits[c.req.Service.Name]
-	if credit == nil {
+// credit notes the free slots that an instance reports, and wakes as many
+// requests: an instance without own slots has no other sign of free ones.
+func (f *Forwarder) credit(c *call, peer *router.Peer, x *exchange) {
+	name := c.req.Service.Name
+	credit := peer.Credits[name]
+	n, err := ParseNumber(x.header.Peek(HeaderFree), 1<<31)
+	if credit == nil || err != nil {
 		return
 	}
-	if n, err := ParseNumber(x.header.Peek(HeaderFree), 1<<31); err == nil {
-		credit.Set(int(n), now)
+	credit.Set(int(n), f.now())
+	f.queue(name).wake(n)
+}
+
+// refused notes that an instance had no free slot.
+func (c *call) refused(peer *router.Peer, now int64) {
+	if credit := peer.Credits[c.req.Service.Name]; credit != nil {
+		credit.Refused(now)
 	}
 }
 
