forwarder: wait for a slot by the service's usual time

It now makes four tries, the last one after a wait of up to half the service's usual time, 5 to 50 ms and within the deadline less the usual time, which own releases and credits of peers end early. A wait makes refusing places eligible again. The bound of the queue is exact.

TestMisses fails without the wait before the last try, TestWaitTime without the bound of the queue. No load was measured here.

--- a/hornbeamd/forwarder/export_test.go
+++ b/hornbeamd/forwarder/export_test.go
@@ -1,5 +1,7 @@
 package forwarder
 
+import "time"
+
 // Idle returns the number of idle connections.
 func (f *Forwarder) Idle() int {
 	n := 0
@@ -21,5 +23,18 @@
 	return func() int { return len(q.woken) }
 }
 
+// WaitTime returns how long a request of a service with the given usual time
+// waits for a slot when it has the given time left.
+func WaitTime(usual, left time.Duration) time.Duration {
+	var q queue
+	q.usual.value.Store(int64(usual))
+	return time.Duration(q.end(0, int64(left)))
+}
+
+// Usual sets the usual time of a service.
+func (f *Forwarder) Usual(service string, d time.Duration) {
+	f.queue(service).usual.value.Store(int64(d))
+}
+
 // Wake tells a waiting request that a slot is free.
 func (f *Forwarder) Wake(service string) { f.queue(service).wake(1) }
--- a/hornbeamd/forwarder/forward.go
+++ b/hornbeamd/forwarder/forward.go
@@ -16,7 +16,7 @@
 	maxTries = 4
 	// maxMisses bounds the extra hops of a request that other instances refuse
 	// for lack of a free slot. They cost no upstream anything.
-	maxMisses = 2
+	maxMisses = 3
 	// settleTime is how long a slot stays taken after its request was cancelled,
 	// because the upstream learns of it later.
 	settleTime = 50 * time.Millisecond
@@ -44,8 +44,9 @@
 	tries  int
 	misses int
 	// next is the place of a retry that is already paid for.
-	next   router.Choice
-	waited bool
+	next router.Choice
+	// until is the end of the wait for a slot, once that has begun.
+	until int64
 	// hedge is set for a second try, won is what it has brought to the first.
 	hedge *hedge
 	// link is charged with the request's body.
@@ -180,16 +181,18 @@
 }
 
 // choose returns the next place, waiting a little for a slot if none is free.
+// The last try comes after the wait, when the refusals before it have aged.
 func (f *Forwarder) choose(c *call) (router.Choice, router.Reason) {
 	if c.hasNext {
 		c.hasNext = false
 		return c.next, router.Placed
 	}
-	choice, reason := c.req.Table.Choose(&c.q, f.now(), &c.tried)
-	if reason != router.Full || c.req.Hop || c.waited || c.tries > c.misses {
-		return choice, reason
+	if c.misses < maxMisses {
+		choice, reason := c.req.Table.Choose(&c.q, f.now(), &c.tried)
+		if reason != router.Full || c.req.Hop || c.tries > c.misses {
+			return choice, reason
+		}
 	}
-	c.waited = true
 	return f.queue(c.req.Service.Name).wait(f, c)
 }
 
--- a/hornbeamd/forwarder/load_test.go
+++ b/hornbeamd/forwarder/load_test.go
@@ -279,6 +279,60 @@
 	is.True(ran > 0)
 }
 
+// Guards against waits that outlast what the service's time and the deadline
+// make useful, and against a queue that grows without bound.
+func TestWaitTime(t *testing.T) {
+	is := is.New(t)
+	for _, tt := range [][3]time.Duration{
+		{0, 1000, 5}, {4, 1000, 5}, {40, 1000, 20}, {1000, 9000, 50}, {40, 50, 10}, {40, 30, -10}, {0, 4, 2},
+	} {
+		is.Equal(forwarder.WaitTime(tt[0]*time.Millisecond, tt[1]*time.Millisecond), tt[2]*time.Millisecond)
+	}
+	s := service("posting", true)
+	s.Limit = int64(time.Hour)
+	n := newNode(t, "a", s)
+	woken := n.fwd.Queue("posting")
+	for range 63 {
+		n.fwd.Queue("posting")
+	}
+	n.fwd.Usual("posting", 100*time.Millisecond)
+	n.fwd.Wake("posting")
+	is.Equal(call(n.front, "POST", "/s/posting/", "").reason, "full")
+	is.Equal(woken(), 1) // a request that waits would have taken the wake
+}
+
+// Guards against giving up while a slot becomes free in time: after three
+// refusals for lack of slots the last try follows a wait.
+func TestMisses(t *testing.T) {
+	is := is.New(t)
+	s := service("lookup", false, newUpstream(t, nil))
+	gate := s.Targets[0].Gate
+	gate.Set(1, far)
+	s2 := service("lookup", false)
+	for _, name := range []string{"b", "c", "d", "e"} {
+		s2.Peers = append(s2.Peers, newNode(t, name, s).peer("lookup"))
+	}
+	a := newNode(t, "a", s2)
+	ran := 0
+	for range 20 {
+		a.fwd.Usual("lookup", 100*time.Millisecond)
+		for _, p := range s2.Peers {
+			p.Credits["lookup"].Set(1, time.Now().UnixNano())
+		}
+		is.True(gate.Acquire(1))
+		got := make(chan answer, 1)
+		go func() { got <- call(a.front, "GET", "/s/lookup/", "") }()
+		until(t, "request waits", func() bool { return a.fwd.Waiting("lookup") == 1 || len(got) > 0 })
+		gate.Release()
+		s2.Peers[0].Credits["lookup"].Set(1, time.Now().UnixNano())
+		a.fwd.Wake("lookup")
+		if (<-got).outcome == "ran" {
+			ran++
+		}
+	}
+	is.True(ran > 0)
+}
+
 // Guards against requests that no answer of a peer wakes, at an instance without
 // own slots, and against asking a peer again that has just refused.
 func TestPeerQueue(t *testing.T) {
--- a/hornbeamd/forwarder/queue.go
+++ b/hornbeamd/forwarder/queue.go
@@ -9,9 +9,11 @@
 )
 
 const (
-	// queueTime is the longest wait for a free slot. It smooths bursts; a longer
+	// A request waits for a free slot for up to half the service's usual time
+	// within these bounds. That smooths bursts and lets credits arrive; a longer
 	// wait would only move overload into latency.
-	queueTime = 5 * time.Millisecond
+	minQueueTime = 5 * time.Millisecond
+	maxQueueTime = 50 * time.Millisecond
 	// queueSize bounds the requests of one service that wait.
 	queueSize = 64
 	// runTime is the least time that must be left after a wait.
@@ -59,25 +61,36 @@
 
 var timers = sync.Pool{New: func() any { return time.NewTimer(time.Hour) }}
 
-// wait tries again whenever a slot is given back, for a short time.
+// wait tries again whenever a slot may have become free and once at the end of
+// the request's time for it. All tries so far were refused for lack of a slot,
+// so that their places come into question again.
 func (q *queue) wait(f *Forwarder, c *call) (router.Choice, router.Reason) {
 	now := f.now()
-	until := min(now+int64(queueTime), c.req.Deadline-int64(runTime))
-	if until <= now || q.waiting.Load() >= queueSize {
+	if c.until == 0 {
+		c.until = q.end(now, c.req.Deadline)
+	}
+	c.tried = router.Tried{}
+	pause := c.misses == maxMisses
+	if now >= c.until || !q.enter() {
+		if pause {
+			return c.req.Table.Choose(&c.q, now, &c.tried)
+		}
 		return router.Choice{}, router.Full
 	}
-	q.waiting.Add(1)
 	defer q.waiting.Add(-1)
 	timer := timers.Get().(*time.Timer)
 	defer timers.Put(timer)
 	defer timer.Stop()
 	for {
-		// A slot may have become free before this request was counted.
-		choice, reason := c.req.Table.Choose(&c.q, now, &c.tried)
-		if reason != router.Full || now >= until {
-			return choice, reason
+		if !pause {
+			// A slot may have become free before this request was counted.
+			choice, reason := c.req.Table.Choose(&c.q, now, &c.tried)
+			if reason != router.Full || now >= c.until {
+				return choice, reason
+			}
 		}
-		timer.Reset(time.Duration(until - now))
+		pause = false
+		timer.Reset(time.Duration(c.until - now))
 		select {
 		case <-q.woken:
 		case <-timer.C:
@@ -85,3 +98,19 @@
 		now = f.now()
 	}
 }
+
+// end returns the time until which a request may wait.
+func (q *queue) end(now, deadline int64) int64 {
+	usual := q.usual.value.Load()
+	wait := min(max(usual/2, int64(minQueueTime)), int64(maxQueueTime))
+	return min(now+wait, deadline-max(usual, int64(runTime)))
+}
+
+// enter counts a waiting request unless the queue is full.
+func (q *queue) enter() bool {
+	if q.waiting.Add(1) <= queueSize {
+		return true
+	}
+	q.waiting.Add(-1)
+	return false
+}
