--- a/hornbeamd/forwarder/load_test.go
+++ b/hornbeamd/forwarder/load_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"runtime"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,6 +16,7 @@
 
 	"github.com/matryer/is"
 
+	"hornbeamstream.example/core/router"
 	"hornbeamstream.example/hornbeamd/forwarder"
 )
 
@@ -221,6 +223,39 @@
 	is.Equal(len(u.arrivals()), 3)
 }
 
+// Guards against a rush of one priority that fills the instance, against an
+// entry that is kept after the request's end, and against calling a repeat that
+// was refused not run.
+func TestEntry(t *testing.T) {
+	is := is.New(t)
+	u := newUpstream(t, func(c net.Conn, a arrival) bool {
+		if a.method == "GET" {
+			return reply(c, a.id, strings.Repeat("x", 200<<10)) // streamed
+		}
+		return reply(c, a.id, "ok")
+	})
+	n := newNode(t, "a", service("posting", true, u))
+	q := &router.Request{Service: n.Table().Services["posting"]}
+	room := 0
+	for n.Table().Enter(q, 1) {
+		room++
+	}
+	got := call(n.front, "POST", "/s/posting/", "")
+	is.Equal(got.outcome+got.reason, "notrunbusy")
+	is.True(got.header.Get("Horn-Retry") != "")
+	is.Equal(call(n.front, "POST", "/s/posting/", "", "Horn-Id", "r", "Horn-Attempt", "2").outcome, "unknown")
+	is.Equal(call(n.data, "POST", "/s/posting/", "", "Horn-Hop", "1").outcome, "ran") // hops have entered elsewhere
+	n.Table().Exit()
+	for i := range 5 {
+		method := []string{"POST", "GET"}[i%2]
+		is.Equal(call(n.front, method, "/s/posting/", "").outcome, "ran")
+		until(t, "entry given back", func() bool { return n.Table().Enter(q, 1) })
+		is.True(!n.Table().Enter(q, 1))
+		n.Table().Exit()
+	}
+	is.True(room > 0)
+}
+
 // Guards against a queue that lets nobody through: a request that finds no slot
 // runs when one becomes free in time.
 func TestQueue(t *testing.T) {
@@ -244,6 +279,89 @@
 	is.True(ran > 0)
 }
 
+// Guards against waits that outlast what the service's time and the deadline
+// make useful, and against a queue that grows without bound.
+func TestWaitTime(t *testing.T) {
+	is := is.New(t)
+	for _, tt := range [][3]time.Duration{
+		{0, 1000, 5}, {4, 1000, 5}, {40, 1000, 20}, {1000, 9000, 50}, {40, 50, 10}, {40, 30, -10}, {0, 4, 2},
+	} {
+		is.Equal(forwarder.WaitTime(tt[0]*time.Millisecond, tt[1]*time.Millisecond), tt[2]*time.Millisecond)
+	}
+	s := service("posting", true)
+	s.Limit = int64(time.Hour)
+	n := newNode(t, "a", s)
+	woken := n.fwd.Queue("posting")
+	for range 63 {
+		n.fwd.Queue("posting")
+	}
+	n.fwd.Usual("posting", 100*time.Millisecond)
+	n.fwd.Wake("posting")
+	is.Equal(call(n.front, "POST", "/s/posting/", "").reason, "full")
+	is.Equal(woken(), 1) // a request that waits would have taken the wake
+}
+
+// Guards against giving up while a slot becomes free in time: after three
+// refusals for lack of slots the last try follows a wait.
+func TestMisses(t *testing.T) {
+	is := is.New(t)
+	s := service("lookup", false, newUpstream(t, nil))
+	gate := s.Targets[0].Gate
+	gate.Set(1, far)
+	s2 := service("lookup", false)
+	for _, name := range []string{"b", "c", "d", "e"} {
+		s2.Peers = append(s2.Peers, newNode(t, name, s).peer("lookup"))
+	}
+	a := newNode(t, "a", s2)
+	ran := 0
+	for range 20 {
+		a.fwd.Usual("lookup", 100*time.Millisecond)
+		for _, p := range s2.Peers {
+			p.Credits["lookup"].Set(1, time.Now().UnixNano())
+		}
+		is.True(gate.Acquire(1))
+		got := make(chan answer, 1)
+		go func() { got <- call(a.front, "GET", "/s/lookup/", "") }()
+		until(t, "request waits", func() bool { return a.fwd.Waiting("lookup") == 1 || len(got) > 0 })
+		gate.Release()
+		s2.Peers[0].Credits["lookup"].Set(1, time.Now().UnixNano())
+		a.fwd.Wake("lookup")
+		if (<-got).outcome == "ran" {
+			ran++
+		}
+	}
+	is.True(ran > 0)
+}
+
+// Guards against requests that no answer of a peer wakes, at an instance without
+// own slots, and against asking a peer again that has just refused.
+func TestPeerQueue(t *testing.T) {
+	is := is.New(t)
+	hold, ended := make(chan struct{}), make(chan answer, 2)
+	u := newUpstream(t, func(c net.Conn, a arrival) bool {
+		if a.id == "first" {
+			<-hold
+		}
+		return reply(c, a.id, "ok")
+	})
+	s := service("lookup", false, u)
+	s.Targets[0].Gate.Set(1, far)
+	b := newNode(t, "b", s)
+	p := b.peer("lookup")
+	s2 := service("lookup", false)
+	s2.Peers = []*router.Peer{p}
+	a := newNode(t, "a", s2)
+	p.Credits["lookup"].Set(2, time.Now().UnixNano())
+	go func() { ended <- call(a.front, "GET", "/s/lookup/", "", "Horn-Id", "first") }()
+	until(t, "the slot is taken", func() bool { return len(u.arrivals()) == 1 })
+	is.Equal(call(a.front, "GET", "/s/lookup/", "").reason, "full")
+	is.Equal(p.Credits["lookup"].Take(0), false) // a refusal puts the next try off
+	woken := a.fwd.Queue("lookup")
+	close(hold)
+	is.Equal((<-ended).outcome, "ran")
+	is.Equal(woken(), 1)
+}
+
 // Guards against a caller's body that ends early being taken for a whole one.
 func TestCutUpload(t *testing.T) {
 	for _, size := range []int{100, 30 << 10, 1 << 20} {
