--- a/hornbench/emulator/platform_test.go
+++ b/hornbench/emulator/platform_test.go
@@ -11,6 +11,10 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"hornbeamstream.example/core/connector"
+	"hornbeamstream.example/core/submitter"
+	"hornbeamstream.example/core/submitter/verifier"
 )
 
 // client calls a stand-in and returns the status, or 0 when the connection was
@@ -92,6 +96,19 @@
 	}
 }
 
+// Guards against a platform that the adapter cannot use as a ticket store.
+func TestPlatformStore(t *testing.T) {
+	verifier.Verify(t, func(t *testing.T) submitter.Store {
+		_, c := startPlatform(t)
+		s, err := connector.New(c.url)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Close)
+		return s
+	})
+}
+
 // Guards against fault switches that do nothing, with which every fault test of
 // the system would pass.
 func TestPlatformFaults(t *testing.T) {
