observer: no slow start because an instance is new

Cause: every instance that saw an upstream for the first time began at a quarter of its slots, also when it took the slots over from a dead holder. Change: an upstream seen for the first time gets its full limit; slow start stays for upstreams that were leaving, refused connections or report that they are cold. Golden files: the first seconds differ; the return after leaving and the cold start are as before.

--- a/core/observer/example_test.go
+++ b/core/observer/example_test.go
@@ -23,6 +23,6 @@
 		At: now, Now: now, Upstream: "lookup-1", Source: observer.FromPlatform, Leaving: true,
 	}))
 	// Output:
-	// lookup-1 2 false slow start
+	// lookup-1 8 false
 	// lookup-1 0 true leaving by the platform's list
 }
--- a/core/observer/limit.go
+++ b/core/observer/limit.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// startShare is the share of the slots that a new or returning upstream
-	// starts with, coldShare that of one that says it is cold.
+	// startShare is the share of the slots that a returning upstream starts
+	// with, coldShare that of one that says it is cold.
 	startShare = 4
 	coldShare  = 8
 	// latencyShare is the share of the slots that latency alone leaves: a slow
@@ -74,7 +74,14 @@
 	equal, oks               int
 }
 
-// restart begins a slow start.
+// open begins without a slow start. That an instance sees an upstream for the
+// first time says nothing about the upstream, which may have been busy for days;
+// a cold one says so in its health reports.
+func (l *limiter) open(now time.Time, slots int) {
+	*l = limiter{limit: float64(slots), turn: float64(slots), stepAt: now}
+}
+
+// restart begins a slow start, for an upstream that was away.
 func (l *limiter) restart(now time.Time, slots int) {
 	*l = limiter{limit: max(1, float64(slots)/startShare), turn: float64(slots), stepAt: now, cause: "slow start"}
 }
--- a/core/observer/state.go
+++ b/core/observer/state.go
@@ -70,7 +70,7 @@
 		u := old[spec.Upstream]
 		if u == nil {
 			u = &upstream{}
-			u.restart(e.Now, spec.Slots)
+			u.open(e.Now, spec.Slots)
 			u.spread(e.Now, i)
 		}
 		if u.spec.Drained != spec.Drained {
