--- a/core/observer/example_test.go
+++ b/core/observer/example_test.go
@@ -14,7 +14,7 @@
 	show := func(effects []observer.Effect) {
 		for _, e := range effects {
 			if v, ok := e.(observer.Verdict); ok {
-				fmt.Println(v.Upstream, v.Limit, v.Leaving, v.Cause)
+				fmt.Printf("%s %d %v %q\n", v.Upstream, v.Limit, v.Leaving, v.Cause)
 			}
 		}
 	}
@@ -23,6 +23,6 @@
 		At: now, Now: now, Upstream: "lookup-1", Source: observer.FromPlatform, Leaving: true,
 	}))
 	// Output:
-	// lookup-1 8 false
-	// lookup-1 0 true leaving by the platform's list
+	// lookup-1 8 false ""
+	// lookup-1 0 true "leaving by the platform's list"
 }
