forwarder: slow answers no longer end unknown after 100 ms

Answers that only refuse come within 1 or 2 ms and were counted in the usual time to the first byte, as was a single first answer. The suspicion time of a service that needs 240 ms fell to its least value of 100 ms; the silent exchange was then given up for another place, and when that refused, the request ended unknown. Only answers of requests that ran count now, below 20 of them the suspicion time is at least 1 s and five times the service's usual time, and for slow paths it is at least three times the usual time. A suspected exchange is not closed: a second try runs beside it, and it goes on until the deadline if that fails. Once-services are given up as before.

--- a/hornbeamd/forwarder/exchange.go
+++ b/hornbeamd/forwarder/exchange.go
@@ -23,8 +23,10 @@
 	maxSuspicion   = 2 * time.Second
 	firstSuspicion = time.Second
 	suspicionShare = 5
+	// leastShare is that multiple for paths whose usual time is long.
+	leastShare = 3
 	// finalShare is the multiple of the suspicion time after which an exchange
-	// is given up that cannot be repeated elsewhere, but not before minFinal:
+	// of a once-service is given up, but not before minFinal:
 	// a pause of an upstream should not make outcomes unknown.
 	finalShare = 4
 	minFinal   = time.Second
@@ -54,6 +56,8 @@
 	deadline int64
 	// probing tells that this is no request but a probe.
 	probing bool
+	// suspected tells that the answer has not begun within the suspicion time.
+	suspected bool
 	// sent tells that a byte of the request may have reached the other end.
 	sent bool
 	// start is the time at which the request was written, first that of the
@@ -84,7 +88,7 @@
 	x.header.Reset()
 	wire, body := x.wire[:0], x.body[:0]
 	x.pool, x.conn, x.chunks = nil, nil, nil
-	x.probing, x.fresh, x.sent, x.whole, x.trailed = false, false, false, false, false
+	x.probing, x.fresh, x.sent, x.whole, x.trailed, x.suspected = false, false, false, false, false, false
 	x.deadline, x.start, x.first, x.length = 0, 0, 0, 0
 	x.wire, x.body = wire, body
 	exchanges.Put(x)
@@ -148,7 +152,7 @@
 			return errLate
 		}
 		if now >= until {
-			x.pool.dropIdle(x.start)
+			x.suspect()
 			return errSilent
 		}
 		if c.gone() {
@@ -157,6 +161,12 @@
 	}
 }
 
+// suspect drops the idle connections that may be silent too.
+func (x *exchange) suspect() {
+	x.suspected = true
+	x.pool.dropIdle(x.start)
+}
+
 // peek waits for a byte until the given time or the deadline.
 func (x *exchange) peek(until int64) error {
 	if err := x.conn.SetReadDeadline(time.Unix(0, min(until, x.deadline))); err != nil {
@@ -168,18 +178,19 @@
 
 func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
-// suspicion is the time after which silence is suspicious.
+// suspicion is the time after which silence is suspicious: several times the
+// usual time of the path, and while that is not well known, of the service.
 func (p *pool) suspicion() time.Duration {
 	usual := time.Duration(p.typical.value.Load())
-	if usual == 0 {
-		return firstSuspicion
+	if p.typical.count.Load() < fewValues {
+		return max(firstSuspicion, suspicionShare*usual, suspicionShare*time.Duration(p.usual.value.Load()))
 	}
-	return min(max(suspicionShare*usual, minSuspicion), max(maxSuspicion, 2*usual))
+	return min(max(suspicionShare*usual, minSuspicion), max(maxSuspicion, leastShare*usual))
 }
 
 // final is the time after which silence ends an exchange.
 func (p *pool) final() time.Duration {
-	if p.typical.value.Load() == 0 {
+	if p.typical.count.Load() < fewValues {
 		return maxFinal
 	}
 	return max(finalShare*p.suspicion(), minFinal)
--- a/hornbeamd/forwarder/forward.go
+++ b/hornbeamd/forwarder/forward.go
@@ -53,8 +53,7 @@
 	link *limiter.Link
 	won  result
 	// doubt tells that an earlier try may have run.
-	doubt   bool
-	hasNext bool
+	doubt bool
 }
 
 // result is the end of a try.
@@ -183,10 +182,6 @@
 // choose returns the next place, waiting a little for a slot if none is free.
 // The last try comes after the wait, when the refusals before it have aged.
 func (f *Forwarder) choose(c *call) (router.Choice, router.Reason) {
-	if c.hasNext {
-		c.hasNext = false
-		return c.next, router.Placed
-	}
 	if c.misses < maxMisses {
 		choice, reason := c.req.Table.Choose(&c.q, f.now(), &c.tried)
 		if reason != router.Full || c.req.Hop || c.tries > c.misses {
@@ -200,8 +195,6 @@
 // here, because its origin tries again.
 func (f *Forwarder) mayRetry(c *call, res result) bool {
 	switch {
-	case c.hasNext:
-		return true
 	case c.req.Hop || c.tries >= maxTries:
 		return false
 	case res.miss:
@@ -220,25 +213,6 @@
 	return true
 }
 
-// abandon decides whether to give up a silent exchange, for which a better
-// place must be free and paid for.
-func (f *Forwarder) abandon(c *call) bool {
-	r := c.req
-	if r.Service.Once || r.Hop || c.spent || c.tries >= maxTries || c.hasNext {
-		return false
-	}
-	choice, reason := r.Table.Choose(&c.q, f.now(), &c.tried)
-	if reason != router.Placed {
-		return false
-	}
-	if !f.payRetry(c) {
-		f.free(c.req.Service.Name, choice.Target)
-		return false
-	}
-	c.next, c.hasNext = choice, true
-	return true
-}
-
 // free gives the slot of a target back.
 func (f *Forwarder) free(service string, t *router.Target) {
 	if t == nil {
--- a/hornbeamd/forwarder/forwarder.go
+++ b/hornbeamd/forwarder/forwarder.go
@@ -112,6 +112,7 @@
 }
 
 func (f *Forwarder) addPool(key poolKey) *pool {
+	usual := &f.queue(key.service).usual
 	f.grow.Lock()
 	defer f.grow.Unlock()
 	old := *f.pools.Load()
@@ -122,7 +123,7 @@
 	for k, p := range old {
 		next[k] = p
 	}
-	p := newPool(key, f.now)
+	p := newPool(key, usual, f.now)
 	next[key] = p
 	f.pools.Store(&next)
 	return p
--- a/hornbeamd/forwarder/fuzz_test.go
+++ b/hornbeamd/forwarder/fuzz_test.go
@@ -30,7 +30,7 @@
 	f.Add("HTTP/1.1 200 OK\r\nHorn-Id: a\r\n\r\n")
 	f.Fuzz(func(t *testing.T, text string) {
 		now := func() int64 { return 1 }
-		p := newPool(poolKey{}, now)
+		p := newPool(poolKey{}, new(quantile), now)
 		p.open = 1
 		x := acquireExchange()
 		x.pool, x.conn, x.deadline = p, newConn(&script{Reader: strings.NewReader(text)}, 1), maxTime
--- a/hornbeamd/forwarder/hedge.go
+++ b/hornbeamd/forwarder/hedge.go
@@ -51,17 +51,30 @@
 	if !isTimeout(err) || x.pool.now() >= x.deadline {
 		return err
 	}
+	if h := f.second(c); h != nil {
+		return h.race(c, x)
+	}
+	return errSilent
+}
+
+// second prepares a second try beside the first one, for which a place must be
+// free and paid for. It returns nil when there is none.
+func (f *Forwarder) second(c *call) *hedge {
+	r := c.req
+	if r.Service.Once || r.Hop || c.stream != nil || c.hedge != nil || c.tries >= maxTries {
+		return nil
+	}
 	choice, reason := r.Table.Choose(&c.q, f.now(), &c.tried)
 	if reason != router.Placed {
-		return errSilent
+		return nil
 	}
 	if !f.payRetry(c) {
 		f.free(r.Service.Name, choice.Target)
-		return errSilent
+		return nil
 	}
 	c.tries++
 	c.tried.Add(choice)
-	return f.newHedge(c, choice).race(c, x)
+	return f.newHedge(c, choice)
 }
 
 func (f *Forwarder) newHedge(c *call, choice router.Choice) *hedge {
@@ -75,16 +88,15 @@
 // race waits for the first of both tries. It returns nil when x has an answer
 // and errHedged when the second try has, which is then in c.won.
 func (h *hedge) race(c *call, x *exchange) error {
-	until := min(x.start+int64(x.pool.final()), x.deadline)
-	if err := x.conn.SetReadDeadline(time.Unix(0, until)); err != nil {
-		return err
-	}
 	go h.run(x.conn)
-	_, err := x.conn.br.Peek(1)
+	err := h.await(c, x)
 	if err == nil && h.state.CompareAndSwap(racing, hedgeLost) {
 		h.cancel()
 		return nil
 	}
+	if err == errGone {
+		h.cancel()
+	}
 	res := <-h.done
 	if res.outcome == Ran {
 		c.won = res
@@ -96,6 +108,29 @@
 	return err
 }
 
+// await waits for the first try's answer until the second one has won.
+func (h *hedge) await(c *call, x *exchange) error {
+	for {
+		until := min(x.pool.now()+int64(checkTime), x.deadline)
+		if err := x.conn.SetReadDeadline(time.Unix(0, until)); err != nil {
+			return err
+		}
+		if h.state.Load() == hedgeWon {
+			return errHedged
+		}
+		_, err := x.conn.br.Peek(1)
+		if !isTimeout(err) || x.pool.now() >= x.deadline {
+			return err
+		}
+		if !x.suspected && x.pool.now()-x.start > int64(x.pool.suspicion()) {
+			x.suspect()
+		}
+		if c.gone() {
+			return errGone
+		}
+	}
+}
+
 // run sends the second try. If it wins, it wakes the first one, whose connection
 // is not given back before that has seen the result.
 func (h *hedge) run(first *conn) {
--- a/hornbeamd/forwarder/load_test.go
+++ b/hornbeamd/forwarder/load_test.go
@@ -139,6 +139,39 @@
 	}
 }
 
+// Guards against requests that end unknown although their upstream is only slow:
+// refusals must not shorten the suspicion time, and a second try that is refused
+// must not end the first one.
+func TestSuspected(t *testing.T) {
+	for _, quick := range []bool{false, true} {
+		t.Run(strconv.FormatBool(quick), func(t *testing.T) {
+			is := is.New(t)
+			first := newUpstream(t, func(c net.Conn, a arrival) bool {
+				switch {
+				case a.id == "slow":
+					time.Sleep(400 * time.Millisecond)
+				case !quick:
+					return refuse(c, a.id)
+				}
+				return reply(c, a.id, "first")
+			})
+			second := newUpstream(t, func(c net.Conn, a arrival) bool { return refuse(c, a.id) })
+			s := service("statement", false, first, second)
+			n := newNode(t, "a", s)
+			for i := range 40 {
+				call(n.front, "GET", "/s/statement/", "", "Horn-Id", fmt.Sprint(i))
+			}
+			before := len(second.arrivals())
+			earn(s, 5)
+			got := call(n.front, "GET", "/s/statement/", "", "Horn-Id", "slow")
+			is.Equal(got.outcome, "ran")
+			is.Equal(got.body, "first")
+			is.Equal(len(second.arrivals())-before > 0, quick) // suspected only if answers are usually quick
+			until(t, "slots given back", func() bool { return s.Targets[0].Gate.Busy()+s.Targets[1].Gate.Busy() == 0 })
+		})
+	}
+}
+
 // Guards against silent connections that are found only by requests: without
 // any request, one probe finds them all.
 func TestProbe(t *testing.T) {
--- a/hornbeamd/forwarder/pool.go
+++ b/hornbeamd/forwarder/pool.go
@@ -49,12 +49,15 @@
 	last int64
 
 	pinging atomic.Bool
+	// typical is the 99th percentile of the time to the first byte on this path,
+	// usual the 95th of the service on all paths.
 	typical quantile
+	usual   *quantile
 	stats   stats
 }
 
-func newPool(key poolKey, now func() int64) *pool {
-	p := &pool{key: key, now: now, last: now()}
+func newPool(key poolKey, usual *quantile, now func() int64) *pool {
+	p := &pool{key: key, usual: usual, now: now, last: now()}
 	p.limit.Store(defaultConns)
 	return p
 }
@@ -201,9 +204,19 @@
 // quantile follows a high percentile of recent values without keeping them: it
 // rises by some parts for a value above it and falls by one for each below, 99
 // parts for the 99th percentile.
-type quantile struct{ value atomic.Int64 }
+type quantile struct {
+	value atomic.Int64
+	// count is the number of values, up to fewValues.
+	count atomic.Int64
+}
+
+// fewValues is the number of values below which a quantile tells little.
+const fewValues = 20
 
 func (q *quantile) add(v, parts int64) {
+	if q.count.Load() < fewValues {
+		q.count.Add(1)
+	}
 	old := q.value.Load()
 	switch {
 	case old == 0:
--- a/hornbeamd/forwarder/try.go
+++ b/hornbeamd/forwarder/try.go
@@ -20,7 +20,7 @@
 	err := f.exchange(c, p, t.Path, x)
 	if err != nil {
 		res := f.failed(c, x, err)
-		if err != errHedged {
+		if err != errHedged || x.suspected {
 			f.count(x, err, res)
 		}
 		f.freeLater(service, t, x.sent && !ended(err))
@@ -188,31 +188,61 @@
 	if err == nil {
 		x.first = f.now()
 		path.Proven(x.first)
-		p.typical.add(x.first-x.start, 99)
-		f.queue(c.req.Service.Name).usual.add(x.first-x.start, 19)
 		err = x.receive(c.req.ID, c.head)
 	}
 	if err != nil {
-		if x.fresh && errors.Is(err, errSilent) {
+		if x.fresh && x.silent(err, f.now()) {
 			path.Suspect(f.now())
 		}
 		x.abort()
+		return err
+	}
+	x.learn()
+	return nil
+}
+
+// silent tells whether err ended an exchange whose silence was suspicious enough
+// to doubt the path.
+func (x *exchange) silent(err error, now int64) bool {
+	switch {
+	case errors.Is(err, errSilent):
+		return true
+	case errors.Is(err, errHedged):
+		return x.suspected
 	}
-	return err
+	return errors.Is(err, errLate) && now-x.start >= int64(x.pool.final())
 }
 
-// await waits for the answer to begin. A silent exchange is given up for a
-// better place, or otherwise after a longer time.
+// learn notes the time to the first byte. Refusals come at once, so that they
+// would make the time of answers seem short.
+func (x *exchange) learn() {
+	outcome, ok := ParseOutcome(x.header.Peek(HeaderOutcome))
+	if ok && outcome != Ran || len(x.header.Peek(HeaderRefused)) > 0 {
+		return
+	}
+	x.pool.typical.add(x.first-x.start, 99)
+	x.pool.usual.add(x.first-x.start, 19)
+}
+
+// await waits for the answer to begin. While it is silent for long, a second
+// try runs beside the first one as soon as there is a place for it. The exchange
+// of a once-service, which has none, is given up before the deadline.
 func (f *Forwarder) await(c *call, x *exchange) error {
 	err := f.awaitHedge(c, x)
 	if err != errSilent {
 		return err
 	}
-	err = x.await(c, x.pool.suspicion())
-	if err == errSilent && !f.abandon(c) {
-		err = x.await(c, x.pool.final())
+	for wait := x.pool.suspicion(); ; wait += x.pool.suspicion() {
+		if err = x.await(c, wait); err != errSilent {
+			return err
+		}
+		if c.req.Service.Once {
+			return x.await(c, x.pool.final())
+		}
+		if h := f.second(c); h != nil {
+			return h.race(c, x)
+		}
 	}
-	return err
 }
 
 // failed judges an exchange that ended without an answer.
