server: an instance without configuration answers starting, not 404

Before the first configuration every service is unknown, and callers took the 404 for final. Requests now get 503 notrun with reason starting and a retry time, with their id, which a forwarding instance checks. A caller's repeat is unknown: notrun would allow it to be sent as a first attempt although an earlier send may have run. Look-ups and health are unchanged.

go test -race ./hornbeamd/... passes.

--- a/hornbeamd/forwarder/headers.go
+++ b/hornbeamd/forwarder/headers.go
@@ -87,6 +87,8 @@
 	// Busy means that this instance has no room for the request: too many are in
 	// flight, or the table of request ids is full.
 	Busy router.Reason = "busy"
+	// Starting means that this instance has no configuration yet.
+	Starting router.Reason = "starting"
 	// Gone means that the caller has closed its connection.
 	Gone router.Reason = "gone"
 	// Cut means that the caller's body ended early.
--- a/hornbeamd/forwarder/try.go
+++ b/hornbeamd/forwarder/try.go
@@ -135,6 +135,8 @@
 		return Fenced
 	case string(Busy):
 		return Busy
+	case string(Starting):
+		return Starting
 	}
 	return Broken
 }
--- a/hornbeamd/server/handle.go
+++ b/hornbeamd/server/handle.go
@@ -99,6 +99,10 @@
 	defer requests.Put(in)
 	r := &in.Request
 	*r = forwarder.Request{Table: s.cfg.Tables.Table(), Arrived: s.cfg.Now(), Hop: s.cfg.Hops}
+	if r.Table == nil || r.Table.Version == 0 {
+		s.starting(ctx)
+		return
+	}
 	if bad := s.parse(ctx, rest, in); bad.status != 0 {
 		forwarder.Reject(ctx, bad.status, bad.sentence)
 		return
@@ -111,6 +115,20 @@
 	s.cfg.Handler.Forward(ctx, r)
 }
 
+// starting answers before there is a configuration, which tells the services and
+// what may be repeated. A repeat that names no first attempt may have run.
+func (s *Server) starting(ctx *fasthttp.RequestCtx) {
+	h := &ctx.Request.Header
+	outcome := forwarder.NotRun
+	if a := h.Peek(forwarder.HeaderAttempt); !s.cfg.Hops && len(a) > 0 && string(a) != "1" {
+		outcome = forwarder.Unknown
+	}
+	forwarder.Refuse(ctx, outcome, forwarder.Starting, s.cfg.Now())
+	if id := h.Peek(forwarder.HeaderID); forwarder.CheckID(id) == nil {
+		ctx.Response.Header.SetBytesV(forwarder.HeaderID, id)
+	}
+}
+
 // badRequest answers what the codec could not read.
 func badRequest(ctx *fasthttp.RequestCtx, err error) {
 	var small *fasthttp.ErrSmallBuffer
--- a/hornbeamd/server/parse.go
+++ b/hornbeamd/server/parse.go
@@ -64,10 +64,7 @@
 	if i := bytes.IndexAny(rest, "/?"); i >= 0 {
 		name = rest[:i]
 	}
-	if r.Table != nil {
-		r.Service = r.Table.Services[string(name)]
-	}
-	if r.Service == nil {
+	if r.Service = r.Table.Services[string(name)]; r.Service == nil {
 		return reply{fasthttp.StatusNotFound, "The service is unknown."}
 	}
 	if !visible(rest) || !visible(ctx.Method()) {
--- a/hornbeamd/server/server_test.go
+++ b/hornbeamd/server/server_test.go
@@ -27,10 +27,15 @@
 type fake struct {
 	seen []forwarder.Request
 	hold chan struct{}
+	// starting tells that there is no configuration.
+	starting bool
 }
 
 func (f *fake) Table() *router.Table {
-	return &router.Table{Services: map[string]*router.Service{
+	if f.starting {
+		return &router.Table{}
+	}
+	return &router.Table{Version: 1, Services: map[string]*router.Service{
 		"posting": {Name: "posting", Once: true, Priority: 2, Limit: int64(2 * time.Second), Body: 10},
 	}}
 }
@@ -133,6 +138,35 @@
 	}
 }
 
+// Guards against answers for good from an instance that has no configuration
+// yet, and against a hop whose origin cannot tell that it did not run.
+func TestStarting(t *testing.T) {
+	is := is.New(t)
+	for _, tt := range []struct {
+		path, attempt, outcome string
+		hops                   bool
+		status                 int
+	}{
+		{"/s/posting/", "1", "notrun", false, 503},
+		{"/s/other/", "1", "notrun", false, 503},
+		{"/s/posting/", "2", "unknown", false, 504}, // an earlier send may have run elsewhere
+		{"/s/posting/", "2", "notrun", true, 503},
+		{"/v1/lookup", "1", "", false, 200},
+		{"/health", "1", "", false, 200},
+	} {
+		f := &fake{starting: true}
+		resp := exchange(newServer(f, tt.hops), "POST "+tt.path+" HTTP/1.1\r\nHost: x\r\nHorn-Hop: 7\r\nHorn-Id: a\r\nHorn-Attempt: "+tt.attempt+"\r\n\r\n")
+		is.Equal(resp.StatusCode, tt.status)
+		is.Equal(resp.Header.Get("Horn-Outcome"), tt.outcome)
+		if tt.outcome != "" {
+			is.Equal(resp.Header.Get("Horn-Reason"), "starting")
+			is.Equal(resp.Header.Get("Horn-Id"), "a")
+			is.True(resp.Header.Get("Horn-Retry") > strconv.Itoa(present))
+		}
+		is.Equal(len(f.seen), 0)
+	}
+}
+
 // Guards against callers that raise their priority, outlive the limit or name
 // their own block.
 func TestDefaults(t *testing.T) {
