--- a/hornbench/director/demo.go
+++ b/hornbench/director/demo.go
@@ -254,16 +254,15 @@
 
 // submit writes the next ticket and waits until it is in force.
 func (d *Demo) submit(ctx context.Context, reason string, objects map[string]any) error {
-	number := d.version + 1
-	t, err := ticket(number, "demo", reason, objects)
+	t, err := ticket(d.version, "demo", reason, objects)
 	if err != nil {
 		return err
 	}
 	began := time.Now()
-	if err := submit(ctx, d.deployment.Settings[0].Platform, t); err != nil {
+	if err := d.deployment.submit(ctx, t); err != nil {
 		return err
 	}
-	return d.watchForce(ctx, number, began, reason)
+	return d.watchForce(ctx, d.version+1, began, reason)
 }
 
 func (d *Demo) watchForce(ctx context.Context, number uint64, began time.Time, reason string) error {
--- a/hornbench/director/scenes.go
+++ b/hornbench/director/scenes.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"hornbeamstream.example/core/loader"
+	"hornbeamstream.example/core/submitter"
 )
 
 // Shift and its cap. At the deployments' sizes, the share calls for more than
@@ -151,17 +152,18 @@
 	began := time.Now()
 	errs := make([]error, 2)
 	for i, headroom := range []float64{0.4, 0.6} {
-		t, err := ticket(number, fmt.Sprintf("operator%d", i+1), "race", map[string]any{
+		t, err := ticket(d.version, fmt.Sprintf("operator%d", i+1), "race", map[string]any{
 			loader.KindPolicy + "/main": loader.Policy{Headroom: headroom, Reserve: 0.1},
 		})
 		if err != nil {
 			return err
 		}
-		g.Go(func() { errs[i] = submit(ctx, d.deployment.Settings[0].Platform, t) })
+		g.Go(func() { errs[i] = d.deployment.submit(ctx, t) })
 	}
 	g.Wait()
 	winner := slices.Index(errs, nil) + 1
-	if winner == 0 || !errors.Is(errs[2-winner], errRaced) {
+	var refused *submitter.Refused
+	if winner == 0 || !errors.As(errs[2-winner], &refused) {
 		return fmt.Errorf("race for ticket %d: %w", number, errors.Join(errs...))
 	}
 	d.say("two operators wrote ticket %d, operator%d won, the other was refused", number, winner)
