director: rolling restart of all instances under load

The demo stops one instance in the planned way; a fleet is replaced by stopping all of them in turn. hornbench rolling does that under load, two at a time in different failure domains, waits for exit 0, the newest version and all slots of the failure domain, and prints the demo's table and line with the number of restarts and the longest stop. A run is now a plan that demo and rolling share. At most one of the two is alone in its failure domain, because without two failure domains the load of 0.7 exceeds the slots that remain.

--- a/hornbench/commands_run.go
+++ b/hornbench/commands_run.go
@@ -36,25 +36,49 @@
 	return binary, logs, func() { _ = os.RemoveAll(logs) }, err
 }
 
+// runFlags concern the commands that run a whole deployment under load.
+func runFlags() []cli.Flag {
+	return append(
+		append(deployFlags(), processFlags()...),
+		&cli.BoolFlag{Name: "causes", Usage: "count the causes of tries that were not ok"},
+	)
+}
+
+func shareFlag() cli.Flag {
+	return &cli.FloatFlag{Name: "share", Value: 0.7, Usage: "share of all slots that the load needs"}
+}
+
+// withDemo prepares a run of the deployment with the instances' binary.
+func withDemo(run func(*director.Demo, context.Context) error) cli.ActionFunc {
+	return withDeployment(func(ctx context.Context, c *cli.Command, d *director.Deployment) error {
+		binary, logs, remove, err := processes(c)
+		if err != nil {
+			return err
+		}
+		defer remove()
+		o := director.Options{Binary: binary, Logs: logs, Factor: c.Float("factor"), Share: c.Float("share"), Scenes: c.StringSlice("scene"), Causes: c.Bool("causes")}
+		return run(director.NewDemo(d, o, c.Writer), ctx)
+	})
+}
+
 func demoCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "demo",
 		Usage: "run a deployment under load and faults for less than a minute",
 		Flags: append(
-			append(deployFlags(), processFlags()...),
-			&cli.FloatFlag{Name: "share", Value: 0.7, Usage: "share of all slots that the load needs"},
+			runFlags(), shareFlag(),
 			&cli.StringSliceFlag{Name: "scene", Usage: "only these steps: shift, drain, race, kill, silence, stop, outage"},
-			&cli.BoolFlag{Name: "causes", Usage: "count the causes of tries that were not ok"},
 		),
-		Action: withDeployment(func(ctx context.Context, c *cli.Command, d *director.Deployment) error {
-			binary, logs, remove, err := processes(c)
-			if err != nil {
-				return err
-			}
-			defer remove()
-			o := director.Options{Binary: binary, Logs: logs, Factor: c.Float("factor"), Share: c.Float("share"), Scenes: c.StringSlice("scene"), Causes: c.Bool("causes")}
-			return director.NewDemo(d, o, c.Writer).Run(ctx)
-		}),
+		Action: withDemo((*director.Demo).Run),
+	}
+}
+
+func rollingCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "rolling",
+		Usage:  "restart all instances of a deployment under load",
+		Flags:  append(runFlags(), shareFlag()),
+		Action: withDemo((*director.Demo).Rolling),
 	}
 }
 
--- a/hornbench/director/demo.go
+++ b/hornbench/director/demo.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -59,6 +60,8 @@
 	stops   []stop
 	shift   *move
 	drained *drained
+	// restarted counts the instances that a rolling restart has renewed.
+	restarted int
 	// failed are the steps that did not do what they should.
 	failed []string
 }
@@ -78,17 +81,31 @@
 	return &Demo{Options: o, deployment: d, out: out}
 }
 
+// plan is what a run does under load.
+type plan struct {
+	// limit bounds the whole run, load the time of the load.
+	limit, load time.Duration
+	steps       func(context.Context)
+	// whole ends the load when the steps have ended, and not before.
+	whole bool
+}
+
 // Run runs the demo and prints its result. Everything that it started has ended
 // when it returns. The error tells of violations and of steps that failed.
-func (d *Demo) Run(ctx context.Context) (err error) {
-	ctx, cancel := context.WithTimeout(ctx, demoLimit)
+func (d *Demo) Run(ctx context.Context) error {
+	return d.run(ctx, plan{limit: demoLimit, load: loadTime, steps: d.scenes}, func(r *Result) any { return r })
+}
+
+// run runs a plan. line makes the last line of the output from the result.
+func (d *Demo) run(ctx context.Context, p plan, line func(*Result) any) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, p.limit)
 	defer cancel()
 	d.began = time.Now()
 	if err := d.start(ctx); err != nil {
 		return d.fail(ctx, err)
 	}
 	from := time.Now()
-	requests, err := d.drive(ctx)
+	requests, err := d.drive(ctx, p)
 	to := time.Now()
 	if err != nil {
 		return d.fail(ctx, err)
@@ -104,6 +121,9 @@
 	if err := r.print(d.out); err != nil {
 		return err
 	}
+	if err := json.NewEncoder(d.out).Encode(line(r)); err != nil {
+		return err
+	}
 	return r.verdict()
 }
 
@@ -144,8 +164,8 @@
 	return nil
 }
 
-// drive runs load and scenes, and returns the requests.
-func (d *Demo) drive(ctx context.Context) ([]generator.Request, error) {
+// drive runs load and steps, and returns the requests.
+func (d *Demo) drive(ctx context.Context, p plan) ([]generator.Request, error) {
 	l, err := d.deployment.NewLoad(d.deployment.Offer(d.Share, d.Factor), "", demoSeed)
 	if err != nil {
 		return nil, err
@@ -158,10 +178,15 @@
 	}
 	d.say("load at %.0f%% of all slots begins", d.Share*100)
 	var g sync.WaitGroup
-	g.Go(func() { d.scenes(base) })
-	g.Go(func() { d.pulse(base) })
-	run, stop := context.WithTimeout(base, loadTime)
+	run, stop := context.WithTimeout(base, p.load)
 	defer stop()
+	g.Go(func() {
+		p.steps(base)
+		if p.whole {
+			stop()
+		}
+	})
+	g.Go(func() { d.pulse(base) })
 	l.Run(run)
 	d.say("load ended, %d requests", len(l.Ledger.Requests()))
 	cancel()
--- a/hornbench/director/result.go
+++ b/hornbench/director/result.go
@@ -1,7 +1,6 @@
 package director
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -134,7 +133,7 @@
 	return nil
 }
 
-// print prints the tables and, as the last line, the result as JSON.
+// print prints the tables, findings and failed steps.
 func (r *Result) print(w io.Writer) error {
 	fmt.Fprintln(w)
 	if err := generator.Table(w, r.requests); err != nil {
@@ -170,12 +169,7 @@
 	for _, line := range append(r.findings, r.steps...) {
 		fmt.Fprintln(w, "!", line)
 	}
-	b, err := json.Marshal(r)
-	if err != nil {
-		return err
-	}
-	_, err = fmt.Fprintf(w, "%s\n", b)
-	return err
+	return nil
 }
 
 // states counts runs by the way in which they ended. Runs that no caller got an
--- a/hornbench/director/status.go
+++ b/hornbench/director/status.go
@@ -88,9 +88,13 @@
 }
 
 // slots asks all instances that run.
-func (f *fleet) slots(ctx context.Context) (n slots) {
+func (f *fleet) slots(ctx context.Context) slots { return f.slotsOf(ctx, "") }
+
+// slotsOf asks the instances that run in a failure domain, or all when it is
+// empty.
+func (f *fleet) slotsOf(ctx context.Context, domain string) (n slots) {
 	for _, p := range f.list {
-		if running, _ := p.state(); !running {
+		if running, _ := p.state(); !running || domain != "" && p.settings.Domain != domain {
 			continue
 		}
 		s, err := p.status(ctx)
