director: rush on the bulk service

The bound for the once service in a rush on the bulk service was stated but not measured through running instances. hornbench rush compares its latency and success in one run: once and small service at half their slots, then the bulk service at 3 times its slots as well.

--- a/hornbench/commands_run.go
+++ b/hornbench/commands_run.go
@@ -82,6 +82,15 @@
 	}
 }
 
+func rushCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "rush",
+		Usage:  "compare the once service before and during a rush on the bulk service",
+		Flags:  runFlags(),
+		Action: withDemo((*director.Demo).Rush),
+	}
+}
+
 func forwardCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "forward",
