director: the cap of a shift binds from the start that its ticket names

Change: the ticket's start is the 2 s bound of 'in force' after the submission, and the audit counts everything from that start on, also on an instance that should get the ticket late.

--- a/hornbench/director/audit.go
+++ b/hornbench/director/audit.go
@@ -19,7 +19,7 @@
 	from, to time.Time
 }
 
-// move is a capped shift in force since a time.
+// move is a capped shift that starts at a time.
 type move struct {
 	service  string
 	from, to string
@@ -173,7 +173,7 @@
 }
 
 // shifted returns the runs that crossed from the shift's source to its target
-// since it came into force, whatever the reason.
+// since it started, whatever the reason.
 func (e *evidence) shifted(known map[string]*generator.Request) (list []emulator.Run) {
 	for _, r := range e.runs {
 		q := known[r.ID]
--- a/hornbench/director/scenes.go
+++ b/hornbench/director/scenes.go
@@ -18,6 +18,9 @@
 const (
 	shiftShare = 0.25
 	shiftCap   = 60
+	// forceBound is the time within which a ticket must be in force on all
+	// reachable instances.
+	forceBound = 2 * time.Second
 	shiftRamp  = 4 * time.Second
 )
 
@@ -98,13 +101,15 @@
 func (d *Demo) shiftLookups(ctx context.Context) error {
 	small, _, _ := d.deployment.roles()
 	from, to := d.pair()
-	now := time.Now()
+	// The cap binds from the start that the ticket names, and every instance
+	// knows the ticket by then if it is in force in time.
+	start := time.Now().Add(forceBound)
 	s := loader.Shift{
 		From: from, To: to, Share: shiftShare, Cap: shiftCap,
-		Start: now.Add(time.Second), Finish: now.Add(time.Second + shiftRamp),
+		Start: start, Finish: start.Add(shiftRamp),
 	}
 	d.mu.Lock()
-	d.shift = &move{service: small, from: from, to: to, cap: shiftCap, since: now}
+	d.shift = &move{service: small, from: from, to: to, cap: shiftCap, since: start}
 	d.mu.Unlock()
 	reason := fmt.Sprintf("shift of %s from %s to %s, at most %d/s", small, from, to, shiftCap)
 	return d.submit(ctx, reason, map[string]any{loader.KindShift + "/" + small: s})
