server, forwarder: tests that a hop's deadline is bounded at the holder

The holder already bounds a request's deadline by its arrival there and the service's limit, also when a hop names a later one; no test showed it. The arrival is before the admission, so that the bound holds for the admission. TestDefaults and TestForward fail without the bound.

--- a/hornbeamd/forwarder/forward_test.go
+++ b/hornbeamd/forwarder/forward_test.go
@@ -28,12 +28,16 @@
 		is.Equal(got.body, "ok")
 		is.Equal(got.header.Get("Horn-Free"), "")
 	}
-	got := call(b.data, "POST", "/s/lookup/x", "body", "Horn-Id", "two", "Horn-Hop", "1")
+	got := call(b.data, "POST", "/s/lookup/x", "body", "Horn-Id", "two", "Horn-Hop", "1", "Horn-Deadline", at(time.Hour))
 	is.Equal(got.header.Get("Horn-Free"), "8")
 	is.Equal(len(u.arrivals()), 3)
 	is.Equal(a.count("ran"), int64(1)) // each request is reported by its origin only
 	is.Equal(b.count("ran"), int64(1))
 	is.Equal(u.arrivals()[2].body, int64(4))
+	limit := time.Now().Add(2 * time.Second).UnixMilli()
+	for _, a := range u.arrivals() {
+		is.True(a.deadline > 0 && a.deadline <= limit) // the holder's limit bounds hops too, so that parts can move
+	}
 }
 
 // Guards the account of an upstream that its limit is computed from.
--- a/hornbeamd/forwarder/kit_test.go
+++ b/hornbeamd/forwarder/kit_test.go
@@ -31,6 +31,7 @@
 	conn, onConn int
 	id, method   string
 	attempt      string
+	deadline     int64
 	body         int64
 }
 
@@ -103,6 +104,7 @@
 			continue
 		}
 		a := arrival{conn: n, onConn: i, id: r.Header.Get("Horn-Id"), method: r.Method, attempt: r.Header.Get("Horn-Attempt"), body: size}
+		a.deadline, _ = strconv.ParseInt(r.Header.Get("Horn-Deadline"), 10, 64)
 		u.mu.Lock()
 		u.seen = append(u.seen, a)
 		u.mu.Unlock()
--- a/hornbeamd/server/parse.go
+++ b/hornbeamd/server/parse.go
@@ -128,7 +128,9 @@
 	return ""
 }
 
-// checkTimes bounds the deadline by the service's limit. A caller that gives no
+// checkTimes bounds the deadline by the service's limit, for hops too: a request
+// is admitted after its arrival, so that it ends before its part can move, even
+// if the origin's limit or clock differs. A caller that gives no
 // time of its first send is taken to have set the deadline by the limit.
 func checkTimes(f *fields, r *forwarder.Request) bool {
 	r.Deadline = r.Arrived + r.Service.Limit
--- a/hornbeamd/server/server_test.go
+++ b/hornbeamd/server/server_test.go
@@ -186,6 +186,7 @@
 		{"Horn-Priority: 5\r\nHorn-Deadline: 1700000000100\r\nHorn-Sent: 1699999999999\r\n", false, (present + 100) * 1e6, (present - 1) * 1e6, 5, "127.20.1.9"},
 		{"Horn-Hop: 1\r\nHorn-Block: 127.20.2.1\r\n", false, limit, 0, 2, "127.20.1.9"},
 		{"Horn-Hop: 1\r\nHorn-Block: 127.20.2.1\r\n", true, limit, 0, 2, "127.20.2.1"},
+		{"Horn-Hop: 1\r\nHorn-Deadline: 1900000000000\r\n", true, limit, present * 1e6, 2, "127.20.1.9"},
 	} {
 		resp := exchange(newServer(f, tt.hops), "POST /s/posting/ HTTP/1.1\r\nHost: x\r\n"+tt.headers+"\r\n")
 		is.Equal(resp.StatusCode, 200)
