--- a/hornbeamd/forwarder/bench_test.go
+++ b/hornbeamd/forwarder/bench_test.go
@@ -33,9 +33,7 @@
 	one.Targets[0].Gate.Set(1000, far)
 	one.Targets[0].Conns = 1000
 	n := newNode(b, "a", one)
-	hop := service("lookup", false)
-	hop.Peers = append(hop.Peers, n.peer("lookup"))
-	m := newNode(b, "b", hop)
+	m := via(b, "lookup", false, n)
 	hc := &fasthttp.HostClient{Addr: up, MaxConns: 1000, MaxIdleConnDuration: time.Minute}
 	bare := serveFast(b, func(ctx *fasthttp.RequestCtx) {
 		if hc.Do(&ctx.Request, &ctx.Response) != nil {
--- a/hornbeamd/forwarder/fault_test.go
+++ b/hornbeamd/forwarder/fault_test.go
@@ -169,7 +169,7 @@
 			case "ok":
 				is.Equal(got.body, "ok")
 			}
-			until(t, "slot given back", func() bool { return n.Table().Services["posting"].Targets[0].Gate.Busy() == 0 })
+			idle(t, n.Table().Services["posting"])
 			got = call(n.front, "POST", "/s/posting/", "b", "Horn-Id", "two")
 			is.Equal(got.body, "second")
 			is.Equal(u.open(), tt.conns)
@@ -226,7 +226,7 @@
 			t.Errorf("%s arrived again", a.id)
 		}
 	}
-	until(t, "all slots given back", func() bool { return n.Table().Services["posting"].Targets[0].Gate.Busy() == 0 })
+	idle(t, n.Table().Services["posting"])
 }
 
 // Guards against bytes that arrive on an idle connection and would be taken for
--- a/hornbeamd/forwarder/forward_test.go
+++ b/hornbeamd/forwarder/forward_test.go
@@ -16,9 +16,7 @@
 	is := is.New(t)
 	u := newUpstream(t, nil)
 	b := newNode(t, "b", service("lookup", false, u))
-	s := service("lookup", false)
-	s.Peers = append(s.Peers, b.peer("lookup"))
-	a := newNode(t, "a", s)
+	a := via(t, "lookup", false, b)
 	for _, addr := range []string{b.front, a.front} {
 		got := call(addr, "GET", "/s/lookup/x?y=1", "", "Horn-Id", "one")
 		is.NoErr(got.err)
--- a/hornbeamd/forwarder/kit_test.go
+++ b/hornbeamd/forwarder/kit_test.go
@@ -243,6 +243,36 @@
 	return p
 }
 
+// via returns an instance that has no slots of a service but the given peers.
+func via(t testing.TB, name string, once bool, peers ...*node) *node {
+	s := service(name, once)
+	for _, p := range peers {
+		s.Peers = append(s.Peers, p.peer(name))
+	}
+	return newNode(t, "via", s)
+}
+
+// hedging returns an instance that sends second tries.
+func hedging(t testing.TB, s *router.Service) *node {
+	n := newNode(t, "a", s)
+	n.fwd = forwarder.New(forwarder.Config{Tables: n, Metrics: n, Hedge: true})
+	t.Cleanup(n.fwd.Close)
+	n.front = n.serve(t, false)
+	return n
+}
+
+// idle waits until no slot of a service is taken.
+func idle(t *testing.T, s *router.Service) {
+	t.Helper()
+	until(t, "slots given back", func() bool {
+		busy := 0
+		for i := range s.Targets {
+			busy += s.Targets[i].Gate.Busy()
+		}
+		return busy == 0
+	})
+}
+
 func service(name string, once bool, ups ...*upstream) *router.Service {
 	s := &router.Service{Name: name, Once: once, Limit: int64(2 * time.Second), Body: 64 << 20, Retries: new(limiter.Budget)}
 	for i, u := range ups {
--- a/hornbeamd/forwarder/load_test.go
+++ b/hornbeamd/forwarder/load_test.go
@@ -8,16 +8,11 @@
 	"net/http"
 	"runtime"
 	"strconv"
-	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-
-	"hornbeamstream.example/core/router"
-	"hornbeamstream.example/hornbeamd/forwarder"
 )
 
 // zeros gives n bytes.
@@ -39,9 +34,7 @@
 		return err == nil
 	})
 	b := newNode(t, "b", service("statement", false, u))
-	s := service("statement", false)
-	s.Peers = append(s.Peers, b.peer("statement"))
-	a := newNode(t, "a", s)
+	a := via(t, "statement", false, b)
 	is := is.New(t)
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
@@ -82,7 +75,7 @@
 	is.Equal(n.Table().Services["statement"].Targets[0].Gate.Busy(), 1)
 	_ = resp.Body.Close()
 	is.True(<-gone != nil) // the upstream's connection was closed
-	until(t, "slot given back", func() bool { return n.Table().Services["statement"].Targets[0].Gate.Busy() == 0 })
+	idle(t, n.Table().Services["statement"])
 }
 
 // Guards against work that goes on for a caller that has gone away, through two
@@ -99,9 +92,7 @@
 				return false
 			})
 			b := newNode(t, "b", service("lookup", once, u))
-			s := service("lookup", once)
-			s.Peers = append(s.Peers, b.peer("lookup"))
-			a := newNode(t, "a", s)
+			a := via(t, "lookup", once, b)
 			c, err := net.Dial("tcp", a.front)
 			is.NoErr(err)
 			_, _ = io.WriteString(c, "GET /s/lookup/ HTTP/1.1\r\nHost: x\r\n\r\n")
@@ -167,7 +158,7 @@
 			is.Equal(got.outcome, "ran")
 			is.Equal(got.body, "first")
 			is.Equal(len(second.arrivals())-before > 0, quick) // suspected only if answers are usually quick
-			until(t, "slots given back", func() bool { return s.Targets[0].Gate.Busy()+s.Targets[1].Gate.Busy() == 0 })
+			idle(t, s)
 		})
 	}
 }
@@ -224,177 +215,6 @@
 	}
 }
 
-// Guards against more connections than an upstream allows, and against
-// requests that wait long for a slot.
-func TestFull(t *testing.T) {
-	is := is.New(t)
-	hold := make(chan struct{})
-	u := newUpstream(t, func(c net.Conn, a arrival) bool {
-		<-hold
-		return reply(c, a.id, "ok")
-	})
-	s := service("posting", true, u)
-	s.Targets[0].Conns = 3
-	n := newNode(t, "a", s)
-	var wg sync.WaitGroup
-	outcomes := make(chan answer, 12)
-	for i := range 12 {
-		wg.Go(func() { outcomes <- call(n.front, "POST", "/s/posting/", "", "Horn-Id", fmt.Sprint(i)) })
-	}
-	for range 9 {
-		got := <-outcomes
-		is.Equal(got.outcome, "notrun")
-		is.Equal(got.status, 503)
-		is.Equal(got.header.Get("Retry-After"), "1")
-		at, err := strconv.ParseInt(got.header.Get("Horn-Retry"), 10, 64)
-		is.NoErr(err)
-		is.True(at > time.Now().Add(-time.Minute).UnixMilli())
-	}
-	close(hold)
-	wg.Wait()
-	is.Equal(u.open(), 3)
-	is.Equal(len(u.arrivals()), 3)
-}
-
-// Guards against a rush of one priority that fills the instance, against an
-// entry that is kept after the request's end, and against calling a repeat that
-// was refused not run.
-func TestEntry(t *testing.T) {
-	is := is.New(t)
-	u := newUpstream(t, func(c net.Conn, a arrival) bool {
-		if a.method == "GET" {
-			return reply(c, a.id, strings.Repeat("x", 200<<10)) // streamed
-		}
-		return reply(c, a.id, "ok")
-	})
-	n := newNode(t, "a", service("posting", true, u))
-	q := &router.Request{Service: n.Table().Services["posting"]}
-	room := 0
-	for n.Table().Enter(q, 1) {
-		room++
-	}
-	got := call(n.front, "POST", "/s/posting/", "")
-	is.Equal(got.outcome+got.reason, "notrunbusy")
-	is.True(got.header.Get("Horn-Retry") != "")
-	is.Equal(call(n.front, "POST", "/s/posting/", "", "Horn-Id", "r", "Horn-Attempt", "2").outcome, "unknown")
-	is.Equal(call(n.data, "POST", "/s/posting/", "", "Horn-Hop", "1").outcome, "ran") // hops have entered elsewhere
-	n.Table().Exit()
-	for i := range 5 {
-		method := []string{"POST", "GET"}[i%2]
-		is.Equal(call(n.front, method, "/s/posting/", "").outcome, "ran")
-		until(t, "entry given back", func() bool { return n.Table().Enter(q, 1) })
-		is.True(!n.Table().Enter(q, 1))
-		n.Table().Exit()
-	}
-	is.True(room > 0)
-}
-
-// Guards against a queue that lets nobody through: a request that finds no slot
-// runs when one becomes free in time.
-func TestQueue(t *testing.T) {
-	is := is.New(t)
-	u := newUpstream(t, nil)
-	s := service("posting", true, u)
-	s.Targets[0].Gate.Set(1, far)
-	n := newNode(t, "a", s)
-	ran := 0
-	for range 50 {
-		is.True(s.Targets[0].Gate.Acquire(1))
-		got := make(chan answer, 1)
-		go func() { got <- call(n.front, "POST", "/s/posting/", "") }()
-		until(t, "request waits", func() bool { return n.fwd.Waiting("posting") == 1 || len(got) > 0 })
-		s.Targets[0].Gate.Release()
-		n.fwd.Wake("posting")
-		if (<-got).outcome == "ran" {
-			ran++
-		}
-	}
-	is.True(ran > 0)
-}
-
-// Guards against waits that outlast what the service's time and the deadline
-// make useful, and against a queue that grows without bound.
-func TestWaitTime(t *testing.T) {
-	is := is.New(t)
-	for _, tt := range [][3]time.Duration{
-		{0, 1000, 5}, {4, 1000, 5}, {40, 1000, 20}, {1000, 9000, 50}, {40, 50, 10}, {40, 30, -10}, {0, 4, 2},
-	} {
-		is.Equal(forwarder.WaitTime(tt[0]*time.Millisecond, tt[1]*time.Millisecond), tt[2]*time.Millisecond)
-	}
-	s := service("posting", true)
-	s.Limit = int64(time.Hour)
-	n := newNode(t, "a", s)
-	woken := n.fwd.Queue("posting")
-	for range 63 {
-		n.fwd.Queue("posting")
-	}
-	n.fwd.Usual("posting", 100*time.Millisecond)
-	n.fwd.Wake("posting")
-	is.Equal(call(n.front, "POST", "/s/posting/", "").reason, "full")
-	is.Equal(woken(), 1) // a request that waits would have taken the wake
-}
-
-// Guards against giving up while a slot becomes free in time: after three
-// refusals for lack of slots the last try follows a wait.
-func TestMisses(t *testing.T) {
-	is := is.New(t)
-	s := service("lookup", false, newUpstream(t, nil))
-	gate := s.Targets[0].Gate
-	gate.Set(1, far)
-	s2 := service("lookup", false)
-	for _, name := range []string{"b", "c", "d", "e"} {
-		s2.Peers = append(s2.Peers, newNode(t, name, s).peer("lookup"))
-	}
-	a := newNode(t, "a", s2)
-	ran := 0
-	for range 20 {
-		a.fwd.Usual("lookup", 100*time.Millisecond)
-		for _, p := range s2.Peers {
-			p.Credits["lookup"].Set(1, time.Now().UnixNano())
-		}
-		is.True(gate.Acquire(1))
-		got := make(chan answer, 1)
-		go func() { got <- call(a.front, "GET", "/s/lookup/", "") }()
-		until(t, "request waits", func() bool { return a.fwd.Waiting("lookup") == 1 || len(got) > 0 })
-		gate.Release()
-		s2.Peers[0].Credits["lookup"].Set(1, time.Now().UnixNano())
-		a.fwd.Wake("lookup")
-		if (<-got).outcome == "ran" {
-			ran++
-		}
-	}
-	is.True(ran > 0)
-}
-
-// Guards against requests that no answer of a peer wakes, at an instance without
-// own slots, and against asking a peer again that has just refused.
-func TestPeerQueue(t *testing.T) {
-	is := is.New(t)
-	hold, ended := make(chan struct{}), make(chan answer, 2)
-	u := newUpstream(t, func(c net.Conn, a arrival) bool {
-		if a.id == "first" {
-			<-hold
-		}
-		return reply(c, a.id, "ok")
-	})
-	s := service("lookup", false, u)
-	s.Targets[0].Gate.Set(1, far)
-	b := newNode(t, "b", s)
-	p := b.peer("lookup")
-	s2 := service("lookup", false)
-	s2.Peers = []*router.Peer{p}
-	a := newNode(t, "a", s2)
-	p.Credits["lookup"].Set(2, time.Now().UnixNano())
-	go func() { ended <- call(a.front, "GET", "/s/lookup/", "", "Horn-Id", "first") }()
-	until(t, "the slot is taken", func() bool { return len(u.arrivals()) == 1 })
-	is.Equal(call(a.front, "GET", "/s/lookup/", "").reason, "full")
-	is.Equal(p.Credits["lookup"].Take(0), false) // a refusal puts the next try off
-	woken := a.fwd.Queue("lookup")
-	close(hold)
-	is.Equal((<-ended).outcome, "ran")
-	is.Equal(woken(), 1)
-}
-
 // Guards against a caller's body that ends early being taken for a whole one.
 func TestCutUpload(t *testing.T) {
 	for _, size := range []int{100, 30 << 10, 1 << 20} {
@@ -437,14 +257,12 @@
 			second := newUpstream(t, func(c net.Conn, a arrival) bool { return reply(c, a.id, "second") })
 			s := earn(service("posting", once, first, second), 5)
 			s.Limit = int64(500 * time.Millisecond)
-			n := &node{name: "a"}
-			n.set(s)
-			n.fwd = forwarder.New(forwarder.Config{Tables: n, Metrics: n, Hedge: true})
-			t.Cleanup(n.fwd.Close)
-			n.front = n.serve(t, false)
+			n := hedging(t, s)
+			is.True(s.Targets[1].Gate.Acquire(1)) // no second tries yet, however busy the machine
 			for i := range 20 {
 				is.Equal(call(n.front, "POST", "/s/posting/", "", "Horn-Id", fmt.Sprint(i)).body, "first")
 			}
+			s.Targets[1].Gate.Release()
 			before := len(second.arrivals())
 			slow.Store(true)
 			for i := range 3 {
@@ -459,7 +277,7 @@
 			if once {
 				is.Equal(len(second.arrivals()), before)
 			}
-			until(t, "slots given back", func() bool { return s.Targets[0].Gate.Busy()+s.Targets[1].Gate.Busy() == 0 })
+			idle(t, s)
 		})
 	}
 }
@@ -514,10 +332,8 @@
 	_, _ = fmt.Fprintf(c, "POST /s/posting/ HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", 1<<20)
 	_, _ = io.Copy(c, zeros(1<<19))
 	until(t, "slot taken", func() bool { return s.Targets[0].Gate.Busy() == 1 })
-	until(t, "slot given back", func() bool { return s.Targets[0].Gate.Busy() == 0 })
-	s2 := service("other", true)
-	s2.Peers = append(s2.Peers, n.peer("other")) // which does not know the service
-	m := newNode(t, "b", s2)
+	idle(t, s)
+	m := via(t, "other", true, n) // which does not know the service
 	is.Equal(call(m.front, "POST", "/s/other/", "").outcome, "notrun")
 }
 
@@ -539,17 +355,15 @@
 		cut <- err
 		return false
 	})
-	n := &node{name: "a"}
-	n.set(earn(service("lookup", false, first, second), 5))
-	n.fwd = forwarder.New(forwarder.Config{Tables: n, Hedge: true})
-	t.Cleanup(n.fwd.Close)
-	n.front = n.serve(t, false)
+	s := earn(service("lookup", false, first, second), 5)
+	n := hedging(t, s)
+	is.True(s.Targets[1].Gate.Acquire(1)) // no second tries yet
 	for range 20 {
 		is.Equal(call(n.front, "GET", "/s/lookup/", "").body, "first")
 	}
+	s.Targets[1].Gate.Release()
 	slow.Store(true)
 	is.Equal(call(n.front, "GET", "/s/lookup/", "").body, "first")
 	is.Equal(<-cut, io.EOF)
-	targets := n.Table().Services["lookup"].Targets
-	until(t, "slots given back", func() bool { return targets[0].Gate.Busy()+targets[1].Gate.Busy() == 0 })
+	idle(t, s)
 }
--- a/hornbeamd/forwarder/repeat_test.go
+++ b/hornbeamd/forwarder/repeat_test.go
@@ -165,14 +165,12 @@
 	answer := func(c net.Conn, a arrival) bool { return reply(c, a.id, "first") }
 	u, v := newUpstream(t, answer), newUpstream(t, answer)
 	b, c := newNode(t, "b", service("posting", true, u)), newNode(t, "c", service("posting", true, v))
-	s := service("posting", true)
-	s.Peers = []*router.Peer{b.peer("posting"), c.peer("posting")}
-	a := newNode(t, "a", s)
+	a := via(t, "posting", true, b, c)
 	a.witnesses = []*node{b, c}
 	for range 2 {
 		got := call(a.front, "POST", "/s/posting/", "x", "Horn-Id", "one", "Horn-Sent", now())
 		is.Equal(got.body, "first")
-		s.Peers[0].Path.Suspect(far)
+		a.Table().Services["posting"].Peers[0].Path.Suspect(far)
 	}
 	is.Equal(len(u.arrivals())+len(v.arrivals()), 1)
 }
