--- a/core/router/policy_test.go
+++ b/core/router/policy_test.go
@@ -54,7 +54,7 @@
 	return r
 }
 
-// figures are what the tables of docs/measurements-routing.md show of a run.
+// figures are what the tables of docs/MEASUREMENTS.md show of a run.
 func (r *result) figures() [7]float64 {
 	n, answered := float64(r.sent), float64(max(1, len(r.latencies)))
 	return [...]float64{
