loader, reducer, router: one rule for drains, domains and the policy's name

Cause: whether a drain is in force, the upstreams of a domain, the domains of a region and the name of the policy were worked out in up to three places, while the functions of loader.State for it were used by tests alone. One place forgot until: a leaving signal after the end of a drain was recorded with the number of the ended drain's ticket. Change: Drain.InForce and the functions of State are used by all. Result: TestDrainEndsByItself covers the event; without the check it fails (0 events without a ticket instead of 2).

--- a/core/loader/check.go
+++ b/core/loader/check.go
@@ -20,7 +20,6 @@
 	maxLimit = 60_000
 	// shareSlack allows for shares such as 0.333 that are rounded.
 	shareSlack = 0.001
-	policyMain = "main"
 )
 
 func (Region) check(reporter) {}
@@ -168,7 +167,7 @@
 		s.need(report, "to", KindRegion, h.To)
 	}
 	for name := range s.Policies {
-		if name != policyMain {
+		if name != PolicyMain {
 			p.add("policy/"+name, "the only policy is policy/main")
 		}
 	}
--- a/core/loader/objects.go
+++ b/core/loader/objects.go
@@ -106,6 +106,9 @@
 	Regions map[string][]string `json:"regions" yaml:"regions"`
 }
 
+// PolicyMain is the name of the only Policy.
+const PolicyMain = "main"
+
 // Policy holds the preferences of the whole deployment. Key: policy/main.
 type Policy struct {
 	// Headroom, from 0 to 1, is the weight of free slots against the weight of
--- a/core/loader/state.go
+++ b/core/loader/state.go
@@ -78,11 +78,14 @@
 
 func (s State) drained(kind, name string, now time.Time) bool {
 	d, ok := s.Drains[kind+"/"+name]
-	return ok && (d.Until.IsZero() || now.Before(d.Until))
+	return ok && d.InForce(now)
 }
 
+// InForce tells whether the drain has not ended by itself at now.
+func (d Drain) InForce(now time.Time) bool { return d.Until.IsZero() || now.Before(d.Until) }
+
 // Policy returns the deployment's policy, which is zero when none is set.
-func (s State) Policy() Policy { return s.Policies[policyMain] }
+func (s State) Policy() Policy { return s.Policies[PolicyMain] }
 
 // EncodeState returns the state as JSON, for snapshots.
 func EncodeState(s State) ([]byte, error) { return json.Marshal(s) }
--- a/core/reducer/control.go
+++ b/core/reducer/control.go
@@ -139,12 +139,12 @@
 		s.limited(before, v)
 		return
 	}
-	version := drainVersion(s.Follower.Config, v.Upstream)
 	if !v.Leaving {
 		delete(s.Draining, v.Upstream)
 		s.record(recorder.Event{Kind: recorder.Found, Upstream: v.Upstream, Cause: v.Cause})
 		return
 	}
+	version := drainVersion(s.Follower.Config, v.Upstream, s.now)
 	s.Draining[v.Upstream] = Drain{Version: version, Since: v.Since}
 	s.record(recorder.Event{Kind: recorder.Drained, Version: version, Upstream: v.Upstream, Cause: v.Cause})
 }
@@ -218,12 +218,12 @@
 }
 
 // drainVersion returns the number of the newest ticket that drains the
-// upstream, or zero.
-func drainVersion(config loader.State, upstream string) uint64 {
+// upstream now, or zero.
+func drainVersion(config loader.State, upstream string, now time.Time) uint64 {
 	u := config.Upstreams[upstream]
 	var version uint64
-	for _, name := range []string{"upstream/" + upstream, "domain/" + u.Domain, "region/" + config.Domains[u.Domain].Region} {
-		if _, ok := config.Drains[name]; ok {
+	for _, name := range []string{"upstream/" + upstream, "domain/" + u.Domain, "region/" + config.Region(u.Domain)} {
+		if d, ok := config.Drains[name]; ok && d.InForce(now) {
 			version = max(version, config.Touched[loader.KindDrain+"/"+name])
 		}
 	}
--- a/core/reducer/plan.go
+++ b/core/reducer/plan.go
@@ -18,16 +18,14 @@
 // domain works on.
 func Plan(config loader.State, domain string) granter.Plan {
 	p := granter.Plan{Version: config.Version, Domain: domain, Reserve: defaultReserve}
-	if policy, ok := config.Policies["main"]; ok {
+	if policy, ok := config.Policies[loader.PolicyMain]; ok {
 		p.Reserve = policy.Reserve
 	}
-	for _, name := range sortedKeys(config.Upstreams) {
+	for _, name := range config.DomainUpstreams(domain) {
 		u := config.Upstreams[name]
-		if u.Domain == domain {
-			p.Demands = append(p.Demands, demand(name, u, config.Services[u.Service]))
-		}
+		p.Demands = append(p.Demands, demand(name, u, config.Services[u.Service]))
 	}
-	p.Quotas = quotas(config, config.Domains[domain].Region)
+	p.Quotas = quotas(config, config.Region(domain))
 	return p
 }
 
@@ -45,12 +43,7 @@
 // in its region. The share depends on the configuration alone, so that domains
 // need no messages to agree.
 func quotas(config loader.State, region string) []granter.Quota {
-	domains := 0
-	for _, d := range config.Domains {
-		if d.Region == region {
-			domains++
-		}
-	}
+	domains := len(config.RegionDomains(region))
 	if domains == 0 {
 		return nil
 	}
@@ -76,13 +69,10 @@
 
 // specs returns what the observer watches: the upstreams of the own domain.
 func (s *State) specs() []observer.Spec {
-	config, domain := s.Follower.Config, s.Self.Domain
+	config := s.Follower.Config
 	var specs []observer.Spec
-	for _, name := range sortedKeys(config.Upstreams) {
+	for _, name := range config.DomainUpstreams(s.Self.Domain) {
 		u := config.Upstreams[name]
-		if u.Domain != domain {
-			continue
-		}
 		probers := idleProbers
 		if s.holds(name) {
 			probers = 1
--- a/core/reducer/reducer_test.go
+++ b/core/reducer/reducer_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"hornbeamstream.example/core/observer"
 	"hornbeamstream.example/core/recorder"
 	"hornbeamstream.example/core/reducer"
 )
@@ -232,6 +233,22 @@
 	is.True(leaving())
 	w.runFor(6 * time.Second)
 	is.True(!leaving())
+	// A leaving signal after the end does not belong to the drain's ticket.
+	for _, n := range w.nodes {
+		w.step(n, reducer.Observing{Now: w.now, Event: observer.Signaled{
+			At: w.now, Now: w.now, Upstream: "lookup-a", Source: observer.FromUpstream, Leaving: true,
+		}})
+	}
+	versions := map[uint64]int{}
+	for _, n := range w.nodes {
+		for _, e := range n.events {
+			if e.Kind == recorder.Drained {
+				versions[e.Version]++
+			}
+		}
+	}
+	is.True(versions[2] > 0)
+	is.Equal(versions[0], versions[2])
 }
 
 // Guards against a drain that cannot be followed in the timeline from the
--- a/core/router/build.go
+++ b/core/router/build.go
@@ -125,7 +125,7 @@
 const defaultHeadroom = 0.5
 
 func headroom(c *loader.State) float64 {
-	p, ok := c.Policies["main"]
+	p, ok := c.Policies[loader.PolicyMain]
 	if !ok {
 		return defaultHeadroom
 	}
@@ -135,7 +135,7 @@
 func (b *builder) index() {
 	b.drained = map[string]bool{}
 	for key, d := range b.Config.Drains {
-		if d.Until.IsZero() || b.Now.Before(d.Until) {
+		if d.InForce(b.Now) {
 			b.drained[key] = true
 		}
 	}
--- a/core/router/shift.go
+++ b/core/router/shift.go
@@ -59,10 +59,7 @@
 
 // buildLinks sets the budgets of the links that leave this region.
 func (b *builder) buildLinks() {
-	domains := 0
-	for _, d := range b.Config.Domains {
-		domains += boolInt(d.Region == b.Region)
-	}
+	domains := len(b.Config.RegionDomains(b.Region))
 	instances := b.Config.Domains[b.Domain].Instances
 	for key, c := range b.Config.Links {
 		from, to, _ := strings.Cut(key, "/")
