reducer: the platform's list takes its leaving marks back

Cause: only leaving marks of the list became signals. An upstream that the list once marked stayed out of use in its domain until the processes were replaced. Change: a listed upstream without the mark gives a ready signal of the same source if the last one was leaving. Result: TestListTakesLeavingBack fails without the change and passes with it.

--- a/core/reducer/control.go
+++ b/core/reducer/control.go
@@ -193,16 +193,21 @@
 }
 
 // listSeen passes the platform's list on: names to the granter, leaving
-// upstreams to the observer.
+// upstreams to the observer, and those whose leaving mark is gone.
 func (s *State) listSeen(e ListSeen) {
 	s.now = e.Now
 	s.grant(s.Granter.Step(granter.ListSeen{Now: e.Now, Names: e.Names}))
-	for _, name := range e.Leaving {
+	for _, name := range e.Names {
 		u, ok := s.Follower.Config.Upstreams[name]
 		if !ok || u.Domain != s.Self.Domain {
 			continue
 		}
-		s.signal(observer.Signaled{At: e.Now, Now: e.Now, Upstream: name, Source: observer.FromPlatform, Leaving: true})
+		leaving := slices.Contains(e.Leaving, name)
+		known := s.Signals[SignalKey{Upstream: name, Source: observer.FromPlatform}]
+		if leaving == known.Leaving {
+			continue
+		}
+		s.signal(observer.Signaled{At: e.Now, Now: e.Now, Upstream: name, Source: observer.FromPlatform, Leaving: leaving})
 	}
 }
 
--- a/core/reducer/reducer_test.go
+++ b/core/reducer/reducer_test.go
@@ -251,6 +251,26 @@
 	is.Equal(versions[0], versions[2])
 }
 
+// Guards against an upstream that stays out of use after the platform's list has
+// taken its leaving mark back, and against a mark that ends without a signal.
+func TestListTakesLeavingBack(t *testing.T) {
+	is := is.New(t)
+	w := running(11)
+	n := w.nodes[0]
+	leaving := func(names, marked []string) bool {
+		w.runFor(time.Second)
+		w.step(n, reducer.ListSeen{Now: w.now, Names: names, Leaving: marked})
+		return n.state.Verdicts["lookup-a"].Leaving
+	}
+	listed := []string{"a-1", "a-2", "lookup-a"}
+	is.True(!leaving(listed, nil))
+	is.Equal(len(n.state.Signals), 0)
+	is.True(leaving(listed, []string{"lookup-a"}))
+	is.True(leaving(listed, []string{"lookup-a"}))
+	is.True(leaving([]string{"a-1", "a-2"}, nil)) // absence from the list says nothing
+	is.True(!leaving(listed, nil))
+}
+
 // Guards against a drain that cannot be followed in the timeline from the
 // ticket to the empty upstream over three processes whose clocks differ.
 func TestTimelineFollowsDrain(t *testing.T) {
