observer: signals apart from probes, usual names

The state of signals (holds, runs of refusals) stood in the prober, and some fields had names of their own: roof, turn, hurry, silent. Behaviour and golden files are unchanged.

--- a/core/observer/limit.go
+++ b/core/observer/limit.go
@@ -58,37 +58,38 @@
 // limiter adapts the number of requests that an upstream gets at a time.
 type limiter struct {
 	limit float64
-	// turn is the level of the last decrease: below it the limit rises fast.
-	turn float64
-	// roof is the number of slots that the upstream reports, 0 if unknown.
-	roof  int
-	cold  bool
-	cause string
+	// threshold is the level of the last decrease: below it the limit rises fast.
+	threshold float64
+	// reportedSlots is the number of slots that the upstream reports, 0 if unknown.
+	reportedSlots int
+	cold          bool
+	cause         string
 	// latency is the smoothed, baseline the usual, least the shortest time to the
 	// first byte. Samples and total count what the first two are made of.
 	latency, baseline, least time.Duration
 	samples, total           int
 	okAt, cutAt              time.Time
 	stepAt                   time.Time
-	report0                  Health
-	equal, oks               int
+	lastReport               Health
+	// equal counts reports like the last one, oks the successes since it.
+	equal, oks int
 }
 
 // open begins without a slow start. That an instance sees an upstream for the
 // first time says nothing about the upstream, which may have been busy for days;
 // a cold one says so in its health reports.
 func (l *limiter) open(now time.Time, slots int) {
-	*l = limiter{limit: float64(slots), turn: float64(slots), stepAt: now}
+	*l = limiter{limit: float64(slots), threshold: float64(slots), stepAt: now}
 }
 
 // restart begins a slow start, for an upstream that was away.
 func (l *limiter) restart(now time.Time, slots int) {
-	*l = limiter{limit: max(1, float64(slots)/startShare), turn: float64(slots), stepAt: now, cause: "slow start"}
+	*l = limiter{limit: max(1, float64(slots)/startShare), threshold: float64(slots), stepAt: now, cause: "slow start"}
 }
 
 func (l *limiter) clamp(slots int) {
-	if l.roof > 0 {
-		slots = min(slots, l.roof)
+	if l.reportedSlots > 0 {
+		slots = min(slots, l.reportedSlots)
 	}
 	l.limit = max(1, min(l.limit, float64(slots)))
 }
@@ -109,10 +110,10 @@
 
 // observe adapts the limit to a batch of outcomes.
 func (l *limiter) observe(now time.Time, x Sample, slots int, sibling time.Duration) {
-	gone := min(max(0, now.Sub(l.stepAt)), time.Second)
+	elapsed := min(max(0, now.Sub(l.stepAt)), time.Second)
 	l.stepAt = now
 	l.oks += x.OK
-	ratio := l.measure(now, x, gone, sibling)
+	ratio := l.measure(now, x, elapsed, sibling)
 	bad := x.Shed + x.Refused + x.Failed
 	switch {
 	case bad > 0:
@@ -123,7 +124,7 @@
 			l.limit = max(l.limit, floor)
 		}
 	case x.OK > 0 && ratio <= calmRatio:
-		l.raise(x.OK, gone, slots)
+		l.raise(x.OK, elapsed, slots)
 	}
 	l.clamp(slots)
 }
@@ -131,7 +132,7 @@
 // measure smooths the latency and returns its ratio to the usual one. When all
 // upstreams of a service become slower, the requests have become heavier, and
 // no single one is slow.
-func (l *limiter) measure(now time.Time, x Sample, gone, sibling time.Duration) float64 {
+func (l *limiter) measure(now time.Time, x Sample, elapsed, sibling time.Duration) float64 {
 	if x.OK == 0 || x.Latency <= 0 {
 		return 1
 	}
@@ -141,7 +142,7 @@
 	l.okAt = now
 	l.samples += x.OK
 	blend(&l.latency, x, max(1/float64(l.samples), latencyGain))
-	drift := 1 + baselineDrift*gone.Seconds()
+	drift := 1 + baselineDrift*elapsed.Seconds()
 	l.baseline = time.Duration(float64(l.baseline) * drift)
 	if l.least = time.Duration(float64(l.least) * drift); l.least == 0 || x.Latency < l.least {
 		l.least = x.Latency
@@ -186,15 +187,15 @@
 	}
 	l.cutAt, l.cause = now, cause
 	l.limit = max(1, l.limit*max(factor, cutMost))
-	l.turn = l.limit
+	l.threshold = l.limit
 }
 
 // raise lets the limit double in a second up to the level of the last decrease
 // and rise evenly above it. Only successes raise it.
-func (l *limiter) raise(oks int, gone time.Duration, slots int) {
-	seconds := gone.Seconds()
+func (l *limiter) raise(oks int, elapsed time.Duration, slots int) {
+	seconds := elapsed.Seconds()
 	step := float64(slots) * slowGain * seconds
-	if l.limit < l.turn || l.stepAt.Sub(l.cutAt) >= calmTerm {
+	if l.limit < l.threshold || l.stepAt.Sub(l.cutAt) >= calmTerm {
 		step = max(step, l.limit*seconds)
 	}
 	l.limit += min(step, okGain*float64(oks))
@@ -221,7 +222,7 @@
 	if l.frozen(h) {
 		return
 	}
-	l.roof = max(0, h.Slots)
+	l.reportedSlots = max(0, h.Slots)
 	if cold := h.State == "cold"; cold != l.cold {
 		l.cold = cold
 		if cold {
@@ -238,8 +239,8 @@
 
 // frozen tells whether the reports have stayed the same despite traffic.
 func (l *limiter) frozen(h Health) bool {
-	same := h == l.report0
-	if l.report0 = h; !same {
+	same := h == l.lastReport
+	if l.lastReport = h; !same {
 		l.equal = 0
 	}
 	if same && l.oks > 0 {
@@ -248,3 +249,14 @@
 	l.oks = 0
 	return l.equal >= frozenRun
 }
+
+// expected returns half of the least latency, because batches hide the shortest
+// ones, rounded down to a power of two of milliseconds, so that it does not
+// change all the time.
+func (l *limiter) expected() time.Duration {
+	ms := l.least.Milliseconds() / 2
+	if ms < 1 {
+		return 0
+	}
+	return time.Duration(math.Exp2(math.Floor(math.Log2(float64(ms))))) * time.Millisecond
+}
--- a/core/observer/mark.go
+++ b/core/observer/mark.go
@@ -24,6 +24,22 @@
 	at      time.Time
 }
 
+// signals are the leaving and ready signals of one upstream.
+type signals struct {
+	marks [sources]mark
+	// last are the times of each source's newest signal.
+	last [sources]time.Time
+	// refusals counts the refused connections of the present run, whose newest
+	// was at refusedAt.
+	refusals  int
+	refusedAt time.Time
+	// hold is the length of the newest hold, which ends at holdUntil; agreed
+	// tells that a health report has said leaving or cold since its start.
+	hold      time.Duration
+	holdUntil time.Time
+	agreed    bool
+}
+
 func (s Source) cause() string {
 	switch s {
 	case FromTicket:
@@ -65,8 +81,8 @@
 }
 
 // leaving returns the time and the source of the first leaving signal.
-func (u *upstream) leaving() (since time.Time, source Source, ok bool) {
-	for i, m := range u.marks {
+func (g *signals) leaving() (since time.Time, source Source, ok bool) {
+	for i, m := range g.marks {
 		if m.leaving && (!ok || m.at.Before(since)) {
 			since, source, ok = m.at, Source(i), true
 		}
@@ -86,7 +102,7 @@
 		return
 	}
 	// The next probe comes soon, so that a run is seen within a second.
-	u.hurry(now)
+	u.expedite(now)
 }
 
 // accepted ends a run of refusals that is older than the accepted connection.
@@ -100,15 +116,15 @@
 	}
 }
 
-// answered begins a hold after a leaving signal that did not come from a health
+// beginHold begins a hold after a leaving signal that did not come from a health
 // report, unless it is known already.
-func (u *upstream) answered(now time.Time) {
-	if u.marks[FromUpstream].leaving || now.Before(u.holdUntil) {
+func (g *signals) beginHold(now time.Time) {
+	if g.marks[FromUpstream].leaving || now.Before(g.holdUntil) {
 		return
 	}
-	u.hold = min(max(2*u.hold, readyHold), readyHoldMax)
-	u.holdUntil = now.Add(u.hold)
-	u.agreed = false
+	g.hold = min(max(2*g.hold, readyHold), readyHoldMax)
+	g.holdUntil = now.Add(g.hold)
+	g.agreed = false
 }
 
 // reported takes the state of a health report as a signal. A report outweighs a
--- a/core/observer/probe.go
+++ b/core/observer/probe.go
@@ -11,23 +11,17 @@
 	probeSoon = 250 * time.Millisecond
 	// probeTerm is the time after which a probe without an end is given up.
 	probeTerm = 2 * time.Second
-	// silentRun is the number of failed probes in a row, without any answer to
+	// failedRun is the number of failed probes in a row, without any answer to
 	// traffic, after which an upstream counts as unreachable.
-	silentRun = 3
+	failedRun = 3
 )
 
 // prober schedules the probes of one upstream and counts their failures.
 type prober struct {
-	next    time.Time
-	pending time.Time
-	// last are the times of each source's newest signal.
-	last      [sources]time.Time
-	refusals  int
-	refusedAt time.Time
-	silences  int
-	hold      time.Duration
-	holdUntil time.Time
-	agreed    bool
+	next time.Time
+	// pending is the time at which the probe under way was sent, or zero.
+	pending  time.Time
+	failures int
 }
 
 // spread staggers the first probes of many upstreams over an interval.
@@ -50,20 +44,20 @@
 func (p *prober) ended(h Health) {
 	p.pending = time.Time{}
 	if h.State != "" {
-		p.silences = 0
+		p.failures = 0
 	}
 }
 
-// hurry brings the next probe forward.
-func (p *prober) hurry(now time.Time) {
+// expedite brings the next probe forward.
+func (p *prober) expedite(now time.Time) {
 	if soon := now.Add(probeSoon); p.next.After(soon) {
 		p.next = soon
 	}
 }
 
-// silent counts a probe without an answer.
-func (u *upstream) silent(now time.Time) {
-	if u.silences++; u.silences >= silentRun && !u.active(now) {
+// failed counts a probe without an answer.
+func (u *upstream) failed(now time.Time) {
+	if u.failures++; u.failures >= failedRun && !u.active(now) {
 		u.cut(now, 0, "no answer to probes")
 	}
 }
--- a/core/observer/state.go
+++ b/core/observer/state.go
@@ -1,7 +1,6 @@
 package observer
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -15,8 +14,8 @@
 
 // upstream is what is known of one upstream.
 type upstream struct {
-	spec  Spec
-	marks [sources]mark
+	spec Spec
+	signals
 	limiter
 	prober
 	published Verdict
@@ -78,7 +77,7 @@
 		}
 		if u.spec.Probers > spec.Probers {
 			// This instance has become a holder and needs a fresh report.
-			u.hurry(e.Now)
+			u.expedite(e.Now)
 		}
 		u.spec = spec
 		u.clamp(spec.Slots)
@@ -120,7 +119,7 @@
 			continue
 		}
 		if x.Leaving {
-			u.answered(e.Now)
+			u.beginHold(e.Now)
 			u.mark(FromUpstream, true, e.Now, e.Now)
 		}
 		if x.Refused > 0 {
@@ -160,7 +159,7 @@
 	case h.Refused:
 		u.refused(e.Now, 1)
 	case h.State == "":
-		u.silent(e.Now)
+		u.failed(e.Now)
 	default:
 		u.accepted(e.Sent, e.Now)
 		u.reported(e, h.State == "leaving")
@@ -176,19 +175,8 @@
 		return nil
 	}
 	if e.Source == FromUpstream && e.Leaving && e.At.After(u.marks[FromUpstream].at) {
-		u.answered(e.Now)
+		u.beginHold(e.Now)
 	}
 	u.mark(e.Source, e.Leaving, e.At, e.Now)
 	return s.publish()
 }
-
-// expected returns half of the least latency, because batches hide the shortest
-// ones, rounded down to a power of two of milliseconds, so that it does not
-// change all the time.
-func (l *limiter) expected() time.Duration {
-	ms := l.least.Milliseconds() / 2
-	if ms < 1 {
-		return 0
-	}
-	return time.Duration(math.Exp2(math.Floor(math.Log2(float64(ms))))) * time.Millisecond
-}
