hornctl: one place loads the configuration

The connection to the platform and the load of the configuration stood three times in the commands. Names of constants and of the result of ticket wait say what they are.

--- a/hornctl/commands/change.go
+++ b/hornctl/commands/change.go
@@ -8,7 +8,6 @@
 	"github.com/urfave/cli/v3"
 
 	"hornbeamstream.example/core/loader"
-	"hornbeamstream.example/core/submitter"
 )
 
 // changeFlags are the flags of commands that write a ticket by themselves.
@@ -104,15 +103,11 @@
 // nil, against the current version. The second result of build is the reason if
 // none is given.
 func (p *program) change(ctx context.Context, c *cli.Command, key string, build func(loader.State) (any, string, error)) error {
-	store, err := p.store(c)
+	store, s, err := p.load(ctx, c)
 	if err != nil {
 		return err
 	}
 	defer store.Close()
-	s, _, err := submitter.Load(ctx, store)
-	if err != nil {
-		return err
-	}
 	value, reason, err := build(s)
 	if err != nil {
 		return err
--- a/hornctl/commands/commands.go
+++ b/hornctl/commands/commands.go
@@ -194,6 +194,21 @@
 	return client, nil
 }
 
+// load connects to the platform and reads the newest configuration. The caller
+// closes the client.
+func (p *program) load(ctx context.Context, c *cli.Command) (client *connector.Client, s loader.State, err error) {
+	client, err = p.store(c)
+	if err != nil {
+		return nil, s, err
+	}
+	s, _, err = submitter.Load(ctx, client)
+	if err != nil {
+		client.Close()
+		return nil, s, err
+	}
+	return client, s, nil
+}
+
 func (p *program) printf(format string, args ...any) { fmt.Fprintf(p.out, format, args...) }
 
 func (p *program) printJSON(v any) error {
--- a/hornctl/commands/status.go
+++ b/hornctl/commands/status.go
@@ -77,8 +77,8 @@
 	return no
 }
 
-// waiting is the account of ticket wait.
-type waiting struct {
+// waitResult is the result of ticket wait.
+type waitResult struct {
 	Number      uint64   `json:"number"`
 	Current     []string `json:"current"`
 	Behind      []string `json:"behind"`
@@ -94,7 +94,7 @@
 	if err != nil {
 		return err
 	}
-	var last waiting
+	var last waitResult
 	for {
 		f, err := y.survey(ctx)
 		if err != nil && last.Number == 0 {
@@ -104,7 +104,7 @@
 			last = progress(number, f)
 		}
 		if err == nil && len(last.Behind) == 0 {
-			return p.waited(c, last)
+			return p.printWait(c, last)
 		}
 		if !pause(ctx) {
 			break
@@ -113,11 +113,11 @@
 	if c.Bool("json") {
 		_ = p.printJSON(last)
 	}
-	return fmt.Errorf("ticket %d is not in force on %s%s", number, strings.Join(last.Behind, ", "), silentNote(last))
+	return fmt.Errorf("ticket %d is not in force on %s%s", number, strings.Join(last.Behind, ", "), unreachableNote(last))
 }
 
-func progress(number uint64, f fleet) waiting {
-	w := waiting{Number: number, Current: []string{}, Behind: []string{}, Unreachable: f.Unreachable}
+func progress(number uint64, f fleet) waitResult {
+	w := waitResult{Number: number, Current: []string{}, Behind: []string{}, Unreachable: f.Unreachable}
 	for _, s := range f.Instances {
 		if s.Version < number {
 			w.Behind = append(w.Behind, s.Instance.Name)
@@ -128,15 +128,15 @@
 	return w
 }
 
-func (p *program) waited(c *cli.Command, w waiting) error {
+func (p *program) printWait(c *cli.Command, w waitResult) error {
 	if c.Bool("json") {
 		return p.printJSON(w)
 	}
-	p.printf("ticket %d is in force on %d instances%s\n", w.Number, len(w.Current), silentNote(w))
+	p.printf("ticket %d is in force on %d instances%s\n", w.Number, len(w.Current), unreachableNote(w))
 	return nil
 }
 
-func silentNote(w waiting) string {
+func unreachableNote(w waitResult) string {
 	if len(w.Unreachable) == 0 {
 		return ""
 	}
--- a/hornctl/commands/ticket.go
+++ b/hornctl/commands/ticket.go
@@ -20,10 +20,10 @@
 )
 
 const (
-	// listed is the number of tickets that list shows by default.
-	listed = 20
-	// named is the largest number of objects that a line names.
-	named = 8
+	// defaultLast is the number of tickets that list shows by default.
+	defaultLast = 20
+	// maxNamed is the largest number of objects that a line names.
+	maxNamed = 8
 )
 
 func (p *program) ticketCommand() *cli.Command {
@@ -42,7 +42,7 @@
 			},
 			{
 				Name: "list", Usage: "list the newest tickets", ArgsUsage: " ",
-				Flags:  []cli.Flag{&cli.UintFlag{Name: "last", Usage: "`COUNT` of tickets", Value: listed}},
+				Flags:  []cli.Flag{&cli.UintFlag{Name: "last", Usage: "`COUNT` of tickets", Value: defaultLast}},
 				Action: p.act(0, p.list),
 			},
 			{
@@ -69,15 +69,11 @@
 	if err != nil {
 		return err
 	}
-	store, err := p.store(c)
+	store, s, err := p.load(ctx, c)
 	if err != nil {
 		return err
 	}
 	defer store.Close()
-	s, _, err := submitter.Load(ctx, store)
-	if err != nil {
-		return err
-	}
 	if s.Version <= t.Base {
 		// Finds the same problems as Submit, with their lines.
 		if t, err = loader.ParseTicketFor(s, file, data); err != nil {
@@ -103,7 +99,7 @@
 
 // summary names a few objects and counts more of them.
 func summary(keys []string) string {
-	if len(keys) > named {
+	if len(keys) > maxNamed {
 		return fmt.Sprintf("%d objects", len(keys))
 	}
 	return strings.Join(keys, ", ")
@@ -112,15 +108,11 @@
 func keysOf(t loader.Ticket) []string { return slices.Sorted(maps.Keys(t.Objects)) }
 
 func (p *program) list(ctx context.Context, c *cli.Command) error {
-	store, err := p.store(c)
+	store, s, err := p.load(ctx, c)
 	if err != nil {
 		return err
 	}
 	defer store.Close()
-	s, _, err := submitter.Load(ctx, store)
-	if err != nil {
-		return err
-	}
 	last := min(uint64(c.Uint("last")), s.Version)
 	tickets, err := submitter.List(ctx, store, s.Version-last)
 	if err != nil {
--- a/hornctl/commands/timeline.go
+++ b/hornctl/commands/timeline.go
@@ -47,7 +47,7 @@
 		if err != nil && (first || ctx.Err() != nil) {
 			return err
 		}
-		note := silentText(silent, err)
+		note := failureText(silent, err)
 		if note != "" && note != noted {
 			fmt.Fprintf(p.errOut, "hornctl: %s\n", note)
 		}
@@ -58,8 +58,8 @@
 	}
 }
 
-// silentText describes a round in which some or all instances did not answer.
-func silentText(silent []string, err error) string {
+// failureText describes a round in which some or all instances did not answer.
+func failureText(silent []string, err error) string {
 	switch {
 	case err != nil:
 		return err.Error()
