router: peers, held slots and areas in functions of their own

buildPeers collected peers and slots at once, areas grouped owners and made the tiers. The reason nobudget, which nothing gives, is removed. Behaviour is unchanged.

--- a/core/router/build.go
+++ b/core/router/build.go
@@ -74,11 +74,12 @@
 type builder struct {
 	Input
 	old, fresh counters
-	olds       map[string][]gateKey
-	drained    map[string]bool
-	verdicts   map[string]observer.Verdict
-	names      []string
-	services   map[string]*Service
+	// oldGates are the gates of the previous table by upstream.
+	oldGates map[string][]gateKey
+	drained  map[string]bool
+	verdicts map[string]observer.Verdict
+	names    []string
+	services map[string]*Service
 	// slots are the slots that a peer holds of a service.
 	slots map[creditKey]int64
 	table *Table
--- a/core/router/gates.go
+++ b/core/router/gates.go
@@ -49,12 +49,12 @@
 	for _, r := range b.Holdings.Reserve {
 		held[gateKey{r.Upstream, ReservePart}] = true
 	}
-	b.olds = map[string][]gateKey{}
+	b.oldGates = map[string][]gateKey{}
 	for key, g := range b.old.gates {
 		if !held[key] {
 			g.Set(0, 0)
 		}
-		b.olds[key.upstream] = append(b.olds[key.upstream], key)
+		b.oldGates[key.upstream] = append(b.oldGates[key.upstream], key)
 	}
 }
 
@@ -80,7 +80,7 @@
 		limits[p.key] = p.limit
 	}
 	over := 0
-	for _, key := range b.olds[upstream] {
+	for _, key := range b.oldGates[upstream] {
 		g, limit := b.old.gates[key], limits[key]
 		g.Set(min(limit, g.Limit()), g.Deadline())
 		over += max(0, g.Busy()-limit)
--- a/core/router/plan.go
+++ b/core/router/plan.go
@@ -100,8 +100,25 @@
 	return 0
 }
 
+// buildPeers lists, for each service, the peers that hold slots of it.
 func (b *builder) buildPeers() {
-	slots := map[creditKey]int64{}
+	peers := b.peers()
+	b.slots = b.heldSlots()
+	for key := range b.slots {
+		p, s := peers[key.peer], b.services[key.service]
+		if p == nil || s == nil {
+			continue
+		}
+		p.Credits[key.service] = keep(b.fresh.credits, b.old.credits, key)
+		s.Peers = append(s.Peers, p)
+	}
+	for _, s := range b.services {
+		slices.SortFunc(s.Peers, func(a, b *Peer) int { return strings.Compare(a.Name, b.Name) })
+	}
+}
+
+// peers returns the other instances by name.
+func (b *builder) peers() map[string]*Peer {
 	peers := map[string]*Peer{}
 	for _, v := range b.Views {
 		for _, m := range v.Members {
@@ -110,11 +127,19 @@
 			}
 			peers[m.Name] = &Peer{
 				Name: m.Name, Domain: v.Domain, Data: m.Data,
-				Region:  b.Config.Domains[v.Domain].Region,
+				Region:  b.Config.Region(v.Domain),
 				Credits: map[string]*limiter.Credit{},
 				Path:    keep(b.fresh.paths, b.old.paths, pathKey(m)),
 			}
 		}
+	}
+	return peers
+}
+
+// heldSlots sums up the slots of open upstreams by holder and service.
+func (b *builder) heldSlots() map[creditKey]int64 {
+	slots := map[creditKey]int64{}
+	for _, v := range b.Views {
 		for _, h := range v.Holdings {
 			u, ok := b.Config.Upstreams[h.Part.Upstream]
 			if ok && !b.closed(h.Part.Upstream, u) {
@@ -122,18 +147,7 @@
 			}
 		}
 	}
-	b.slots = slots
-	for key := range slots {
-		p, s := peers[key.peer], b.services[key.service]
-		if p == nil || s == nil {
-			continue
-		}
-		p.Credits[key.service] = keep(b.fresh.credits, b.old.credits, key)
-		s.Peers = append(s.Peers, p)
-	}
-	for _, s := range b.services {
-		slices.SortFunc(s.Peers, func(a, b *Peer) int { return strings.Compare(a.Name, b.Name) })
-	}
+	return slots
 }
 
 // pathKey names the path to a member, whose address may not be known yet.
@@ -175,27 +189,37 @@
 		}
 	}
 	for _, region := range regions {
-		a := &area{region: region, delay: b.delay(region)}
-		link := b.link(region)
-		all := slices.Concat(near[region], far[region])
-		if own := b.ownSlots(s); region == b.Region && own > 0 {
-			all = append(all, owner{slots: own})
+		own := int64(0)
+		if region == b.Region {
+			own = b.ownSlots(s)
 		}
-		slices.SortFunc(all, func(x, y owner) int { return strings.Compare(x.name(b.Self), y.name(b.Self)) })
-		if len(all) > 0 {
-			a.stable = newTier(all, a.delay, link)
-		}
-		if o := near[region]; len(o) > 0 {
-			a.tiers = append(a.tiers, newTier(o, 0, nil))
-		}
-		if o := far[region]; len(o) > 0 {
-			a.tiers = append(a.tiers, newTier(o, max(a.delay, domainDelay), link))
-		}
-		areas[region] = a
+		areas[region] = b.area(region, near[region], far[region], own)
 	}
 	return areas
 }
 
+// area makes the tiers of a region from its owners in this failure domain, those
+// in others, and the slots that this instance holds.
+func (b *builder) area(region string, near, far []owner, own int64) *area {
+	a := &area{region: region, delay: b.delay(region)}
+	link := b.link(region)
+	all := slices.Concat(near, far)
+	if own > 0 {
+		all = append(all, owner{slots: own})
+	}
+	slices.SortFunc(all, func(x, y owner) int { return strings.Compare(x.name(b.Self), y.name(b.Self)) })
+	if len(all) > 0 {
+		a.stable = newTier(all, a.delay, link)
+	}
+	if len(near) > 0 {
+		a.tiers = append(a.tiers, newTier(near, 0, nil))
+	}
+	if len(far) > 0 {
+		a.tiers = append(a.tiers, newTier(far, max(a.delay, domainDelay), link))
+	}
+	return a
+}
+
 func (o owner) name(self string) string {
 	if o.peer == nil {
 		return self
--- a/core/router/types.go
+++ b/core/router/types.go
@@ -92,7 +92,6 @@
 	NoUpstream Reason = "noupstream"
 	Full       Reason = "full"
 	TooLate    Reason = "toolate"
-	NoBudget   Reason = "nobudget"
 )
 
 // Choice is where a request goes: either Target, whose gate has been acquired
