--- a/hornbeamd/executor/convert.go
+++ b/hornbeamd/executor/convert.go
@@ -10,128 +10,133 @@
 	"hornbeamstream.example/core/reducer"
 )
 
+// convert returns the results of f for a list.
+func convert[A, B any](list []A, f func(A) B) []B {
+	results := make([]B, 0, len(list))
+	for _, a := range list {
+		results = append(results, f(a))
+	}
+	return results
+}
+
 func requestToProto(q reducer.Request) *hornpb.ExchangeRequest {
-	m := &hornpb.ExchangeRequest{
+	return &hornpb.ExchangeRequest{
 		From:      memberToProto(q.From),
 		Epoch:     q.Epoch,
 		Seen:      q.Seen,
-		Held:      partsToProto(q.Held),
+		Held:      convert(q.Held, partToProto),
 		Config:    q.Config,
-		Upstreams: signalsToProto(q.Signals),
+		Views:     convert(q.Views, versionToProto),
+		Upstreams: convert(q.Signals, signalToProto),
 		Clock:     q.Clock,
 	}
-	m.Views = versionsToProto(q.Views)
-	return m
 }
 
 func requestFromProto(m *hornpb.ExchangeRequest) reducer.Request {
-	q := reducer.Request{
+	return reducer.Request{
 		From:    memberFromProto(m.GetFrom()),
 		Epoch:   m.GetEpoch(),
 		Seen:    m.GetSeen(),
-		Held:    partsFromProto(m.GetHeld()),
+		Held:    convert(m.GetHeld(), partFromProto),
 		Config:  m.GetConfig(),
-		Signals: signalsFromProto(m.GetUpstreams()),
+		Views:   convert(m.GetViews(), versionFromProto),
+		Signals: convert(m.GetUpstreams(), signalFromProto),
 		Clock:   m.GetClock(),
 	}
-	q.Views = versionsFromProto(m.GetViews())
-	return q
-}
-
-func versionsToProto(versions []reducer.ViewVersion) []*hornpb.ViewVersion {
-	messages := make([]*hornpb.ViewVersion, 0, len(versions))
-	for _, v := range versions {
-		messages = append(messages, &hornpb.ViewVersion{
-			Domain:   v.Domain,
-			Epoch:    v.Epoch,
-			Sequence: v.Sequence,
-			AgeMs:    millis(v.Age),
-		})
-	}
-	return messages
-}
-
-func versionsFromProto(messages []*hornpb.ViewVersion) []reducer.ViewVersion {
-	versions := make([]reducer.ViewVersion, 0, len(messages))
-	for _, m := range messages {
-		versions = append(versions, reducer.ViewVersion{
-			Domain:   m.GetDomain(),
-			Epoch:    m.GetEpoch(),
-			Sequence: m.GetSequence(),
-			Age:      duration(m.GetAgeMs()),
-		})
-	}
-	return versions
 }
 
 func responseToProto(r reducer.Response) *hornpb.ExchangeResponse {
-	m := &hornpb.ExchangeResponse{
+	return &hornpb.ExchangeResponse{
 		From: memberToProto(r.From),
 		Grant: &hornpb.Grant{
 			Epoch:    r.Epoch,
 			Sequence: r.Sequence,
 			ValidMs:  millis(r.Valid),
-			Parts:    partsToProto(r.Parts),
+			Parts:    convert(r.Parts, partToProto),
+			Quotas:   convert(r.Quotas, quotaToProto),
 		},
 		Leader:    r.Leader,
 		Epoch:     r.Epoch,
 		Config:    r.Config,
+		Views:     convert(r.Views, viewToProto),
 		Clock:     r.Clock,
-		Upstreams: signalsToProto(r.Signals),
-		Heard:     versionsToProto(r.Heard),
-	}
-	for _, q := range r.Quotas {
-		m.Grant.Quotas = append(m.Grant.Quotas, &hornpb.Quota{Name: q.Name, Rate: q.Rate})
-	}
-	for _, v := range r.Views {
-		m.Views = append(m.Views, viewToProto(v))
+		Upstreams: convert(r.Signals, signalToProto),
+		Heard:     convert(r.Heard, versionToProto),
 	}
-	return m
 }
 
 func responseFromProto(m *hornpb.ExchangeResponse) reducer.Response {
 	g := m.GetGrant()
-	r := reducer.Response{
+	return reducer.Response{
 		From:     memberFromProto(m.GetFrom()),
 		Leader:   m.GetLeader(),
 		Epoch:    m.GetEpoch(),
 		Valid:    duration(g.GetValidMs()),
 		Sequence: g.GetSequence(),
-		Parts:    partsFromProto(g.GetParts()),
+		Parts:    convert(g.GetParts(), partFromProto),
+		Quotas:   convert(g.GetQuotas(), quotaFromProto),
 		Config:   m.GetConfig(),
-		Signals:  signalsFromProto(m.GetUpstreams()),
-		Heard:    versionsFromProto(m.GetHeard()),
+		Views:    convert(m.GetViews(), viewFromProto),
+		Signals:  convert(m.GetUpstreams(), signalFromProto),
+		Heard:    convert(m.GetHeard(), versionFromProto),
 		Clock:    m.GetClock(),
 	}
-	for _, q := range g.GetQuotas() {
-		r.Quotas = append(r.Quotas, granter.Quota{Name: q.GetName(), Rate: q.GetRate()})
+}
+
+func versionToProto(v reducer.ViewVersion) *hornpb.ViewVersion {
+	return &hornpb.ViewVersion{
+		Domain:   v.Domain,
+		Epoch:    v.Epoch,
+		Sequence: v.Sequence,
+		AgeMs:    millis(v.Age),
 	}
-	for _, v := range m.GetViews() {
-		r.Views = append(r.Views, viewFromProto(v))
+}
+
+func versionFromProto(m *hornpb.ViewVersion) reducer.ViewVersion {
+	return reducer.ViewVersion{
+		Domain:   m.GetDomain(),
+		Epoch:    m.GetEpoch(),
+		Sequence: m.GetSequence(),
+		Age:      duration(m.GetAgeMs()),
 	}
-	return r
+}
+
+func quotaToProto(q granter.Quota) *hornpb.Quota {
+	return &hornpb.Quota{Name: q.Name, Rate: q.Rate}
+}
+
+func quotaFromProto(m *hornpb.Quota) granter.Quota {
+	return granter.Quota{Name: m.GetName(), Rate: m.GetRate()}
 }
 
 func viewToProto(v granter.View) *hornpb.View {
-	m := &hornpb.View{Domain: v.Domain, Epoch: v.Epoch, Sequence: v.Sequence, Leader: v.Leader}
-	for _, member := range v.Members {
-		m.Members = append(m.Members, memberToProto(member))
-	}
-	for _, h := range v.Holdings {
-		m.Holdings = append(m.Holdings, &hornpb.Holding{Part: partToProto(h.Part), Holder: h.Holder})
+	return &hornpb.View{
+		Domain:   v.Domain,
+		Epoch:    v.Epoch,
+		Sequence: v.Sequence,
+		Leader:   v.Leader,
+		Members:  convert(v.Members, memberToProto),
+		Holdings: convert(v.Holdings, holdingToProto),
 	}
-	return m
 }
 
 func viewFromProto(m *hornpb.View) granter.View {
-	v := granter.View{Domain: m.GetDomain(), Epoch: m.GetEpoch(), Sequence: m.GetSequence(), Leader: m.GetLeader()}
-	for _, member := range m.GetMembers() {
-		v.Members = append(v.Members, memberFromProto(member))
-	}
-	for _, h := range m.GetHoldings() {
-		v.Holdings = append(v.Holdings, granter.Holding{Part: partFromProto(h.GetPart()), Holder: h.GetHolder()})
+	return granter.View{
+		Domain:   m.GetDomain(),
+		Epoch:    m.GetEpoch(),
+		Sequence: m.GetSequence(),
+		Leader:   m.GetLeader(),
+		Members:  convert(m.GetMembers(), memberFromProto),
+		Holdings: convert(m.GetHoldings(), holdingFromProto),
 	}
-	return v
+}
+
+func holdingToProto(h granter.Holding) *hornpb.Holding {
+	return &hornpb.Holding{Part: partToProto(h.Part), Holder: h.Holder}
+}
+
+func holdingFromProto(m *hornpb.Holding) granter.Holding {
+	return granter.Holding{Part: partFromProto(m.GetPart()), Holder: m.GetHolder()}
 }
 
 func memberToProto(m granter.Member) *hornpb.Member {
@@ -168,46 +173,22 @@
 	return granter.Part{Upstream: m.GetUpstream(), Index: int(m.GetIndex()), Slots: int(m.GetSlots())}
 }
 
-func partsToProto(parts []granter.Part) []*hornpb.Part {
-	messages := make([]*hornpb.Part, 0, len(parts))
-	for _, p := range parts {
-		messages = append(messages, partToProto(p))
+func signalToProto(g observer.Signaled) *hornpb.UpstreamState {
+	return &hornpb.UpstreamState{
+		Upstream: g.Upstream,
+		Leaving:  g.Leaving,
+		AtMs:     g.At.UnixMilli(),
+		Source:   uint32(g.Source),
 	}
-	return messages
 }
 
-func partsFromProto(messages []*hornpb.Part) []granter.Part {
-	parts := make([]granter.Part, 0, len(messages))
-	for _, m := range messages {
-		parts = append(parts, partFromProto(m))
-	}
-	return parts
-}
-
-func signalsToProto(signals []observer.Signaled) []*hornpb.UpstreamState {
-	messages := make([]*hornpb.UpstreamState, 0, len(signals))
-	for _, g := range signals {
-		messages = append(messages, &hornpb.UpstreamState{
-			Upstream: g.Upstream,
-			Leaving:  g.Leaving,
-			AtMs:     g.At.UnixMilli(),
-			Source:   uint32(g.Source),
-		})
-	}
-	return messages
-}
-
-func signalsFromProto(messages []*hornpb.UpstreamState) []observer.Signaled {
-	signals := make([]observer.Signaled, 0, len(messages))
-	for _, m := range messages {
-		signals = append(signals, observer.Signaled{
-			At:       time.UnixMilli(m.GetAtMs()),
-			Upstream: m.GetUpstream(),
-			Source:   observer.Source(m.GetSource()),
-			Leaving:  m.GetLeaving(),
-		})
+func signalFromProto(m *hornpb.UpstreamState) observer.Signaled {
+	return observer.Signaled{
+		At:       time.UnixMilli(m.GetAtMs()),
+		Upstream: m.GetUpstream(),
+		Source:   observer.Source(m.GetSource()),
+		Leaving:  m.GetLeaving(),
 	}
-	return signals
 }
 
 func millis(d time.Duration) uint32 {
