follower, reducer: usual names, library functions for order and copies

lonely, meet and hear become isolated, addPeers and noteHeard; the comparison of signals and the iteration over keys use cmp and maps.

--- a/core/follower/follower.go
+++ b/core/follower/follower.go
@@ -37,7 +37,7 @@
 	Busy bool
 	// Until is the time at which a running call counts as lost.
 	Until time.Time
-	// NotBefore is the time before which no new call is made after a failure.
+	// NotBefore is the time before which no new call is made.
 	NotBefore time.Time
 	Failures  uint
 }
@@ -81,7 +81,7 @@
 }
 
 func (s *State) tick(e Tick) []Effect {
-	if !e.Relay && e.Now.Before(s.Heard.Add(LonelyAfter)) {
+	if !e.Relay && e.Now.Before(s.Heard.Add(IsolatedAfter)) {
 		return nil
 	}
 	effects := s.compact(e)
--- a/core/follower/types.go
+++ b/core/follower/types.go
@@ -31,9 +31,9 @@
 	// MinInterval is the shortest time between two calls of one kind. It bounds
 	// an instance's platform calls to 5 a second when watches end at once.
 	MinInterval = 200 * time.Millisecond
-	// LonelyAfter is the time without news from any relay or peer after which
+	// IsolatedAfter is the time without news from any relay or peer after which
 	// an instance that is not a relay asks the platform itself.
-	LonelyAfter = 3 * time.Second
+	IsolatedAfter = 3 * time.Second
 )
 
 // Event is an input of Step.
--- a/core/reducer/domains.go
+++ b/core/reducer/domains.go
@@ -12,9 +12,9 @@
 // in 2.5 s, so that three messages may be lost.
 const lostAfter = 10 * time.Second
 
-// hear notes that an instance of a failure domain has spoken, and what it knows
+// noteHeard notes that an instance of a failure domain has spoken, and what it knows
 // of the others. Ages are relative, so clocks need not agree.
-func (s *State) hear(domain string, heard []ViewVersion) {
+func (s *State) noteHeard(domain string, heard []ViewVersion) {
 	s.Heard[domain] = s.now
 	for _, v := range heard {
 		at := s.now.Add(-v.Age)
--- a/core/reducer/gossip.go
+++ b/core/reducer/gossip.go
@@ -1,6 +1,8 @@
 package reducer
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -15,9 +17,9 @@
 	// for news in each heartbeat interval. Views travel on through the domains
 	// that have them, so the number doesn't grow with the domains.
 	gossipTargets = 2
-	// lonelyAfter is the time without an answer to a heartbeat after which a
+	// isolatedAfter is the time without an answer to a heartbeat after which a
 	// member asks other failure domains itself.
-	lonelyAfter = 2 * time.Second
+	isolatedAfter = 2 * time.Second
 )
 
 // Gossip is the state of the exchange between failure domains.
@@ -39,7 +41,7 @@
 		return
 	}
 	s.Gossip.NotBefore = s.now.Add(granter.HeartbeatInterval)
-	if !s.Granter.Leading && s.now.Before(s.Gossip.Answered.Add(lonelyAfter)) {
+	if !s.Granter.Leading && s.now.Before(s.Gossip.Answered.Add(isolatedAfter)) {
 		return
 	}
 	targets := s.targets()
@@ -117,19 +119,14 @@
 }
 
 func (s *State) signals() []observer.Signaled {
-	var signals []observer.Signaled
-	for _, g := range s.Signals {
-		signals = append(signals, g)
-	}
-	slices.SortFunc(signals, compareSignals)
-	return signals
+	return slices.SortedFunc(maps.Values(s.Signals), compareSignals)
 }
 
 func (s *State) requestReceived(e RequestReceived) {
 	s.now = e.Now
 	q := e.Request
 	s.Clock.Observe(q.Clock)
-	s.hear(q.From.Domain, q.Views)
+	s.noteHeard(q.From.Domain, q.Views)
 	own := q.From.Domain == s.Self.Domain
 	var heartbeat granter.AnswerHeartbeat
 	if own {
@@ -209,13 +206,13 @@
 	s.Views[v.Domain] = v
 	s.changed = true
 	if v.Domain == s.Self.Domain {
-		s.meet(v)
+		s.addPeers(v)
 	}
 }
 
-// meet tells the granter the addresses of the other members, so that it finds
+// addPeers tells the granter the addresses of the other members, so that it finds
 // the leader without the platform.
-func (s *State) meet(v granter.View) {
+func (s *State) addPeers(v granter.View) {
 	var peers []string
 	for _, m := range v.Members {
 		if m.Name != s.Self.Name {
@@ -229,7 +226,7 @@
 	s.now = e.Now
 	r := e.Response
 	s.Clock.Observe(r.Clock)
-	s.hear(r.From.Domain, r.Heard)
+	s.noteHeard(r.From.Domain, r.Heard)
 	if s.Gossip.Lost[e.To] {
 		delete(s.Gossip.Lost, e.To)
 		s.record(recorder.Event{Kind: recorder.Found, Peer: r.From.Name, Cause: "answers again"})
@@ -278,11 +275,5 @@
 }
 
 func compareSignals(a, b observer.Signaled) int {
-	if a.Upstream != b.Upstream {
-		if a.Upstream < b.Upstream {
-			return -1
-		}
-		return 1
-	}
-	return int(a.Source) - int(b.Source)
+	return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Source, b.Source))
 }
--- a/core/reducer/world_test.go
+++ b/core/reducer/world_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -65,7 +66,7 @@
 		now:    start,
 		leases: map[string]granter.LeaseSeen{},
 	}
-	for _, d := range slices.Sorted(mapKeys(domains)) {
+	for _, d := range slices.Sorted(maps.Keys(domains)) {
 		for i := range domains[d] {
 			name := fmt.Sprintf("%s-%d", d, i+1)
 			w.nodes = append(w.nodes, &node{self: granter.Member{Name: name, Peer: name, Domain: d}})
@@ -77,16 +78,6 @@
 	return w
 }
 
-func mapKeys[V any](m map[string]V) func(func(string) bool) {
-	return func(yield func(string) bool) {
-		for k := range m {
-			if !yield(k) {
-				return
-			}
-		}
-	}
-}
-
 // boot starts a node with a new incarnation and nothing in memory.
 func (w *world) boot(n *node) {
 	n.self.Incarnation++
