hornbeamd: a planned stop waits for the longest requests

Cause: a service's limit may be 60 s, while a planned stop cut requests off after 30 s; the comment said that it was longer than any limit. The comment at the limit's bound claimed that slots of a dead holder are unused below 10 s. Change: loader.MaxLimit is exported, and the stop's bound is derived from it.

--- a/core/loader/check.go
+++ b/core/loader/check.go
@@ -6,18 +6,19 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Bounds of configuration values.
 const (
 	// MaxValue is the largest value in bytes that the platform accepts, less
 	// room for its envelope.
-	MaxValue    = 1_000_000
-	maxReserve  = 0.1
+	MaxValue   = 1_000_000
+	maxReserve = 0.1
+	// MaxLimit is the longest time that a service's requests may run. The slots
+	// of a dead holder stay unused for the limit of the service and some seconds.
+	MaxLimit    = time.Minute
 	maxPriority = 9
-	// maxLimit in milliseconds keeps the time in which the slots of a dead
-	// holder stay unused below 10 s.
-	maxLimit = 60_000
 	// shareSlack allows for shares such as 0.333 that are rounded.
 	shareSlack = 0.001
 )
@@ -43,8 +44,8 @@
 	if s.Priority < 0 || s.Priority > maxPriority {
 		report("priority", "must be from 0 to %d", maxPriority)
 	}
-	if s.Limit <= 0 || s.Limit > maxLimit {
-		report("limit", "must be from 1 to %d ms", maxLimit)
+	if s.Limit <= 0 || s.Limit > MaxLimit.Milliseconds() {
+		report("limit", "must be from 1 to %d ms", MaxLimit.Milliseconds())
 	}
 	if s.Body < 0 {
 		report("body", "must not be negative")
--- a/hornbeamd/daemon.go
+++ b/hornbeamd/daemon.go
@@ -35,9 +35,9 @@
 	// may still use this instance: two exchanges between failure domains and
 	// the 5 s for which look-ups are cached.
 	cachedLookups = 7 * time.Second
-	// stopTimeout bounds the time for requests in flight at a planned stop; it
-	// is longer than any service's limit.
-	stopTimeout = 30 * time.Second
+	// stopTimeout bounds the time for requests in flight at a planned stop, so
+	// that the longest ones can end.
+	stopTimeout = loader.MaxLimit + 5*time.Second
 )
 
 // daemon is one running instance.
@@ -190,7 +190,7 @@
 }
 
 func ignoreClosed(err error) error {
-	if err == http.ErrServerClosed {
+	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
