executor: status of the platform by the last call of any kind

Cause: status took the follower's word, which calls the platform only as a relay or while isolated. The third and further members of a domain said that the platform was lost from their start on, and relays up to 11 s after its return. Change: each answered or unanswered call counts; reads of the lease are enough.

--- a/core/reporter/types.go
+++ b/core/reporter/types.go
@@ -14,7 +14,7 @@
 	// Leader and Epoch describe the lease of the instance's failure domain.
 	Leader string `json:"leader"`
 	Epoch  uint64 `json:"epoch"`
-	// Platform tells whether the last call to the platform succeeded.
+	// Platform tells whether the platform answered the last call.
 	Platform bool `json:"platform"`
 	// Members are all known instances, of all failure domains.
 	Members   []granter.Member `json:"members"`
--- a/hornbeamd/executor/executor.go
+++ b/hornbeamd/executor/executor.go
@@ -91,6 +91,10 @@
 	calls    map[uint64]func(reducer.Effect)
 	lastCall uint64
 
+	// reached tells whether the platform answered the last call, of any kind.
+	// Ordinary members only read leases.
+	reached atomic.Bool
+
 	// published is the last table's input. Only the control goroutine uses it.
 	published published
 
--- a/hornbeamd/executor/platform.go
+++ b/hornbeamd/executor/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"time"
 
 	"hornbeamstream.example/core/connector"
@@ -17,6 +18,13 @@
 // leasePrefix starts the keys of lease objects.
 const leasePrefix = "lease/"
 
+// platformCalled counts a call to the platform and notes whether the platform
+// answered it.
+func (x *Executor) platformCalled(kind string, err error) {
+	x.reached.Store(!errors.Is(err, submitter.ErrUnavailable) && !errors.Is(err, submitter.ErrUnknown))
+	x.cfg.Metrics.Called(kind, err != nil)
+}
+
 // follow carries out an effect of the follower.
 func (x *Executor) follow(ctx context.Context, e follower.Effect) {
 	switch e := e.(type) {
@@ -39,7 +47,7 @@
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	loaded, err := x.read(ctx, e.After)
-	x.cfg.Metrics.Called("load", err != nil)
+	x.platformCalled("load", err)
 	loaded.Failed = err != nil
 	x.following(func(now time.Time) follower.Event {
 		loaded.Now = now
@@ -74,7 +82,7 @@
 	ctx, cancel := context.WithDeadline(ctx, until.Add(follower.CallTimeout))
 	defer cancel()
 	change, err := x.cfg.Platform.Watch(ctx, loader.TicketPrefix, e.Revision, until)
-	x.cfg.Metrics.Called("watch", err != nil)
+	x.platformCalled("watch", err)
 	watched := follower.Watched{Revision: change.Revision, Failed: err != nil}
 	for _, o := range change.Objects {
 		if number, ok := loader.TicketNumber(o.Key); ok {
@@ -91,7 +99,7 @@
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	err := submitter.Compact(ctx, x.cfg.Platform, e.State)
-	x.cfg.Metrics.Called("compact", err != nil)
+	x.platformCalled("compact", err)
 	x.following(func(now time.Time) follower.Event {
 		return follower.Compacted{Now: now, Failed: err != nil}
 	})
@@ -118,7 +126,7 @@
 	defer cancel()
 	asked := x.cfg.Clock.Now()
 	seen, err := x.getLease(ctx, e.Domain)
-	x.cfg.Metrics.Called("lease", err != nil)
+	x.platformCalled("lease", err)
 	if err != nil {
 		// The granter counts on LeaseSeen alone and asks again.
 		return
@@ -146,9 +154,13 @@
 	asked := x.cfg.Clock.Now()
 	version, result := uint64(0), granter.WriteFailed
 	if asked.Before(e.Until) {
-		version, result = x.putLease(ctx, e)
+		var err error
+		version, err = x.putLease(ctx, e)
+		result = writeResult(err)
+		x.platformCalled("renew", err)
+	} else {
+		x.cfg.Metrics.Called("renew", true)
 	}
-	x.cfg.Metrics.Called("renew", result != granter.WriteDone)
 	x.post(func(now time.Time) reducer.Event {
 		return reducer.Granting{Now: now, Event: granter.WriteEnded{
 			Asked:   asked,
@@ -160,20 +172,18 @@
 	})
 }
 
-func (x *Executor) putLease(ctx context.Context, e granter.WriteLease) (version uint64, result granter.WriteResult) {
+func (x *Executor) putLease(ctx context.Context, e granter.WriteLease) (version uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	value, err := json.Marshal(e.Lease)
 	if err != nil {
-		return 0, granter.WriteFailed
+		return 0, fmt.Errorf("%w: %w", submitter.ErrUnavailable, err)
 	}
 	key := leasePrefix + e.Lease.Domain
 	if e.Version == 0 {
-		version, err = x.cfg.Platform.Create(ctx, key, value)
-	} else {
-		version, err = x.cfg.Platform.Update(ctx, key, e.Version, value)
+		return x.cfg.Platform.Create(ctx, key, value)
 	}
-	return version, writeResult(err)
+	return x.cfg.Platform.Update(ctx, key, e.Version, value)
 }
 
 func writeResult(err error) granter.WriteResult {
@@ -192,7 +202,7 @@
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	list, err := x.cfg.Platform.Instances(ctx)
-	x.cfg.Metrics.Called("list", err != nil)
+	x.platformCalled("list", err)
 	if err != nil {
 		return
 	}
@@ -221,7 +231,7 @@
 			State:   connector.Live,
 		})
 		cancel()
-		x.cfg.Metrics.Called("register", err != nil)
+		x.platformCalled("register", err)
 		if err == nil {
 			return
 		}
--- a/hornbeamd/executor/status.go
+++ b/hornbeamd/executor/status.go
@@ -18,7 +18,7 @@
 			Instance: s.Self,
 			Region:   s.Region,
 			Version:  s.Follower.Config.Version,
-			Platform: s.Follower.Reachable,
+			Platform: x.reached.Load(),
 		}
 		for _, v := range s.Views {
 			status.Members = append(status.Members, v.Members...)
