--- a/core/reducer/control.go
+++ b/core/reducer/control.go
@@ -139,12 +139,12 @@
 		s.limited(before, v)
 		return
 	}
-	version := drainVersion(s.Follower.Config, v.Upstream)
 	if !v.Leaving {
 		delete(s.Draining, v.Upstream)
 		s.record(recorder.Event{Kind: recorder.Found, Upstream: v.Upstream, Cause: v.Cause})
 		return
 	}
+	version := drainVersion(s.Follower.Config, v.Upstream, s.now)
 	s.Draining[v.Upstream] = Drain{Version: version, Since: v.Since}
 	s.record(recorder.Event{Kind: recorder.Drained, Version: version, Upstream: v.Upstream, Cause: v.Cause})
 }
@@ -193,16 +193,21 @@
 }
 
 // listSeen passes the platform's list on: names to the granter, leaving
-// upstreams to the observer.
+// upstreams to the observer, and those whose leaving mark is gone.
 func (s *State) listSeen(e ListSeen) {
 	s.now = e.Now
 	s.grant(s.Granter.Step(granter.ListSeen{Now: e.Now, Names: e.Names}))
-	for _, name := range e.Leaving {
+	for _, name := range e.Names {
 		u, ok := s.Follower.Config.Upstreams[name]
 		if !ok || u.Domain != s.Self.Domain {
 			continue
 		}
-		s.signal(observer.Signaled{At: e.Now, Now: e.Now, Upstream: name, Source: observer.FromPlatform, Leaving: true})
+		leaving := slices.Contains(e.Leaving, name)
+		known := s.Signals[SignalKey{Upstream: name, Source: observer.FromPlatform}]
+		if leaving == known.Leaving {
+			continue
+		}
+		s.signal(observer.Signaled{At: e.Now, Now: e.Now, Upstream: name, Source: observer.FromPlatform, Leaving: leaving})
 	}
 }
 
@@ -218,12 +223,12 @@
 }
 
 // drainVersion returns the number of the newest ticket that drains the
-// upstream, or zero.
-func drainVersion(config loader.State, upstream string) uint64 {
+// upstream now, or zero.
+func drainVersion(config loader.State, upstream string, now time.Time) uint64 {
 	u := config.Upstreams[upstream]
 	var version uint64
-	for _, name := range []string{"upstream/" + upstream, "domain/" + u.Domain, "region/" + config.Domains[u.Domain].Region} {
-		if _, ok := config.Drains[name]; ok {
+	for _, name := range []string{"upstream/" + upstream, "domain/" + u.Domain, "region/" + config.Region(u.Domain)} {
+		if d, ok := config.Drains[name]; ok && d.InForce(now) {
 			version = max(version, config.Touched[loader.KindDrain+"/"+name])
 		}
 	}
--- a/core/reducer/reducer_test.go
+++ b/core/reducer/reducer_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"hornbeamstream.example/core/observer"
 	"hornbeamstream.example/core/recorder"
 	"hornbeamstream.example/core/reducer"
 )
@@ -232,6 +233,42 @@
 	is.True(leaving())
 	w.runFor(6 * time.Second)
 	is.True(!leaving())
+	// A leaving signal after the end does not belong to the drain's ticket.
+	for _, n := range w.nodes {
+		w.step(n, reducer.Observing{Now: w.now, Event: observer.Signaled{
+			At: w.now, Now: w.now, Upstream: "lookup-a", Source: observer.FromUpstream, Leaving: true,
+		}})
+	}
+	versions := map[uint64]int{}
+	for _, n := range w.nodes {
+		for _, e := range n.events {
+			if e.Kind == recorder.Drained {
+				versions[e.Version]++
+			}
+		}
+	}
+	is.True(versions[2] > 0)
+	is.Equal(versions[0], versions[2])
+}
+
+// Guards against an upstream that stays out of use after the platform's list has
+// taken its leaving mark back, and against a mark that ends without a signal.
+func TestListTakesLeavingBack(t *testing.T) {
+	is := is.New(t)
+	w := running(11)
+	n := w.nodes[0]
+	leaving := func(names, marked []string) bool {
+		w.runFor(time.Second)
+		w.step(n, reducer.ListSeen{Now: w.now, Names: names, Leaving: marked})
+		return n.state.Verdicts["lookup-a"].Leaving
+	}
+	listed := []string{"a-1", "a-2", "lookup-a"}
+	is.True(!leaving(listed, nil))
+	is.Equal(len(n.state.Signals), 0)
+	is.True(leaving(listed, []string{"lookup-a"}))
+	is.True(leaving(listed, []string{"lookup-a"}))
+	is.True(leaving([]string{"a-1", "a-2"}, nil)) // absence from the list says nothing
+	is.True(!leaving(listed, nil))
 }
 
 // Guards against a drain that cannot be followed in the timeline from the
--- a/core/router/build.go
+++ b/core/router/build.go
@@ -74,11 +74,12 @@
 type builder struct {
 	Input
 	old, fresh counters
-	olds       map[string][]gateKey
-	drained    map[string]bool
-	verdicts   map[string]observer.Verdict
-	names      []string
-	services   map[string]*Service
+	// oldGates are the gates of the previous table by upstream.
+	oldGates map[string][]gateKey
+	drained  map[string]bool
+	verdicts map[string]observer.Verdict
+	names    []string
+	services map[string]*Service
 	// slots are the slots that a peer holds of a service.
 	slots map[creditKey]int64
 	table *Table
@@ -125,7 +126,7 @@
 const defaultHeadroom = 0.5
 
 func headroom(c *loader.State) float64 {
-	p, ok := c.Policies["main"]
+	p, ok := c.Policies[loader.PolicyMain]
 	if !ok {
 		return defaultHeadroom
 	}
@@ -135,7 +136,7 @@
 func (b *builder) index() {
 	b.drained = map[string]bool{}
 	for key, d := range b.Config.Drains {
-		if d.Until.IsZero() || b.Now.Before(d.Until) {
+		if d.InForce(b.Now) {
 			b.drained[key] = true
 		}
 	}
