reducer: read the platform's list for leaving upstreams

Cause: the list was read only while a process of the lease was silent, so a leaving mark for an upstream took effect late or never; and a single later read that said live took the mark back, although the list lags. Change: the leader of a domain reads the list once a second and shares marks with its members; a mark ends only after 30 s of live reads.

--- a/core/reducer/control.go
+++ b/core/reducer/control.go
@@ -192,6 +192,26 @@
 	}
 }
 
+// listInterval is the time between reads of the platform's list by a leader. An
+// upstream that the list marks as leaving gets no new work within 3 s: a read,
+// a heartbeat to share it and the round trips take at most 2 s. At 11 failure
+// domains this is 11 reads a second.
+const listInterval = time.Second
+
+// listLag is how far the platform's list may lag. An upstream that the list once
+// marked as leaving is taken back only when it has been live there for longer.
+const listLag = 30 * time.Second
+
+// readList asks for the platform's list, on the leader only, which shares what
+// it says about upstreams with the members of its failure domain.
+func (s *State) readList() {
+	if !s.Granter.Leading || s.now.Before(s.ListDue) {
+		return
+	}
+	s.ListDue = s.now.Add(listInterval)
+	s.emit(Grant{Effect: granter.ReadList{}})
+}
+
 // listSeen passes the platform's list on: names to the granter, leaving
 // upstreams to the observer, and those whose leaving mark is gone.
 func (s *State) listSeen(e ListSeen) {
@@ -202,13 +222,21 @@
 		if !ok || u.Domain != s.Self.Domain {
 			continue
 		}
-		leaving := slices.Contains(e.Leaving, name)
-		known := s.Signals[SignalKey{Upstream: name, Source: observer.FromPlatform}]
-		if leaving == known.Leaving {
-			continue
-		}
-		s.signal(observer.Signaled{At: e.Now, Now: e.Now, Upstream: name, Source: observer.FromPlatform, Leaving: leaving})
+		s.listed(name, slices.Contains(e.Leaving, name))
+	}
+}
+
+// listed takes account of what the platform's list says of one upstream. The
+// list lags, so a read may show an older state than the one before it.
+func (s *State) listed(name string, leaving bool) {
+	if leaving {
+		s.Listed[name] = s.now
+	}
+	known := s.Signals[SignalKey{Upstream: name, Source: observer.FromPlatform}]
+	if leaving == known.Leaving || !leaving && s.now.Before(s.Listed[name].Add(listLag)) {
+		return
 	}
+	s.signal(observer.Signaled{At: s.now, Now: s.now, Upstream: name, Source: observer.FromPlatform, Leaving: leaving})
 }
 
 // signal keeps the newest signal of each source and tells the observer.
--- a/core/reducer/reducer.go
+++ b/core/reducer/reducer.go
@@ -35,10 +35,15 @@
 	// Signals are the newest signals about upstreams of the own failure
 	// domain, shared with its other members.
 	Signals map[SignalKey]observer.Signaled
+	// Listed is the time at which the platform's list last marked an upstream as
+	// leaving.
+	Listed map[string]time.Time
 	// Draining holds the upstreams that leave and are not yet empty here.
 	Draining map[string]Drain
 	Clock    recorder.Clock
 	Gossip   Gossip
+	// ListDue is the time of the next read of the platform's list.
+	ListDue time.Time
 	// DrainEnd is the time at which the next drain ends by itself; zero if
 	// none does.
 	DrainEnd time.Time
@@ -75,6 +80,7 @@
 		Heard:    map[string]time.Time{},
 		Verdicts: map[string]observer.Verdict{},
 		Signals:  map[SignalKey]observer.Signaled{},
+		Listed:   map[string]time.Time{},
 		Draining: map[string]Drain{},
 		Gossip:   Gossip{Lost: map[string]bool{}},
 		now:      now,
@@ -165,6 +171,7 @@
 	}
 	s.observe(observer.Tick{Now: e.Now})
 	s.emptied(e.Busy)
+	s.readList()
 	s.endDrains()
 	s.watchDomains()
 	s.gossip()
--- a/core/reducer/reducer_test.go
+++ b/core/reducer/reducer_test.go
@@ -211,6 +211,19 @@
 	}
 }
 
+// Guards against an upstream that gets work more than 3 s after the platform's
+// list has marked it as leaving, while its own health reports say ready.
+func TestListedUpstreamLeavesInTime(t *testing.T) {
+	is := is.New(t)
+	w := running(15)
+	w.listed = []string{"lookup-a"}
+	w.leaving = w.listed
+	w.runFor(3 * time.Second)
+	for _, n := range w.nodes[:2] {
+		is.True(n.state.Verdicts["lookup-a"].Leaving) // on the leader and on the member
+	}
+}
+
 // Guards against probes that grow with the members of a domain: 10 s at one
 // probe a second for each of 6 upstreams, and two looks by the other member.
 func TestHoldersProbe(t *testing.T) {
@@ -252,7 +265,8 @@
 }
 
 // Guards against an upstream that stays out of use after the platform's list has
-// taken its leaving mark back, and against a mark that ends without a signal.
+// taken its leaving mark back, and against a mark that ends without a signal or
+// with one that may be older than the mark.
 func TestListTakesLeavingBack(t *testing.T) {
 	is := is.New(t)
 	w := running(11)
@@ -268,6 +282,10 @@
 	is.True(leaving(listed, []string{"lookup-a"}))
 	is.True(leaving(listed, []string{"lookup-a"}))
 	is.True(leaving([]string{"a-1", "a-2"}, nil)) // absence from the list says nothing
+	is.True(leaving(listed, nil))                 // the list may lag
+	w.runFor(27 * time.Second)
+	is.True(leaving(listed, nil))
+	w.runFor(time.Second)
 	is.True(!leaving(listed, nil))
 }
 
--- a/core/reducer/world_test.go
+++ b/core/reducer/world_test.go
@@ -57,7 +57,10 @@
 	leases  map[string]granter.LeaseSeen
 	version uint64
 	probes  int
-	fault   string
+	// listed are the upstreams on the platform's list, leaving those that it
+	// marks as leaving.
+	listed, leaving []string
+	fault           string
 }
 
 func newWorld(seed uint64, domains map[string]int) *world {
@@ -277,7 +280,9 @@
 		}
 	case granter.ReadList:
 		if ok {
-			w.deliver(n, func() reducer.Event { return reducer.ListSeen{Now: w.now, Names: w.names()} })
+			w.deliver(n, func() reducer.Event {
+				return reducer.ListSeen{Now: w.now, Names: append(w.names(), w.listed...), Leaving: w.leaving}
+			})
 		}
 	case granter.WriteLease:
 		w.after(w.delay(), func() { w.write(n, asked, e, ok) })
