--- a/core/reducer/reducer_test.go
+++ b/core/reducer/reducer_test.go
@@ -283,7 +283,7 @@
 	is.True(leaving(listed, []string{"lookup-a"}))
 	is.True(leaving([]string{"a-1", "a-2"}, nil)) // absence from the list says nothing
 	is.True(leaving(listed, nil))                 // the list may lag
-	w.runFor(27 * time.Second)
+	w.runFor(26 * time.Second)
 	is.True(leaving(listed, nil))
 	w.runFor(time.Second)
 	is.True(!leaving(listed, nil))
