granter: leader's steps no longer cost members times members

Every heartbeat sorted the members and summed the outstanding quotas of all of them anew, and every tick built and sorted a whole view and all part sizes. The orders of members and records are now kept until one is added, rates of outstanding grants are kept per account until a grant is added, acknowledged or expires, sizes are computed again only when a reserve, a want, the plan or the live members change, and a view is built only when it differs. Sums of quotas keep their order and are not turned into a running total: subtracting floating-point rates would change the last digits of shares. What is left per member and heartbeat is one addition per quota.

The simulation compares after every step of a leader what is kept with a new computation.

--- a/core/granter/grant.go
+++ b/core/granter/grant.go
@@ -19,6 +19,12 @@
 	Seen  uint64
 	// Outstanding are grants whose quotas may still be in use.
 	Outstanding []Grant
+
+	// rates are the largest outstanding rates of the plan's quotas. They hold
+	// until expires while counted is set.
+	rates   []float64
+	expires time.Time
+	counted bool
 }
 
 // Record is the leader's account of a part.
@@ -43,6 +49,7 @@
 	s.Ends = ends
 	clear(s.Records)
 	clear(s.Members)
+	s.roster, s.order = nil, nil
 	clear(s.Rests)
 }
 
@@ -54,6 +61,7 @@
 		if a == nil {
 			a = &Account{Member: m, Since: s.Now}
 			s.Members[m.Name] = a
+			s.roster = nil
 		}
 		a.Heard = s.Now
 	}
@@ -102,12 +110,13 @@
 	if a == nil {
 		a = &Account{Since: s.Now}
 		s.Members[m.Name] = a
+		s.roster = nil
 	}
 	if m.Incarnation < a.Member.Incarnation {
 		return nil
 	}
 	if m.Incarnation > a.Member.Incarnation {
-		a.Since, a.Seen = s.Now, 0
+		a.Since, a.Seen, a.counted = s.Now, 0, false
 	}
 	a.Member, a.Heard = m, s.Now
 	return a
@@ -129,21 +138,25 @@
 			Until:       later(s.Ends, s.Now),
 			Limit:       limit,
 		}
+		s.order = nil
 	}
 }
 
 // release frees parts that a member gave back: it has accepted a grant without
 // them and has nothing in flight on them.
 func (s *State) release(a *Account, seen uint64, held []Part) {
-	a.Seen = max(a.Seen, seen)
-	for k, r := range s.Records {
+	if seen > a.Seen {
+		a.Seen, a.counted = seen, false
+	}
+	for _, e := range s.ordered() {
+		r := e.record
 		if r.Holder != a.Member.Name || r.Incarnation != a.Member.Incarnation {
 			continue
 		}
 		if r.Dropped == 0 || seen < r.Dropped {
 			continue
 		}
-		if !slices.ContainsFunc(held, func(p Part) bool { return p.Upstream == k.Upstream && p.Index == k.Index }) {
+		if !slices.ContainsFunc(held, func(p Part) bool { return Key{p.Upstream, p.Index} == e.key }) {
 			*r = Record{}
 		}
 	}
@@ -157,7 +170,7 @@
 	if !s.Now.Before(end) {
 		return Grant{}
 	}
-	included := map[Key]bool{}
+	included := make(map[Key]bool, len(s.Targets[a.Member.Name]))
 	for _, p := range s.Targets[a.Member.Name] {
 		k := Key{p.Upstream, p.Index}
 		if s.assign(k, a, end) {
@@ -165,14 +178,16 @@
 			g.Parts = append(g.Parts, p)
 		}
 	}
-	for k, r := range s.Records {
-		if r.Holder == a.Member.Name && !included[k] && r.Dropped == 0 {
+	for _, e := range s.ordered() {
+		r := e.record
+		if r.Holder == a.Member.Name && r.Dropped == 0 && !included[e.key] {
 			r.Dropped = g.Sequence
 		}
 	}
 	s.Granted = later(s.Granted, end)
 	g.Quotas = s.quotas(a)
 	a.Outstanding = append(a.Outstanding, Grant{Sequence: g.Sequence, Deadline: end, Quotas: g.Quotas})
+	a.counted = false
 	return g
 }
 
@@ -186,6 +201,7 @@
 		}
 		r = &Record{}
 		s.Records[k] = r
+		s.order = nil
 	}
 	same := r.Holder == a.Member.Name && r.Incarnation == a.Member.Incarnation
 	if !same && s.Now.Before(r.movable()) {
@@ -214,8 +230,14 @@
 // refresh recomputes who should hold which part when members or slots changed.
 func (s *State) refresh() {
 	live := s.live()
+	same := s.Live != nil && slices.Equal(live, s.Live)
+	if same && s.Sized && s.uniform() {
+		return
+	}
 	sizes := s.sizes()
-	if s.Live != nil && slices.Equal(live, s.Live) && maps.Equal(sizes, s.Sizes) {
+	s.SizedFor = s.Lease.Reserve
+	s.Sized = s.uniform()
+	if same && maps.Equal(sizes, s.Sizes) {
 		return
 	}
 	s.Live, s.Sizes = live, sizes
@@ -250,9 +272,9 @@
 // leader without any other member keeps them.
 func (s *State) live() []string {
 	var names []string
-	for name, a := range s.Members {
-		if !a.Member.Leaving && name != s.Self.Name && s.Now.Sub(a.Heard) < MemberTerm {
-			names = append(names, name)
+	for _, a := range s.accounts() {
+		if !a.Member.Leaving && a.Member.Name != s.Self.Name && s.Now.Sub(a.Heard) < MemberTerm {
+			names = append(names, a.Member.Name)
 		}
 	}
 	if !s.Self.Leaving || len(names) == 0 {
@@ -262,6 +284,15 @@
 	return names
 }
 
+// uniform tells whether SizedFor is the reserve of every possible lease and no
+// other slot is wanted. A changed plan is noticed by Live, which it resets.
+func (s *State) uniform() bool {
+	if len(s.Wants) > 0 {
+		return false
+	}
+	return !slices.ContainsFunc(s.possible(), func(l *Lease) bool { return !slices.Equal(l.Reserve, s.SizedFor) })
+}
+
 // sizes divides the slots that are not reserved into parts.
 func (s *State) sizes() map[Key]int {
 	reserved := s.reserved()
--- /dev/null
+++ b/core/granter/order_test.go
@@ -0,0 +1,40 @@
+package granter
+
+import (
+	"maps"
+	"slices"
+)
+
+// checkKept compares what a leader keeps between steps with a new computation.
+// It guards against a change that leaves an order, a size or a sum out of date.
+func (n *node) checkKept(e Event) {
+	if !n.st.Leading {
+		return
+	}
+	fresh := *n.st
+	fresh.roster, fresh.order = nil, nil
+	if !slices.Equal(fresh.accounts(), n.st.accounts()) || !slices.Equal(fresh.ordered(), n.st.ordered()) {
+		n.w.fault("%s: order of members or records is out of date", n.st.Self.Name)
+	}
+	for _, a := range n.st.accounts() {
+		n.st.count(a)
+		again := Account{Outstanding: slices.Clone(a.Outstanding), Seen: a.Seen, Member: a.Member}
+		fresh.count(&again)
+		if !slices.Equal(again.rates, a.rates) || len(again.Outstanding) != len(a.Outstanding) {
+			n.w.fault("%s: rates of %s are out of date", n.st.Self.Name, a.Member.Name)
+		}
+	}
+	fresh.refresh()
+	if !maps.Equal(fresh.Sizes, fresh.sizes()) {
+		n.w.fault("%s: sizes are out of date", n.st.Self.Name)
+	}
+	if _, ok := e.(Tick); !ok {
+		return
+	}
+	view := *n.st
+	view.View.Members, view.View.Holdings = nil, nil
+	view.publishView()
+	if !slices.Equal(view.View.Members, n.st.View.Members) || !slices.Equal(view.View.Holdings, n.st.View.Holdings) {
+		n.w.fault("%s: view is out of date", n.st.Self.Name)
+	}
+}
--- a/core/granter/quota.go
+++ b/core/granter/quota.go
@@ -1,19 +1,16 @@
 package granter
 
-import (
-	"maps"
-	"slices"
-)
+import "slices"
 
 // quotas returns a member's shares of the domain's quotas. A share grows only
 // as far as the grants that others may still use leave room.
 func (s *State) quotas(a *Account) []Quota {
-	s.trimOutstanding()
 	used := s.outstanding(a)
+	live := slices.Contains(s.Live, a.Member.Name) && !s.Now.Before(s.Ends.Add(LeaseMargin))
 	var quotas []Quota
 	for i, q := range s.Plan.Quotas {
 		rate := 0.0
-		if slices.Contains(s.Live, a.Member.Name) && !s.Now.Before(s.Ends.Add(LeaseMargin)) {
+		if live {
 			rate = min(q.Rate/float64(len(s.Live)), max(0, q.Rate-used[i]))
 		}
 		quotas = append(quotas, Quota{Name: q.Name, Rate: rate})
@@ -21,32 +18,43 @@
 	return quotas
 }
 
-// trimOutstanding drops grants that expired or were replaced.
-func (s *State) trimOutstanding() {
-	for _, a := range s.Members {
-		a.Outstanding = slices.DeleteFunc(a.Outstanding, func(g Grant) bool {
-			return g.Sequence < a.Seen || g.Deadline.Add(LeaseMargin).Before(s.Now)
-		})
-	}
-}
-
 // outstanding returns the rates of the plan's quotas that members other than a
 // may use now. The order of the sums is fixed, because sums of floating-point
-// numbers depend on it.
+// numbers depend on it; for the same reason there is no running total, from
+// which rates are subtracted.
 func (s *State) outstanding(a *Account) []float64 {
 	total := make([]float64, len(s.Plan.Quotas))
-	for _, member := range slices.Sorted(maps.Keys(s.Members)) {
-		other := s.Members[member]
+	for _, other := range s.accounts() {
+		s.count(other)
 		if other == a {
 			continue
 		}
-		for i, q := range s.Plan.Quotas {
-			total[i] += largest(i, q.Name, other.Outstanding)
+		for i, rate := range other.rates {
+			total[i] += rate
 		}
 	}
 	return total
 }
 
+// count drops grants of an account that expired or were replaced, and finds the
+// largest rates of the others, unless nothing has changed.
+func (s *State) count(a *Account) {
+	if a.counted && !a.expires.Before(s.Now) {
+		return
+	}
+	a.Outstanding = slices.DeleteFunc(a.Outstanding, func(g Grant) bool {
+		return g.Sequence < a.Seen || g.Deadline.Add(LeaseMargin).Before(s.Now)
+	})
+	a.counted, a.expires = true, s.Now.Add(GrantTerm+LeaseMargin)
+	for _, g := range a.Outstanding {
+		a.expires = earlier(a.expires, g.Deadline.Add(LeaseMargin))
+	}
+	a.rates = a.rates[:0]
+	for i, q := range s.Plan.Quotas {
+		a.rates = append(a.rates, largest(i, q.Name, a.Outstanding))
+	}
+}
+
 // largest returns the largest rate of a quota in the grants. The quota is at
 // index i unless the plan changed.
 func largest(i int, name string, grants []Grant) float64 {
--- a/core/granter/roster.go
+++ b/core/granter/roster.go
@@ -52,8 +52,8 @@
 // nextMembers lists the members that are heard of and those that have a reserve.
 func (s *State) nextMembers(l *Lease) []Member {
 	var members []Member
-	for name, a := range s.Members {
-		if name == s.Self.Name || s.Now.Sub(a.Heard) < MemberTerm {
+	for _, a := range s.accounts() {
+		if s.heard(a) {
 			members = append(members, a.Member)
 		}
 	}
@@ -75,28 +75,66 @@
 	})
 }
 
-// publishView reports the leader's account of the domain, if it changed.
+// publishView reports the leader's account of the domain, if it changed. It
+// builds a view only then.
 func (s *State) publishView() {
-	v := View{Domain: s.Self.Domain, Epoch: s.Epoch, Sequence: s.View.Sequence, Leader: s.Self.Name}
-	for name, a := range s.Members {
-		if name == s.Self.Name || s.Now.Sub(a.Heard) < MemberTerm {
+	if s.Epoch == s.View.Epoch && s.sameMembers() && s.sameHoldings() {
+		return
+	}
+	v := View{Domain: s.Self.Domain, Epoch: s.Epoch, Sequence: s.View.Sequence + 1, Leader: s.Self.Name}
+	for _, a := range s.accounts() {
+		if s.heard(a) {
 			v.Members = append(v.Members, a.Member)
 		}
 	}
-	sortMembers(v.Members)
-	for k, r := range s.Records {
-		if r.Holder != "" && r.Dropped == 0 && s.Now.Before(r.Until) {
-			p := Part{Upstream: k.Upstream, Index: k.Index, Slots: s.Sizes[k]}
-			v.Holdings = append(v.Holdings, Holding{Part: p, Holder: r.Holder})
+	for _, e := range s.ordered() {
+		if s.granted(e.record) {
+			v.Holdings = append(v.Holdings, s.holding(e))
 		}
 	}
-	slices.SortFunc(v.Holdings, func(a, b Holding) int {
-		return compareKeys(Key{a.Part.Upstream, a.Part.Index}, Key{b.Part.Upstream, b.Part.Index})
-	})
-	if v.Epoch == s.View.Epoch && slices.Equal(v.Members, s.View.Members) && slices.Equal(v.Holdings, s.View.Holdings) {
-		return
-	}
-	v.Sequence++
 	s.View = v
 	s.emit(ViewChanged{View: v})
 }
+
+// heard tells whether a member belongs to the view.
+func (s *State) heard(a *Account) bool {
+	return a.Member.Name == s.Self.Name || s.Now.Sub(a.Heard) < MemberTerm
+}
+
+// granted tells whether a part belongs to the view.
+func (s *State) granted(r *Record) bool {
+	return r.Holder != "" && r.Dropped == 0 && s.Now.Before(r.Until)
+}
+
+func (s *State) holding(e entry) Holding {
+	p := Part{Upstream: e.key.Upstream, Index: e.key.Index, Slots: s.Sizes[e.key]}
+	return Holding{Part: p, Holder: e.record.Holder}
+}
+
+func (s *State) sameMembers() bool {
+	n := 0
+	for _, a := range s.accounts() {
+		if !s.heard(a) {
+			continue
+		}
+		if n == len(s.View.Members) || s.View.Members[n] != a.Member {
+			return false
+		}
+		n++
+	}
+	return n == len(s.View.Members)
+}
+
+func (s *State) sameHoldings() bool {
+	n := 0
+	for _, e := range s.ordered() {
+		if !s.granted(e.record) {
+			continue
+		}
+		if n == len(s.View.Holdings) || s.View.Holdings[n] != s.holding(e) {
+			return false
+		}
+		n++
+	}
+	return n == len(s.View.Holdings)
+}
--- a/core/granter/sim_test.go
+++ b/core/granter/sim_test.go
@@ -250,6 +250,7 @@
 	for _, f := range effects {
 		n.perform(f)
 	}
+	n.checkKept(e)
 	if n.changed {
 		n.w.check()
 	}
--- a/core/granter/state.go
+++ b/core/granter/state.go
@@ -89,14 +89,17 @@
 	Records  map[Key]*Record
 	Sequence uint64
 	// Ends bounds the deadlines of all grants of former leaders.
-	Ends    time.Time
-	Live    []string
-	Targets map[string][]Part
-	Sizes   map[Key]int
-	Wants   []Want
-	Rests   map[string]time.Time
-	SelfAt  time.Time
-	View    View
+	Ends time.Time
+	Live []string
+	// SizedFor is the reserve that alone determined Sizes if Sized is set.
+	SizedFor []Reserve
+	Sized    bool
+	Targets  map[string][]Part
+	Sizes    map[Key]int
+	Wants    []Want
+	Rests    map[string]time.Time
+	SelfAt   time.Time
+	View     View
 
 	// Known is the highest epoch that this instance has heard of, Leader its leader.
 	Known  uint64
@@ -111,6 +114,10 @@
 	Reserve   []Reserve
 	Holdings  Holdings
 
+	// roster and order are Members and Records in the order of names and keys;
+	// nil when the maps have changed.
+	roster  []*Account
+	order   []entry
 	effects []Effect
 }
 
@@ -187,6 +194,9 @@
 func (s *State) planChanged(p Plan) {
 	s.Plan = p
 	s.Live = nil
+	for _, a := range s.Members {
+		a.counted = false
+	}
 	s.SelfAt = s.Now
 }
 
