granter: members that hear the leader rarely read the lease

A member that hears the leader no longer campaigns, and reads within 2 s of a new epoch, after 15, 15, 30, 60, 120 s and then every 4 to 6 minutes, spread by name. A read that failed is repeated after 15 s. When the leader falls silent, the next read is at most 15 s away, spread by name, and then one a second as before. Electors, instances without a lease and votes are unchanged, and a candidate still reads after the expiry before it acts.

--- a/core/granter/election.go
+++ b/core/granter/election.go
@@ -79,6 +79,11 @@
 
 // campaign asks for votes once the lease has expired.
 func (s *State) campaign() {
+	if s.idle() {
+		// Electors confirm the lease by reading it; others may trust the leader
+		// and need not read it at every end of its term.
+		return
+	}
 	start := s.FirstSeen.Add(LeaseTerm + LeaseMargin)
 	if s.elector() && s.Now.Sub(s.Heard) >= silence {
 		s.listDue()
--- a/core/granter/lease.go
+++ b/core/granter/lease.go
@@ -9,10 +9,15 @@
 	// readInterval is the time between reads of the lease object by electors
 	// and by instances without a leader.
 	readInterval = 500 * time.Millisecond
-	// idleReadInterval is the time between reads by other members, which need
-	// the object only to learn their reserve.
-	idleReadInterval = 15 * time.Second
-	maxBackoff       = 4 * time.Second
+	// firstIdleInterval is the time between the first reads of other members
+	// after a start or a new epoch. They need the object only to learn their
+	// reserve, which the leader writes within seconds, so that later reads take
+	// twice the time of the one before, up to idleInterval, with idleSpread by
+	// name.
+	firstIdleInterval = 15 * time.Second
+	idleInterval      = 4 * time.Minute
+	idleSpread        = 2 * time.Minute
+	maxBackoff        = 4 * time.Second
 	// unresolvedMax bounds the writes that are remembered after lost answers. A
 	// forgotten one is still recognized by leader and incarnation.
 	unresolvedMax = 8
@@ -247,6 +252,9 @@
 		s.ReadAt = s.Now.Add(wait)
 		return
 	}
+	if s.idle() {
+		s.IdleReads++
+	}
 	s.Unanswered++
 	wait = min(wait<<min(s.Unanswered-1, 5), max(wait, maxBackoff))
 	s.ReadAt = s.Now.Add(wait)
@@ -254,14 +262,36 @@
 }
 
 func (s *State) readWait() time.Duration {
-	contact := s.Now.Sub(s.Heard) < 3*HeartbeatInterval
-	if s.elector() || s.Version == 0 {
+	switch {
+	case s.elector() || s.Version == 0:
 		return readInterval
+	case !s.idle():
+		return 2 * readInterval
+	case s.Unanswered > 0:
+		// The last read failed, so the reserve may be out of date.
+		return firstIdleInterval
 	}
-	if contact {
-		return idleReadInterval
+	return min(firstIdleInterval<<min(max(0, s.IdleReads-1), 10), idleInterval+s.spread(idleSpread))
+}
+
+// idle tells whether this process hears from the leader and needs the lease
+// object only for its reserve.
+func (s *State) idle() bool {
+	return s.Version > 0 && !s.elector() && s.Now.Sub(s.Heard) < silence
+}
+
+// spread returns a time below most that differs by the process's name.
+func (s *State) spread(most time.Duration) time.Duration {
+	return time.Duration(hash(s.Self.Name) % uint64(most))
+}
+
+// missLeader brings the next read forward when the leader falls silent: the
+// instance may have to give up its reserve or to take the lease.
+func (s *State) missLeader() {
+	if s.Leading || s.idle() || s.ReadAt.Sub(s.Now) <= firstIdleInterval {
+		return
 	}
-	return 2 * readInterval
+	s.ReadAt = s.Now.Add(s.spread(firstIdleInterval))
 }
 
 // begin makes this process the leader after a write that took effect.
--- a/core/granter/member.go
+++ b/core/granter/member.go
@@ -113,6 +113,7 @@
 func (s *State) learn(epoch uint64, leader string) {
 	s.Known, s.Leader = epoch, leader
 	s.BeatAt = s.Now
+	s.IdleReads = 0
 	wait := time.Duration(0)
 	if !s.elector() {
 		// Members that only need their reserve don't all read at once.
--- a/core/granter/state.go
+++ b/core/granter/state.go
@@ -52,6 +52,8 @@
 	// without an answer.
 	ReadAt     time.Time
 	Unanswered int
+	// IdleReads is the number of reads in this epoch while the leader was heard.
+	IdleReads int
 	// Pending is the write in flight. Unresolved are writes whose answer was
 	// lost; each may still take effect.
 	Pending    *Write
@@ -188,6 +190,7 @@
 		s.follow()
 		s.stand()
 	}
+	s.missLeader()
 	s.readDue()
 }
 
