granter: no separate read when the leader falls silent

So after 1.5 s of silence each member reads at once, at the phase of its own heartbeats, and then once a second.

--- a/core/granter/lease.go
+++ b/core/granter/lease.go
@@ -285,15 +285,6 @@
 	return time.Duration(hash(s.Self.Name) % uint64(most))
 }
 
-// missLeader brings the next read forward when the leader falls silent: the
-// instance may have to give up its reserve or to take the lease.
-func (s *State) missLeader() {
-	if s.Leading || s.idle() || s.ReadAt.Sub(s.Now) <= firstIdleInterval {
-		return
-	}
-	s.ReadAt = s.Now.Add(s.spread(firstIdleInterval))
-}
-
 // begin makes this process the leader after a write that took effect.
 func (s *State) begin(w Write) {
 	s.Leading = true
--- a/core/granter/state.go
+++ b/core/granter/state.go
@@ -190,7 +190,6 @@
 		s.follow()
 		s.stand()
 	}
-	s.missLeader()
 	s.readDue()
 }
 
