granter: first reserve with the first lease

A new domain wrote its first reserve 8.2 s after the start (simulation with 1 to 3 instances): 2 s until a member counts as settled, then the term of grants that contain the slots, margin and limit. When the platform was lost before, the domain had none.

The process that creates the lease object now names a slot of each service for itself in it, at most a third of the budget, if it has never heard of an epoch: nobody can have been granted the slots, and parts leave them out from the first grant on. Other members still wait, because the leader holds all parts by then.

--- a/core/granter/election.go
+++ b/core/granter/election.go
@@ -61,6 +61,7 @@
 		Leader:   s.Self.Name,
 		Electors: []string{s.Self.Name},
 		Members:  []Member{s.Self},
+		Reserve:  s.firstReserve(),
 	}
 }
 
--- a/core/granter/reserve.go
+++ b/core/granter/reserve.go
@@ -110,14 +110,39 @@
 	maps.DeleteFunc(s.Rests, func(k string, _ time.Time) bool { return !resting[k] })
 }
 
+// reserveBudget returns the number of slots that may be reserved.
+func (s *State) reserveBudget() int {
+	slots := 0
+	for _, d := range s.Plan.Demands {
+		slots += d.Slots
+	}
+	return int(float64(slots) * s.Plan.Reserve)
+}
+
+// firstReserve returns the reserve of the process that creates the lease object:
+// a slot of each service, as far as the budget leaves room for others. Nobody
+// was ever granted these slots, so they need not be waited for; a domain that
+// loses the platform soon after its start has some reserve.
+func (s *State) firstReserve() []Reserve {
+	if s.Known > 0 || s.Voted > 0 {
+		return nil
+	}
+	var reserve []Reserve
+	reserved := map[string]int{}
+	slots := min(len(s.services()), (s.reserveBudget()+reserveShares-1)/reserveShares)
+	for i := range slots {
+		if u := s.reserveUpstream(s.Self.Name, i, reserved); u != "" {
+			reserved[u]++
+			reserve = append(reserve, Reserve{Member: s.Self.Name, Upstream: u, Slots: 1})
+		}
+	}
+	return mergeReserve(reserve)
+}
+
 // newWants chooses reserve slots one by one until the share of the domain's
 // slots is used up. A member's first slot is of the most important service.
 func (s *State) newWants() []Want {
-	budget, used := 0, 0
-	for _, d := range s.Plan.Demands {
-		budget += d.Slots
-	}
-	budget = int(float64(budget) * s.Plan.Reserve)
+	budget, used := s.reserveBudget(), 0
 	counts, reserved := map[string]int{}, s.reserved()
 	for _, r := range s.Lease.Reserve {
 		counts[r.Member] += r.Slots
