--- a/core/granter/order_test.go
+++ b/core/granter/order_test.go
@@ -3,6 +3,9 @@
 import (
 	"maps"
 	"slices"
+	"testing"
+
+	"github.com/matryer/is"
 )
 
 // checkKept compares what a leader keeps between steps with a new computation.
@@ -37,3 +40,18 @@
 		n.w.fault("%s: view is out of date", n.st.Self.Name)
 	}
 }
+
+// Guards against shares that count rates of a former plan's quotas: they must
+// leave out what another member may still use of the quota with the same name.
+func TestRatesFollowPlan(t *testing.T) {
+	is := is.New(t)
+	s := New(Member{Name: "a", Incarnation: 1}, epoch)
+	s.Step(PlanChanged{Now: epoch, Plan: Plan{Quotas: []Quota{{Name: "x", Rate: 90}, {Name: "y", Rate: 8}}}})
+	a, b := s.account(s.Self), s.account(Member{Name: "b", Incarnation: 1})
+	b.Outstanding = []Grant{{Sequence: 1, Deadline: epoch.Add(GrantTerm), Quotas: []Quota{{Name: "x", Rate: 90}, {Name: "y", Rate: 5}}}}
+	is.Equal(s.outstanding(a), []float64{90, 5})
+	s.Step(PlanChanged{Now: epoch, Plan: Plan{Quotas: []Quota{{Name: "y", Rate: 8}}}})
+	is.Equal(s.outstanding(a), []float64{5})
+	s.Now = epoch.Add(GrantTerm + 2*LeaseMargin)
+	is.Equal(s.outstanding(a), []float64{0})
+}
