--- a/core/reducer/world_test.go
+++ b/core/reducer/world_test.go
@@ -23,8 +23,11 @@
 
 // node is one instance of the simulated deployment.
 type node struct {
-	self   granter.Member
-	state  *reducer.State
+	self  granter.Member
+	state *reducer.State
+	world *world
+	// offset is how far the node's clock is ahead of the world's.
+	offset time.Duration
 	alive  bool
 	paused bool
 	// platform tells whether the node reaches the platform.
@@ -38,6 +41,12 @@
 	waiting []func()
 }
 
+// offsets are the clocks' differences of the nodes, in turn.
+var offsets = []time.Duration{0, -200 * time.Millisecond, 200 * time.Millisecond}
+
+// at returns the node's own time.
+func (n *node) at() time.Time { return n.world.now.Add(n.offset) }
+
 type delivery struct {
 	at  time.Time
 	seq int
@@ -72,7 +81,7 @@
 	for _, d := range slices.Sorted(maps.Keys(domains)) {
 		for i := range domains[d] {
 			name := fmt.Sprintf("%s-%d", d, i+1)
-			w.nodes = append(w.nodes, &node{self: granter.Member{Name: name, Peer: name, Domain: d}})
+			w.nodes = append(w.nodes, &node{world: w, offset: offsets[len(w.nodes)%len(offsets)], self: granter.Member{Name: name, Peer: name, Domain: d}})
 		}
 	}
 	for _, n := range w.nodes {
@@ -90,7 +99,7 @@
 			seeds = append(seeds, o.self.Peer)
 		}
 	}
-	n.state = reducer.New(n.self, "region", seeds, w.now)
+	n.state = reducer.New(n.self, "region", seeds, n.at())
 	n.alive, n.paused, n.platform = true, false, true
 	n.table = reducer.Publish{}
 	n.highest = 0
@@ -103,7 +112,7 @@
 		return
 	}
 	if !n.paused {
-		w.step(n, reducer.Tick{Now: w.now})
+		w.step(n, reducer.Tick{Now: n.at()})
 	}
 	w.after(tickInterval, func() { w.tick(n, incarnation) })
 }
@@ -192,9 +201,9 @@
 		w.send(n, e)
 	case reducer.Probe:
 		w.probes++
-		sent := w.now
+		sent := n.at()
 		w.deliver(n, func() reducer.Event {
-			return reducer.Observing{Now: w.now, Event: observer.Probed{Sent: sent, Now: w.now, Health: observer.Health{Upstream: e.Upstream, State: "ready", Slots: 6}}}
+			return reducer.Observing{Now: n.at(), Event: observer.Probed{Sent: sent, Now: n.at(), Health: observer.Health{Upstream: e.Upstream, State: "ready", Slots: 6}}}
 		})
 	case reducer.Follow:
 		w.follow(n, e.Effect)
@@ -205,10 +214,10 @@
 
 // send carries a request and its answer, each of which may be lost.
 func (w *world) send(n *node, e reducer.Send) {
-	sent := w.now
+	sent := n.at()
 	to := w.node(e.To)
 	if to == nil || !w.connected(n, to) {
-		w.deliver(n, func() reducer.Event { return reducer.SendFailed{Now: w.now, To: e.To} })
+		w.deliver(n, func() reducer.Event { return reducer.SendFailed{Now: n.at(), To: e.To} })
 		return
 	}
 	incarnation := to.self.Incarnation
@@ -216,7 +225,7 @@
 		if to.paused || !to.alive || to.self.Incarnation != incarnation {
 			return
 		}
-		for _, effect := range to.state.Step(reducer.RequestReceived{Now: w.now, Call: 1, Request: e.Request}) {
+		for _, effect := range to.state.Step(reducer.RequestReceived{Now: to.at(), Call: 1, Request: e.Request}) {
 			a, ok := effect.(reducer.Answer)
 			if !ok {
 				w.perform(to, nil, effect)
@@ -224,7 +233,7 @@
 			}
 			if w.connected(to, n) {
 				w.deliver(n, func() reducer.Event {
-					return reducer.ResponseReceived{Sent: sent, Now: w.now, To: e.To, Response: a.Response}
+					return reducer.ResponseReceived{Sent: sent, Now: n.at(), To: e.To, Response: a.Response}
 				})
 			}
 		}
@@ -236,26 +245,26 @@
 	switch e := effect.(type) {
 	case follower.Load:
 		w.deliver(n, func() reducer.Event {
-			return reducer.Following{Now: w.now, Event: follower.Loaded{Now: w.now, Failed: !ok, Tickets: w.since(e.After), Revision: uint64(len(w.tickets))}}
+			return reducer.Following{Now: n.at(), Event: follower.Loaded{Now: n.at(), Failed: !ok, Tickets: w.since(e.After), Revision: uint64(len(w.tickets))}}
 		})
 	case follower.Watch:
 		w.deliver(n, func() reducer.Event {
-			return reducer.Following{Now: w.now, Event: follower.Watched{Now: w.now, Failed: !ok, Tickets: w.since(e.Revision), Revision: uint64(len(w.tickets))}}
+			return reducer.Following{Now: n.at(), Event: follower.Watched{Now: n.at(), Failed: !ok, Tickets: w.since(e.Revision), Revision: uint64(len(w.tickets))}}
 		})
 	case follower.Fetch:
 		peer := w.node(e.Peer)
 		connected := w.connected(n, peer)
 		w.deliver(n, func() reducer.Event {
 			tickets, complete := peer.state.Follower.Since(e.After)
-			f := follower.Fetched{Now: w.now, Peer: e.Peer, Tickets: tickets, Failed: !connected}
+			f := follower.Fetched{Now: n.at(), Peer: e.Peer, Tickets: tickets, Failed: !connected}
 			if !complete {
 				f.Snapshot = &peer.state.Follower.Config
 			}
-			return reducer.Following{Now: w.now, Event: f}
+			return reducer.Following{Now: n.at(), Event: f}
 		})
 	case follower.Compact:
 		w.deliver(n, func() reducer.Event {
-			return reducer.Following{Now: w.now, Event: follower.Compacted{Now: w.now, Failed: !ok}}
+			return reducer.Following{Now: n.at(), Event: follower.Compacted{Now: n.at(), Failed: !ok}}
 		})
 	}
 }
@@ -266,22 +275,22 @@
 
 func (w *world) grant(n *node, cause reducer.Event, effect granter.Effect) {
 	ok := w.reaches(n)
-	asked := w.now
+	asked := n.at()
 	event := func(build func() granter.Event) {
-		w.deliver(n, func() reducer.Event { return reducer.Granting{Now: w.now, Event: build()} })
+		w.deliver(n, func() reducer.Event { return reducer.Granting{Now: n.at(), Event: build()} })
 	}
 	switch e := effect.(type) {
 	case granter.ReadLease:
 		if seen := w.leases[e.Domain]; ok {
 			event(func() granter.Event {
-				seen.Asked, seen.Now = asked, w.now
+				seen.Asked, seen.Now = asked, n.at()
 				return seen
 			})
 		}
 	case granter.ReadList:
 		if ok {
 			w.deliver(n, func() reducer.Event {
-				return reducer.ListSeen{Now: w.now, Names: append(w.names(), w.listed...), Leaving: w.leaving}
+				return reducer.ListSeen{Now: n.at(), Names: append(w.names(), w.listed...), Leaving: w.leaving}
 			})
 		}
 	case granter.WriteLease:
@@ -298,7 +307,7 @@
 	ended := granter.WriteEnded{Asked: asked, Nonce: e.Lease.Nonce, Result: granter.WriteFailed}
 	old := w.leases[e.Lease.Domain]
 	switch {
-	case !reachable || w.now.After(e.Until):
+	case !reachable || n.at().After(e.Until):
 	case old.Version != e.Version:
 		ended.Result = granter.WriteConflict
 	default:
@@ -310,13 +319,13 @@
 		}
 	}
 	w.deliver(n, func() reducer.Event {
-		ended.Now = w.now
-		return reducer.Granting{Now: w.now, Event: ended}
+		ended.Now = n.at()
+		return reducer.Granting{Now: n.at(), Event: ended}
 	})
 }
 
 func (w *world) vote(n *node, e granter.SendVote) {
-	sent := w.now
+	sent := n.at()
 	to := w.node(e.To)
 	if to == nil || !w.connected(n, to) {
 		return
@@ -326,12 +335,12 @@
 		if to.paused || !to.alive || to.self.Incarnation != incarnation {
 			return
 		}
-		received := granter.VoteReceived{Now: w.now, Call: 1, Candidate: n.self.Name, Epoch: e.Epoch}
-		for _, effect := range to.state.Step(reducer.Granting{Now: w.now, Event: received}) {
+		received := granter.VoteReceived{Now: to.at(), Call: 1, Candidate: n.self.Name, Epoch: e.Epoch}
+		for _, effect := range to.state.Step(reducer.Granting{Now: to.at(), Event: received}) {
 			g, ok := effect.(reducer.Grant)
 			if a, isAnswer := g.Effect.(granter.AnswerVote); ok && isAnswer {
 				w.deliver(n, func() reducer.Event {
-					return reducer.Granting{Now: w.now, Event: granter.VoteAnswered{Sent: sent, Now: w.now, From: to.self.Name, Epoch: a.Epoch, Granted: a.Granted, Valid: a.Valid}}
+					return reducer.Granting{Now: n.at(), Event: granter.VoteAnswered{Sent: sent, Now: n.at(), From: to.self.Name, Epoch: a.Epoch, Granted: a.Granted, Valid: a.Valid}}
 				})
 				continue
 			}
@@ -374,7 +383,7 @@
 			w.fault = fmt.Sprintf("%s went back from version %d to %d", n.self.Name, n.highest, n.table.Config.Version)
 		}
 		n.highest = n.table.Config.Version
-		if !w.now.Before(n.table.Holdings.Deadline) {
+		if !n.at().Before(n.table.Holdings.Deadline) {
 			continue
 		}
 		for _, p := range n.table.Holdings.Parts {
@@ -393,7 +402,7 @@
 		if !n.alive || n.paused {
 			continue
 		}
-		if w.now.Before(n.table.Holdings.Deadline) {
+		if n.at().Before(n.table.Holdings.Deadline) {
 			for _, p := range n.table.Holdings.Parts {
 				slots += p.Slots
 			}
