exporter, forwarder: counters of decisions, no allocation on the answer path

Cause: operators could not see how often requests hop, miss, wait, fall silent or repeat; finding an answer's metrics boxed its key, an allocation per request. Change: horn_decisions_total with 8 decisions by service; metrics are found in a copy-on-write map; hornctl check says how many files in a form that fits one.

--- a/hornbeamd/exporter/metrics.go
+++ b/hornbeamd/exporter/metrics.go
@@ -3,7 +3,6 @@
 package exporter
 
 import (
-	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -27,9 +26,18 @@
 	steps    prometheus.Histogram
 	drains   prometheus.Histogram
 
-	// answers holds the metrics of each kind of answer that has occurred, so
-	// that traffic takes no lock to find them.
-	answers sync.Map
+	decisions *prometheus.CounterVec
+
+	// The caches hold the metrics of each kind of answer and decision that has
+	// occurred, so that traffic takes no lock to find them.
+	answers cache[answer, answerMetrics]
+	decided cache[decision, prometheus.Counter]
+}
+
+// decision names a decision on a service's requests.
+type decision struct {
+	service string
+	kind    forwarder.Decision
 }
 
 // answer names a kind of answer.
@@ -80,25 +88,35 @@
 		Help:    "Time from the first leaving signal of an upstream until no request was in flight here.",
 		Buckets: prometheus.ExponentialBuckets(0.125, 2, 10),
 	})
-	r.MustRegister(m.requests, m.latency, m.retries, m.events, m.calls, m.steps, m.drains)
+	m.decisions = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "decisions_total",
+		Help: "Decisions on requests: own, hopped, shifted, missed, waited, silenced, inquired, replayed.",
+	}, []string{"service", "decision"})
+	m.answers.create = func(k answer) answerMetrics {
+		return answerMetrics{
+			requests: m.requests.WithLabelValues(k.service, k.outcome.String(), string(k.reason)),
+			latency:  m.latency.WithLabelValues(k.service, k.outcome.String()),
+		}
+	}
+	m.decided.create = func(k decision) prometheus.Counter {
+		return m.decisions.WithLabelValues(k.service, k.kind.String())
+	}
+	r.MustRegister(m.decisions, m.requests, m.latency, m.retries, m.events, m.calls, m.steps, m.drains)
 	return m
 }
 
 // Answered implements forwarder.Metrics.
 func (m *Metrics) Answered(service string, outcome forwarder.Outcome, reason router.Reason, took time.Duration) {
-	key := answer{service, outcome, reason}
-	v, ok := m.answers.Load(key)
-	if !ok {
-		v, _ = m.answers.LoadOrStore(key, answerMetrics{
-			requests: m.requests.WithLabelValues(service, outcome.String(), string(reason)),
-			latency:  m.latency.WithLabelValues(service, outcome.String()),
-		})
-	}
-	found := v.(answerMetrics)
+	found := m.answers.get(answer{service, outcome, reason})
 	found.requests.Inc()
 	found.latency.Observe(took.Seconds())
 }
 
+// Decided implements forwarder.Metrics.
+func (m *Metrics) Decided(service string, d forwarder.Decision) {
+	m.decided.get(decision{service, d}).Inc()
+}
+
 // Retried implements forwarder.Metrics.
 func (m *Metrics) Retried(service string) { m.retries.WithLabelValues(service).Inc() }
 
--- a/hornbeamd/forwarder/forward.go
+++ b/hornbeamd/forwarder/forward.go
@@ -134,9 +134,11 @@
 }
 
 func (f *Forwarder) runRepeat(c *call) result {
+	f.metrics.Decided(c.req.Service.Name, Inquired)
 	v, a := f.inquire(c)
 	switch {
 	case v == answered && a.Kept:
+		f.metrics.Decided(c.req.Service.Name, Replayed)
 		return result{outcome: Ran, first: a, kept: true}
 	case v != mayRun:
 		return result{outcome: Unknown, reason: Repeated}
@@ -162,6 +164,7 @@
 		}
 		c.tries++
 		c.tried.Add(choice)
+		f.decided(c, choice)
 		res := f.try(c, choice)
 		c.doubt = c.doubt || res.outcome == Unknown
 		if !res.again || c.spent || !f.mayRetry(c, res) {
@@ -171,6 +174,19 @@
 	}
 }
 
+// decided counts where a request goes.
+func (f *Forwarder) decided(c *call, choice router.Choice) {
+	service := c.req.Service.Name
+	if choice.Shifted {
+		f.metrics.Decided(service, Shifted)
+	}
+	if choice.Peer != nil {
+		f.metrics.Decided(service, Hopped)
+		return
+	}
+	f.metrics.Decided(service, Own)
+}
+
 // conclude makes the outcome of the last try that of the request.
 func (c *call) conclude(res result) result {
 	if res.outcome == NotRun && c.doubt {
@@ -188,6 +204,7 @@
 			return choice, reason
 		}
 	}
+	f.metrics.Decided(c.req.Service.Name, Waited)
 	return f.queue(c.req.Service.Name).wait(f, c)
 }
 
@@ -198,6 +215,7 @@
 	case c.req.Hop || c.tries >= maxTries:
 		return false
 	case res.miss:
+		f.metrics.Decided(c.req.Service.Name, Missed)
 		c.misses++
 		return c.misses <= maxMisses
 	}
--- a/hornbeamd/forwarder/forwarder.go
+++ b/hornbeamd/forwarder/forwarder.go
@@ -23,8 +23,38 @@
 	Answered(service string, outcome Outcome, reason router.Reason, took time.Duration)
 	// Retried reports a try that took from the retry budget.
 	Retried(service string)
+	// Decided reports a decision on a request's way.
+	Decided(service string, d Decision)
 }
 
+// Decision is a step on a request's way that operators count.
+type Decision uint8
+
+// Decisions. A request can meet several of them.
+const (
+	// Own: placed on a slot held here.
+	Own Decision = iota
+	// Hopped: sent to another instance.
+	Hopped
+	// Shifted: moved to another region under the cap of a shift.
+	Shifted
+	// Missed: another instance had no free slot.
+	Missed
+	// Waited: no slot was free, so the request waited for one.
+	Waited
+	// Silenced: no byte of an answer came within the suspicion time.
+	Silenced
+	// Inquired: the other instances were asked about a repeat.
+	Inquired
+	// Replayed: a repeat got the answer of the first send.
+	Replayed
+)
+
+var decisionNames = [...]string{"own", "hopped", "shifted", "missed", "waited", "silenced", "inquired", "replayed"}
+
+// String returns the decision's metric label.
+func (d Decision) String() string { return decisionNames[d] }
+
 // Config has the parts that a Forwarder needs.
 type Config struct {
 	Tables Tables
@@ -133,3 +163,4 @@
 
 func (noMetrics) Answered(string, Outcome, router.Reason, time.Duration) {}
 func (noMetrics) Retried(string)                                         {}
+func (noMetrics) Decided(string, Decision)                               {}
--- a/hornbeamd/forwarder/kit_test.go
+++ b/hornbeamd/forwarder/kit_test.go
@@ -184,6 +184,8 @@
 	return fmt.Appendf(dst, `{"entries":[%q],"until":%d}`, n.front, until)
 }
 func (n *node) Retried(string) { n.retried.Add(1) }
+
+func (n *node) Decided(string, forwarder.Decision) {}
 func (n *node) Answered(_ string, o forwarder.Outcome, r router.Reason, _ time.Duration) {
 	v, _ := n.answered.LoadOrStore(o.String()+string(r), new(atomic.Int64))
 	v.(*atomic.Int64).Add(1)
--- a/hornbeamd/forwarder/try.go
+++ b/hornbeamd/forwarder/try.go
@@ -238,6 +238,7 @@
 		if err = x.await(c, wait); err != errSilent {
 			return err
 		}
+		f.metrics.Decided(c.req.Service.Name, Silenced)
 		if c.req.Service.Once {
 			return x.await(c, x.pool.final())
 		}
--- a/hornctl/commands/check.go
+++ b/hornctl/commands/check.go
@@ -49,7 +49,7 @@
 		return k.problems
 	}
 	if !c.Bool("json") {
-		p.printf("%d files without problems\n", c.Args().Len())
+		p.printf("no problems in %d file(s)\n", c.Args().Len())
 	}
 	return nil
 }
