director: usual names for time limits

Cause: the limits of waits were named patience. Change: forceTimeout, readyTimeout, grantTimeout, slotsTimeout, stopTimeout, endTimeout.

--- a/hornbench/director/cost.go
+++ b/hornbench/director/cost.go
@@ -128,7 +128,7 @@
 
 // dialable waits until something listens at an address.
 func dialable(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, endPatience)
+	ctx, cancel := context.WithTimeout(ctx, endTimeout)
 	defer cancel()
 	for {
 		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
--- a/hornbench/director/demo.go
+++ b/hornbench/director/demo.go
@@ -18,10 +18,10 @@
 // Times and sizes of the demo. All of it ends within a minute.
 const (
 	demoLimit     = 58 * time.Second
-	readyPatience = 12 * time.Second
-	grantPatience = 8 * time.Second
-	forcePatience = 8 * time.Second
-	stopPatience  = 14 * time.Second
+	readyTimeout = 12 * time.Second
+	grantTimeout = 8 * time.Second
+	forceTimeout  = 8 * time.Second
+	stopTimeout  = 14 * time.Second
 	loadTime      = 38 * time.Second
 	demoSeed      = 20
 	// listLag is the age of the platform's instance list.
@@ -151,7 +151,7 @@
 		return err
 	}
 	submitted := time.Now()
-	if err := d.fleet.inForce(ctx, 1, readyPatience); err != nil {
+	if err := d.fleet.inForce(ctx, 1, readyTimeout); err != nil {
 		return fmt.Errorf("first ticket: %w", err)
 	}
 	d.version = 1
@@ -160,7 +160,7 @@
 	for name := range d.deployment.Services {
 		total += d.deployment.Slots(name)
 	}
-	d.say("%d of %d slots held", d.fleet.filled(ctx, total, grantPatience), total)
+	d.say("%d of %d slots held", d.fleet.filled(ctx, total, grantTimeout), total)
 	return nil
 }
 
@@ -292,7 +292,7 @@
 
 func (d *Demo) watchForce(ctx context.Context, number uint64, began time.Time, reason string) error {
 	d.version = number
-	err := d.fleet.inForce(ctx, number, forcePatience)
+	err := d.fleet.inForce(ctx, number, forceTimeout)
 	took := time.Since(began)
 	d.mu.Lock()
 	d.force = max(d.force, took)
@@ -307,7 +307,7 @@
 // kill ends an instance without notice. The platform notices later.
 func (d *Demo) kill(p *process) {
 	p.signal(syscall.SIGKILL)
-	_ = p.wait(endPatience)
+	_ = p.wait(endTimeout)
 	d.say("%s killed", p.settings.Name)
 }
 
@@ -316,7 +316,7 @@
 	s := stop{entry: p.settings.Front, from: time.Now()}
 	d.say("%s asked to stop (SIGTERM)", p.settings.Name)
 	p.signal(syscall.SIGTERM)
-	err := p.wait(stopPatience)
+	err := p.wait(stopTimeout)
 	s.to = time.Now()
 	d.mu.Lock()
 	d.stops = append(d.stops, s)
--- a/hornbench/director/process.go
+++ b/hornbench/director/process.go
@@ -14,9 +14,9 @@
 	"hornbeamstream.example/core/loader"
 )
 
-// endPatience is how long the processes have to exit at the end of a run before
+// endTimeout is how long the processes have to exit at the end of a run before
 // they are killed.
-const endPatience = 2 * time.Second
+const endTimeout = 2 * time.Second
 
 // demoProcs bounds the threads of one instance, so that ten of them share the
 // cores of one machine.
@@ -158,7 +158,7 @@
 var errStays = errors.New("the process does not exit")
 
 // wait waits until the process has exited and returns its error.
-func (p *process) wait(patience time.Duration) error {
+func (p *process) wait(timeout time.Duration) error {
 	p.mu.Lock()
 	ended := p.ended
 	p.mu.Unlock()
@@ -170,7 +170,7 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		return p.err
-	case <-time.After(patience):
+	case <-time.After(timeout):
 		return errStays
 	}
 }
@@ -180,11 +180,11 @@
 	for _, p := range f.list {
 		p.signal(syscall.SIGTERM)
 	}
-	end := time.Now().Add(endPatience)
+	end := time.Now().Add(endTimeout)
 	for _, p := range f.list {
 		if errors.Is(p.wait(time.Until(end)), errStays) {
 			p.signal(syscall.SIGKILL)
-			_ = p.wait(endPatience)
+			_ = p.wait(endTimeout)
 		}
 	}
 }
--- a/hornbench/director/rolling.go
+++ b/hornbench/director/rolling.go
@@ -15,9 +15,9 @@
 	rollingLoad  = 120 * time.Second
 	// rollingWidth is the number of instances that are restarted at a time.
 	rollingWidth = 2
-	// slotsPatience is how long the slots of a restarted instance's failure
+	// slotsTimeout is how long the slots of a restarted instance's failure
 	// domain may take to be held again.
-	slotsPatience = 20 * time.Second
+	slotsTimeout = 20 * time.Second
 )
 
 // RollingResult is the last line of a rolling restart. Slowest is the longest
@@ -83,7 +83,7 @@
 // of its failure domain are held.
 func (d *Demo) rejoined(ctx context.Context, p *process) error {
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, slotsPatience)
+	ctx, cancel := context.WithTimeout(ctx, slotsTimeout)
 	defer cancel()
 	if err := p.await(ctx, func(s reporter.Status) bool { return s.Version >= d.version }); err != nil {
 		return err
--- a/hornbench/director/scenes.go
+++ b/hornbench/director/scenes.go
@@ -187,7 +187,7 @@
 	err := d.quit(p)
 	if errors.Is(err, errStays) {
 		p.signal(syscall.SIGKILL)
-		_ = p.wait(endPatience)
+		_ = p.wait(endTimeout)
 	}
 	return errors.Join(err, d.restart(p))
 }
--- a/hornbench/director/status.go
+++ b/hornbench/director/status.go
@@ -65,8 +65,8 @@
 }
 
 // inForce waits until all reachable instances have a configuration version.
-func (f *fleet) inForce(ctx context.Context, version uint64, patience time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, patience)
+func (f *fleet) inForce(ctx context.Context, version uint64, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var g sync.WaitGroup
 	errs := make([]error, len(f.list))
@@ -112,8 +112,8 @@
 
 // filled waits until all slots are held or the time is over, and returns how
 // many are.
-func (f *fleet) filled(ctx context.Context, total int, patience time.Duration) int {
-	end := time.Now().Add(patience)
+func (f *fleet) filled(ctx context.Context, total int, timeout time.Duration) int {
+	end := time.Now().Add(timeout)
 	for {
 		n := f.slots(ctx).held
 		if n >= total || time.Now().After(end) || ctx.Err() != nil {
