--- a/hornbench/commands_run.go
+++ b/hornbench/commands_run.go
@@ -67,7 +67,7 @@
 		Usage: "run a deployment under load and faults for less than a minute",
 		Flags: append(
 			runFlags(), shareFlag(),
-			&cli.StringSliceFlag{Name: "scene", Usage: "only these steps: shift, drain, race, kill, silence, stop, outage"},
+			&cli.StringSliceFlag{Name: "scene", Usage: "only these steps: shift, drain, race, kill, silence, stop, pause, outage; without it all but pause"},
 		),
 		Action: withDemo((*director.Demo).Run),
 	}
--- a/hornbench/director/demo.go
+++ b/hornbench/director/demo.go
@@ -17,13 +17,13 @@
 
 // Times and sizes of the demo. All of it ends within a minute.
 const (
-	demoLimit     = 58 * time.Second
+	demoLimit    = 58 * time.Second
 	readyTimeout = 12 * time.Second
 	grantTimeout = 8 * time.Second
-	forceTimeout  = 8 * time.Second
+	forceTimeout = 8 * time.Second
 	stopTimeout  = 14 * time.Second
-	loadTime      = 38 * time.Second
-	demoSeed      = 20
+	loadTime     = 38 * time.Second
+	demoSeed     = 20
 	// listLag is the age of the platform's instance list.
 	listLag = time.Second
 )
--- a/hornbench/director/scenes.go
+++ b/hornbench/director/scenes.go
@@ -22,6 +22,10 @@
 	// reachable instances.
 	forceBound = 2 * time.Second
 	shiftRamp  = 4 * time.Second
+	pauseScene = "pause"
+	// pauseTime is longer than a lease, so that the slots of a paused instance
+	// are with others when it goes on.
+	pauseTime = 6 * time.Second
 )
 
 // scene is one step of the demo at a time after the beginning of the load.
@@ -33,7 +37,7 @@
 
 // scenes runs the steps. A step that fails is recorded and the others go on.
 func (d *Demo) scenes(ctx context.Context) {
-	killed, stopped := d.victims()
+	killed, stopped, paused := d.victims()
 	began := time.Now()
 	var g sync.WaitGroup
 	defer g.Wait()
@@ -49,11 +53,13 @@
 			g.Go(func() { d.note(d.stopAndRestart(stopped)) })
 			return nil
 		}},
+		{pauseScene, 17 * time.Second, func(context.Context) error { d.pause(paused); return nil }},
+		{pauseScene, 17*time.Second + pauseTime, func(context.Context) error { d.resume(paused); return nil }},
 		{"outage", 25 * time.Second, func(context.Context) error { d.outage(true); return nil }},
 		{"outage", 35 * time.Second, func(context.Context) error { d.outage(false); return nil }},
 		{"drain", 35500 * time.Millisecond, d.endDrain},
 	} {
-		if len(d.Scenes) > 0 && !slices.Contains(d.Scenes, s.name) {
+		if !d.wants(s.name) {
 			continue
 		}
 		select {
@@ -65,6 +71,16 @@
 	}
 }
 
+// wants tells whether a step is asked for. A pause is run only by name: the
+// callers of a paused instance wait in vain until their deadlines, which hides
+// what the other steps do to latency.
+func (d *Demo) wants(scene string) bool {
+	if len(d.Scenes) == 0 {
+		return scene != pauseScene
+	}
+	return slices.Contains(d.Scenes, scene)
+}
+
 // note records a step that failed.
 func (d *Demo) note(err error) {
 	if err == nil || errors.Is(err, context.Canceled) {
@@ -76,26 +92,21 @@
 	d.failed = append(d.failed, err.Error())
 }
 
-// victims returns two instances whose failure domains have another one.
-func (d *Demo) victims() (killed, stopped *process) {
+// victims returns three instances of failure domains that have another one, as
+// long as there are so many.
+func (d *Demo) victims() (killed, stopped, paused *process) {
+	var pairs []*process
 	domains := map[string]int{}
 	for _, p := range d.fleet.list {
 		domains[p.settings.Domain]++
-		switch {
-		case domains[p.settings.Domain] != 2:
-		case killed == nil:
-			killed = p
-		case stopped == nil:
-			stopped = p
+		if domains[p.settings.Domain] == 2 {
+			pairs = append(pairs, p)
 		}
 	}
-	if killed == nil {
-		killed = d.fleet.list[0]
-	}
-	if stopped == nil {
-		stopped = d.fleet.list[len(d.fleet.list)-1]
+	for i := 0; len(pairs) < 3; i++ {
+		pairs = append(pairs, d.fleet.list[i%len(d.fleet.list)])
 	}
-	return killed, stopped
+	return pairs[0], pairs[1], pairs[2]
 }
 
 func (d *Demo) shiftLookups(ctx context.Context) error {
@@ -192,6 +203,18 @@
 	return errors.Join(err, d.restart(p))
 }
 
+// pause stops a process as a scheduler or a hypervisor would, without its
+// knowledge and with requests in flight.
+func (d *Demo) pause(p *process) {
+	p.signal(syscall.SIGSTOP)
+	d.say("%s paused (SIGSTOP) for %v", p.settings.Name, pauseTime)
+}
+
+func (d *Demo) resume(p *process) {
+	p.signal(syscall.SIGCONT)
+	d.say("%s goes on (SIGCONT)", p.settings.Name)
+}
+
 // silence makes one established connection silent for good.
 func (d *Demo) silence(context.Context) error {
 	small, _, _ := d.deployment.roles()
