forwarder, router: count capped, unpaid and paced requests; one place for link waits

Cause: the refusals of the cap, of the retry budget and of links had no counter; three copies of the same code waited for a link, one of them by another clock. Change: Choice.Capped, three more decisions, and Forwarder.pace in place of the copies.

--- a/core/router/choose.go
+++ b/core/router/choose.go
@@ -136,6 +136,7 @@
 			break
 		}
 		if c, ok := s.commit(); ok {
+			c.Capped = s.denied
 			return c, Placed
 		}
 	}
--- a/core/router/router_test.go
+++ b/core/router/router_test.go
@@ -284,6 +284,9 @@
 			if c.Shifted != (c.Peer != nil && started) {
 				t.Fatalf("moved without a token")
 			}
+			if c.Capped && (c.Shifted || !started) {
+				t.Fatalf("kept back by the cap although moved or before the start")
+			}
 			if !c.Shifted {
 				continue
 			}
--- a/core/router/types.go
+++ b/core/router/types.go
@@ -102,6 +102,8 @@
 	// Shifted tells that the request left its region by a shift and that a
 	// token of the shift's cap was taken.
 	Shifted bool
+	// Capped tells that a shift covers the request but its cap had no token.
+	Capped bool
 	// Link is the budget of the link between regions that this instance's bytes
 	// use, or nil: the request's body at the entry instance, the answer at the
 	// instance that a request was forwarded to.
--- a/hornbeamd/exporter/metrics.go
+++ b/hornbeamd/exporter/metrics.go
@@ -90,7 +90,7 @@
 	})
 	m.decisions = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "decisions_total",
-		Help: "Decisions on requests: own, hopped, shifted, missed, waited, silenced, inquired, replayed.",
+		Help: "Decisions on requests: own, hopped, shifted, missed, waited, silenced, inquired, replayed, capped, unpaid, paced.",
 	}, []string{"service", "decision"})
 	m.answers.create = func(k answer) answerMetrics {
 		return answerMetrics{
--- a/hornbeamd/forwarder/answer.go
+++ b/hornbeamd/forwarder/answer.go
@@ -59,7 +59,7 @@
 	x.header.CopyTo(&out.Header)
 	clean(&out.Header)
 	if x.whole {
-		f.chargeWhole(c, res)
+		f.pace(res.link, c.req.Service, len(res.x.body), c.req.Deadline)
 		if !c.head {
 			out.SetBody(x.body)
 		} else {
@@ -69,7 +69,7 @@
 		x.release()
 		return
 	}
-	s := &stream{x: x, prefix: x.body, left: int64(x.length), link: res.link, bulk: c.req.Service.Bulk}
+	s := &stream{x: x, prefix: x.body, left: int64(x.length), link: res.link, service: c.req.Service, forwarder: f}
 	end, service, arrived, hop, table := res.end, c.req.Service.Name, c.req.Arrived, c.req.Hop, c.req.Table
 	s.end = func(whole bool) {
 		end(whole)
@@ -82,17 +82,6 @@
 	out.SetBodyStream(s, x.length)
 }
 
-// chargeWhole counts a small answer against the link's budget.
-func (f *Forwarder) chargeWhole(c *call, res *result) {
-	if res.link == nil {
-		return
-	}
-	now := f.now()
-	if wait := res.link.Charge(now, len(res.x.body), c.req.Service.Bulk); wait > 0 {
-		time.Sleep(min(wait, time.Duration(max(c.req.Deadline-now, 0))))
-	}
-}
-
 // clean removes what concerns only the connection that an answer came on.
 func clean(h *fasthttp.ResponseHeader) {
 	h.ResetConnectionClose()
--- a/hornbeamd/forwarder/call.go
+++ b/hornbeamd/forwarder/call.go
@@ -17,10 +17,10 @@
 
 var calls = sync.Pool{New: func() any { return new(call) }}
 
-func acquireCall(ctx *fasthttp.RequestCtx, r *Request) *call {
+func (f *Forwarder) acquireCall(ctx *fasthttp.RequestCtx, r *Request) *call {
 	c := calls.Get().(*call)
 	base, body := c.base[:0], c.body[:0]
-	*c = call{ctx: ctx, req: r, base: base, body: body, head: ctx.IsHead()}
+	*c = call{forwarder: f, ctx: ctx, req: r, base: base, body: body, head: ctx.IsHead()}
 	c.q = router.Request{
 		Service:  r.Service,
 		Region:   r.Region,
@@ -174,21 +174,10 @@
 func (s *spender) Read(p []byte) (int, error) {
 	s.spent = true
 	n, err := s.stream.Read(p)
-	(*call)(s).charge(n, time.Now().UnixNano())
+	s.forwarder.pace(s.link, s.req.Service, n, s.req.Deadline)
 	return n, err
 }
 
-// charge counts bytes of a body that leaves the region, and waits as the link's
-// budget tells.
-func (c *call) charge(n int, now int64) {
-	if c.link == nil || n <= 0 {
-		return
-	}
-	if wait := c.link.Charge(now, n, c.req.Service.Bulk); wait > 0 {
-		time.Sleep(min(wait, time.Duration(max(c.req.Deadline-now, 0))))
-	}
-}
-
 // gone tells whether the caller has closed its connection. A once-request goes
 // on, so that a repeat can get its answer.
 func (c *call) gone() bool {
--- a/hornbeamd/forwarder/forward.go
+++ b/hornbeamd/forwarder/forward.go
@@ -24,6 +24,8 @@
 
 // call is a request on its way.
 type call struct {
+	forwarder *Forwarder
+
 	ctx   *fasthttp.RequestCtx
 	req   *Request
 	q     router.Request
@@ -76,7 +78,7 @@
 
 // Forward carries a request and writes its answer.
 func (f *Forwarder) Forward(ctx *fasthttp.RequestCtx, r *Request) {
-	c := acquireCall(ctx, r)
+	c := f.acquireCall(ctx, r)
 	defer c.release()
 	if !r.Hop {
 		if !r.Table.Enter(&c.q, f.now()) {
@@ -180,6 +182,9 @@
 	if choice.Shifted {
 		f.metrics.Decided(service, Shifted)
 	}
+	if choice.Capped {
+		f.metrics.Decided(service, Capped)
+	}
 	if choice.Peer != nil {
 		f.metrics.Decided(service, Hopped)
 		return
@@ -225,6 +230,7 @@
 func (f *Forwarder) payRetry(c *call) bool {
 	s := c.req.Service
 	if s.Retries == nil || !s.Retries.Take() {
+		f.metrics.Decided(s.Name, Unpaid)
 		return false
 	}
 	f.metrics.Retried(s.Name)
--- a/hornbeamd/forwarder/forwarder.go
+++ b/hornbeamd/forwarder/forwarder.go
@@ -48,9 +48,15 @@
 	Inquired
 	// Replayed: a repeat got the answer of the first send.
 	Replayed
+	// Capped: the cap of a shift kept the request in its region.
+	Capped
+	// Unpaid: a retry was left out because the retry budget was used up.
+	Unpaid
+	// Paced: bytes waited for the budget of a link between regions.
+	Paced
 )
 
-var decisionNames = [...]string{"own", "hopped", "shifted", "missed", "waited", "silenced", "inquired", "replayed"}
+var decisionNames = [...]string{"own", "hopped", "shifted", "missed", "waited", "silenced", "inquired", "replayed", "capped", "unpaid", "paced"}
 
 // String returns the decision's metric label.
 func (d Decision) String() string { return decisionNames[d] }
--- a/hornbeamd/forwarder/hedge.go
+++ b/hornbeamd/forwarder/hedge.go
@@ -81,7 +81,7 @@
 	h := &hedge{f: f, choice: choice, done: make(chan result, 1)}
 	req := *c.req
 	req.ID = bytes.Clone(req.ID)
-	h.call = &call{req: &req, q: c.q, head: c.head, base: bytes.Clone(c.base), body: bytes.Clone(c.body), size: c.size, hedge: h, tries: maxTries}
+	h.call = &call{forwarder: c.forwarder, req: &req, q: c.q, head: c.head, base: bytes.Clone(c.base), body: bytes.Clone(c.body), size: c.size, hedge: h, tries: maxTries}
 	return h
 }
 
--- a/hornbeamd/forwarder/stream.go
+++ b/hornbeamd/forwarder/stream.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hornbeamstream.example/core/limiter"
+	"hornbeamstream.example/core/router"
 )
 
 // stallTime is the longest silence in the middle of an answer.
@@ -20,8 +21,10 @@
 	prefix []byte
 	left   int64
 	ended  bool
-	link   *limiter.Link
-	bulk   bool
+	// link is charged with what is read, for service, by forwarder.
+	link      *limiter.Link
+	service   *router.Service
+	forwarder *Forwarder
 	// end runs once, with whether the whole answer was read.
 	end func(whole bool)
 }
@@ -32,7 +35,7 @@
 		return 0, io.EOF
 	}
 	if n, err = s.next(p); n > 0 {
-		s.charge(n)
+		s.forwarder.pace(s.link, s.service, n, s.x.deadline)
 	}
 	if err == io.EOF {
 		s.ended = true
@@ -69,16 +72,19 @@
 	return n, err
 }
 
-// charge counts bytes against the link's budget and waits as it tells.
-func (s *stream) charge(n int) {
-	if s.link == nil {
+// pace counts bytes against the budget of a link between regions, if there is
+// one, and waits as it tells, but not beyond the request's deadline.
+func (f *Forwarder) pace(link *limiter.Link, service *router.Service, n int, deadline int64) {
+	if link == nil || n <= 0 {
 		return
 	}
-	now := s.x.pool.now()
-	wait := s.link.Charge(now, n, s.bulk)
-	if wait > 0 {
-		time.Sleep(min(wait, time.Duration(max(s.x.deadline-now, 0))))
+	now := f.now()
+	wait := link.Charge(now, n, service.Bulk)
+	if wait <= 0 {
+		return
 	}
+	f.metrics.Decided(service.Name, Paced)
+	time.Sleep(min(wait, time.Duration(max(deadline-now, 0))))
 }
 
 // SupportsBodyWriteTo tells fasthttp to use WriteTo.
--- a/hornbeamd/forwarder/try.go
+++ b/hornbeamd/forwarder/try.go
@@ -84,7 +84,7 @@
 	x := acquireExchange()
 	x.wire = c.appendHop(x.wire[:0])
 	c.link = choice.Link
-	c.charge(len(c.body), f.now())
+	f.pace(c.link, c.req.Service, len(c.body), c.req.Deadline)
 	defer func() { c.link = nil }()
 	if err := f.exchange(c, f.pool(poolKey{"", c.req.Service.Name, peer.Data}, 0), peer.Path, x); err != nil {
 		res := f.failed(c, x, err)
