executor: look-ups leave out the instances of a drained domain

Cause: a drain of a failure domain or region left its instances in the lists that callers get, so callers went on using them during maintenance. Change: lists are made from domains that are neither lost nor drained; when none is left, from all. Result: TestNamedDomains, 7 cases; two of them fail without the check.

--- a/hornbeamd/executor/publish.go
+++ b/hornbeamd/executor/publish.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"hornbeamstream.example/core/granter"
 	"hornbeamstream.example/core/loader"
@@ -39,7 +40,7 @@
 		Verdicts: p.Verdicts,
 		Previous: x.Table(),
 	}))
-	views := x.withSelf(heard(p))
+	views := named(x.withSelf(p.Views), p, x.cfg.Clock.Now())
 	if changed || !slices.EqualFunc(views, x.published.views, sameView) {
 		x.resolver.Store(resolver.Build(resolver.Input{
 			Config:   config,
@@ -52,18 +53,19 @@
 	x.witness.Store(x.witness.Load().next(p, x.cfg.Self.Name, x.cfg.Clock.Now()))
 }
 
-// heard returns the views of the failure domains that are not lost.
-func heard(p reducer.Publish) []granter.View {
-	if len(p.Lost) == 0 {
-		return p.Views
-	}
-	var views []granter.View
-	for _, v := range p.Views {
-		if !slices.Contains(p.Lost, v.Domain) {
-			views = append(views, v)
+// named returns the views whose instances look-ups name: those of failure domains
+// that are neither lost nor drained, or all if none is left.
+func named(views []granter.View, p reducer.Publish, now time.Time) []granter.View {
+	var list []granter.View
+	for _, v := range views {
+		if !slices.Contains(p.Lost, v.Domain) && !p.Config.DomainDrained(v.Domain, now) {
+			list = append(list, v)
 		}
 	}
-	return views
+	if len(list) == 0 {
+		return views
+	}
+	return list
 }
 
 // sameView tells whether two views are the same. The epochs of leaders start at
--- a/hornbeamd/executor/publish_test.go
+++ b/hornbeamd/executor/publish_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/matryer/is"
 
+	"hornbeamstream.example/core/granter"
+	"hornbeamstream.example/core/loader"
 	"hornbeamstream.example/core/reducer"
 )
 
@@ -23,6 +25,7 @@
 		{"epoch", func(_ *Executor, r *reducer.Publish) { r.Views[1].Epoch++ }, true},
 		{"fewer views", func(_ *Executor, r *reducer.Publish) { r.Views = r.Views[:1] }, true},
 		{"configuration", func(_ *Executor, r *reducer.Publish) { r.Config.Version++ }, true},
+		{"lost domain", func(_ *Executor, r *reducer.Publish) { r.Lost = []string{r.Views[1].Domain} }, true},
 		{"alone and leaving", func(x *Executor, r *reducer.Publish) {
 			r.Views = r.Views[1:]
 			x.publish(*r)
@@ -42,3 +45,40 @@
 		})
 	}
 }
+
+// Guards against look-ups that name the instances of a drained or lost failure
+// domain, and against look-ups without any instance when all are drained.
+func TestNamedDomains(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	views := []granter.View{{Domain: "a"}, {Domain: "b"}}
+	config := func(drains map[string]loader.Drain) loader.State {
+		return loader.State{
+			Domains: map[string]loader.Domain{"a": {Region: "r"}, "b": {Region: "r"}},
+			Drains:  drains,
+		}
+	}
+	tests := []struct {
+		name   string
+		drains map[string]loader.Drain
+		lost   []string
+		want   string
+	}{
+		{"nothing", nil, nil, "ab"},
+		{"drained", map[string]loader.Drain{"domain/a": {}}, nil, "b"},
+		{"drain is over", map[string]loader.Drain{"domain/a": {Until: now}}, nil, "ab"},
+		{"lost", nil, []string{"b"}, "a"},
+		{"drained and lost", map[string]loader.Drain{"domain/a": {}}, []string{"b"}, "ab"},
+		{"region drained", map[string]loader.Drain{"region/r": {}}, nil, "ab"},
+		{"upstream drained", map[string]loader.Drain{"upstream/a": {}}, nil, "ab"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			got := ""
+			for _, v := range named(views, reducer.Publish{Config: config(tt.drains), Lost: tt.lost}, now) {
+				got += v.Domain
+			}
+			is.Equal(got, tt.want)
+		})
+	}
+}
