executor: witnesses follow changes of members only

Cause: every publication of a grant, two a second, built the list of instances that may know of a request id anew, with a formatted key for each member and a pass over all upstreams; the list had no test.

--- a/hornbeamd/executor/publish.go
+++ b/hornbeamd/executor/publish.go
@@ -16,8 +16,8 @@
 	// config keeps its address while its version is the same, because the
 	// router takes peers and plans over only then.
 	config *loader.State
-	// views are those of the resolver's table.
-	views []granter.View
+	// views are all, listed those of the resolver's table.
+	views, listed []granter.View
 }
 
 // publish gives traffic new tables. Most changes are new grants, which come
@@ -40,17 +40,19 @@
 		Verdicts: p.Verdicts,
 		Previous: x.Table(),
 	}))
-	views := named(x.withSelf(p.Views), p, x.cfg.Clock.Now())
-	if changed || !slices.EqualFunc(views, x.published.views, sameView) {
+	listed := named(x.withSelf(p.Views), p, x.cfg.Clock.Now())
+	if changed || !slices.EqualFunc(listed, x.published.listed, sameView) {
 		x.resolver.Store(resolver.Build(resolver.Input{
 			Config:   config,
 			Region:   x.cfg.Region,
-			Views:    views,
+			Views:    listed,
 			Previous: x.resolver.Load(),
 		}))
 	}
-	x.published = published{config: config, views: views}
-	x.witness.Store(x.witness.Load().next(p, x.cfg.Self.Name, x.cfg.Clock.Now()))
+	if changed || !slices.EqualFunc(p.Views, x.published.views, sameView) {
+		x.witness.Store(x.witness.Load().next(p, x.cfg.Self.Name, x.cfg.Clock.Now()))
+	}
+	x.published = published{config: config, views: p.Views, listed: listed}
 }
 
 // named returns the views whose instances look-ups name: those of failure domains
--- a/hornbeamd/executor/witness.go
+++ b/hornbeamd/executor/witness.go
@@ -21,10 +21,16 @@
 // witnesses are the instances that may know of a request id. A value is
 // immutable.
 type witnesses struct {
-	members map[string]witness
+	members map[incarnation]witness
 	domains map[string][]string
 }
 
+// incarnation tells the runs of a member apart.
+type incarnation struct {
+	name   string
+	number uint64
+}
+
 // witness is an instance that is or was a member.
 type witness struct {
 	member granter.Member
@@ -36,11 +42,11 @@
 // next returns the witnesses after a change of the views. Members that are no
 // longer named stay as gone for a while, because a request may have run there.
 func (w *witnesses) next(p reducer.Publish, self string, now time.Time) *witnesses {
-	n := &witnesses{members: map[string]witness{}, domains: serviceDomains(p.Config)}
+	n := &witnesses{members: map[incarnation]witness{}, domains: serviceDomains(p.Config)}
 	for _, v := range p.Views {
 		for _, m := range v.Members {
 			if m.Name != self {
-				n.members[witnessKey(m)] = witness{member: m}
+				n.members[incarnation{m.Name, m.Incarnation}] = witness{member: m}
 			}
 		}
 	}
@@ -58,11 +64,6 @@
 	return n
 }
 
-// witnessKey tells incarnations of a member apart.
-func witnessKey(m granter.Member) string {
-	return m.Name + "/" + time.UnixMilli(int64(m.Incarnation)).UTC().Format(time.RFC3339Nano)
-}
-
 // serviceDomains returns, by service, the failure domains with upstreams of it.
 func serviceDomains(config loader.State) map[string][]string {
 	domains := map[string][]string{}
