hornpb: a grant's epoch is that of its answer

Cause: the epoch went over the wire twice in each answer to a heartbeat, and the copy in the grant was never read.

--- a/hornbeamd/executor/convert.go
+++ b/hornbeamd/executor/convert.go
@@ -49,7 +49,6 @@
 	return &hornpb.ExchangeResponse{
 		From: memberToProto(r.From),
 		Grant: &hornpb.Grant{
-			Epoch:    r.Epoch,
 			Sequence: r.Sequence,
 			ValidMs:  millis(r.Valid),
 			Parts:    convert(r.Parts, partToProto),
