emulator: a closed upstream refuses connections at once

Cause: Close before Serve had taken over the listener left the listener open until Serve ran, so that a connection was accepted and then reset. Change: Close closes the listener itself.

--- a/hornbench/emulator/upstream.go
+++ b/hornbench/emulator/upstream.go
@@ -67,6 +67,7 @@
 	health   Health
 	healthAt time.Time
 	server   *http.Server
+	listener net.Listener
 }
 
 // flight is one request in a slot.
@@ -138,7 +139,7 @@
 		ErrorLog:    log.New(io.Discard, "", 0),
 	}
 	u.mu.Lock()
-	u.server = s
+	u.server, u.listener = s, l
 	u.mu.Unlock()
 	go func() { _ = s.Serve(listener{l, u}) }()
 	return nil
@@ -147,10 +148,12 @@
 // Close stops listening and resets all connections.
 func (u *Upstream) Close() {
 	u.mu.Lock()
-	s := u.server
-	u.server = nil
+	s, l := u.server, u.listener
+	u.server, u.listener = nil, nil
 	u.mu.Unlock()
 	if s != nil {
+		// The server closes a listener only once Serve has taken it over.
+		_ = l.Close()
 		_ = s.Close()
 	}
 	u.reset()
--- a/hornbench/emulator/upstream_test.go
+++ b/hornbench/emulator/upstream_test.go
@@ -278,3 +278,16 @@
 	_, err = f.Control(Order{Name: "*", Set: json.RawMessage(`{"slots":"x"}`)})
 	is.True(err != nil)
 }
+
+// TestCloseRefusesAtOnce closes upstreams whose server may not have taken over
+// its listener yet.
+func TestCloseRefusesAtOnce(t *testing.T) {
+	is := is.New(t)
+	u := startUpstream(t, Behavior{Slots: 1})
+	for range 300 {
+		u.Close()
+		_, err := net.Dial("tcp", u.Address)
+		is.True(errors.Is(err, syscall.ECONNREFUSED)) // closed upstreams refuse connections
+		is.NoErr(u.Listen())
+	}
+}
