--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets for developers. Go and make are all that is needed.
 
-MODULES := core hornbeamd hornctl hornbench
+MODULES := core hornbeamd hornctl hornbench platform
 PACKAGES := $(foreach m,$(MODULES),./$(m)/...)
 SOURCES = $(shell find $(MODULES) -name '*.go' -not -path '*/hornpb/*')
 DEPLOY ?= kasa
--- a/core/connector/connector.go
+++ b/core/connector/connector.go
@@ -72,17 +72,34 @@
 
 func (e dialError) Unwrap() error { return e.error }
 
+// keepAlive finds out within about 2 s that a connection on which a watch waits
+// has gone silent.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2}
+
 func dial(address string, timeout time.Duration) (net.Conn, error) {
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	conn, err := net.DialTimeout("tcp", address, timeout)
+	d := net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive}
+	conn, err := d.Dial("tcp", address)
 	if err != nil {
 		return nil, dialError{err}
 	}
 	return conn, nil
 }
 
+// Call sends one request to the platform and returns the status and the body of
+// its answer. Sent tells whether a failed call may have reached the platform.
+func (c *Client) Call(ctx context.Context, kind Kind, method, path string, body []byte) (status int, answer []byte, sent bool, err error) {
+	a, err := c.call(ctx, kind, method, path, body)
+	if err == nil {
+		return a.status, a.body, true, nil
+	}
+	failed := (*failure)(nil)
+	sent = errors.As(err, &failed) && failed.sent
+	return 0, nil, sent, err
+}
+
 // answer is what came back for a call.
 type answer struct {
 	status int
--- /dev/null
+++ b/core/dispatcher/choose.go
@@ -0,0 +1,238 @@
+package dispatcher
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+)
+
+// Reason says why a request was refused.
+type Reason string
+
+// Reasons of refusals.
+const (
+	// NoUpstream means that the service has no usable upstream.
+	NoUpstream Reason = "no upstream"
+	// Overload means that no upstream can answer in time.
+	Overload Reason = "overload"
+	// Budget means that the service's retry budget is used up.
+	Budget Reason = "retry budget"
+)
+
+const (
+	// failedCost is the cost of a failure in multiples of the route's aim.
+	failedCost = 2
+	// downCost keeps requests away from unreachable upstreams while there are
+	// others.
+	downCost = 2 * time.Second
+	// minReturn and maxReturn bound the time after which a refused request may
+	// come back.
+	minReturn = 60 * time.Millisecond
+	maxReturn = 1500 * time.Millisecond
+	// hashMix separates the hashes of one key for different purposes.
+	hashMix = 0x9e3779b97f4a7c15
+)
+
+// Request is what a decision depends on.
+type Request struct {
+	Route *Route
+	Pool  *Pool
+	// Key is the hash of the object that the request concerns, 0 if unknown.
+	Key uint64
+	Now int64
+	// Deadline is the time after which an answer is worth nothing.
+	Deadline int64
+	// Tried lists the upstreams that the request was sent to before.
+	Tried []*Upstream
+}
+
+// Decision is the outcome of Choose. Without an upstream the request is refused.
+type Decision struct {
+	Upstream *Upstream
+	// Expected is the time that the answer should take, of which Wait is spent
+	// waiting for a slot.
+	Expected, Wait time.Duration
+	// Warm tells that the upstream should know the request's key.
+	Warm bool
+	// Reason and Return explain a refusal and say when to come back.
+	Reason Reason
+	Return time.Duration
+}
+
+// SelectPart returns the service that takes a request of the route. Requests
+// of one key prefer one service, as long as all services keep their shares.
+func (r *Route) SelectPart(key uint64) *Pool {
+	if len(r.Parts) == 0 {
+		return nil
+	}
+	if len(r.Parts) == 1 {
+		return r.Parts[0].Pool
+	}
+	i := r.partOf(key)
+	r.Parts[i].sent.add()
+	return r.Parts[i].Pool
+}
+
+// partOf picks a part by the key's hash unless that part is ahead of its share.
+func (r *Route) partOf(key uint64) int {
+	const slack = 3
+	if key == 0 {
+		key = rand.Uint64()
+	}
+	total := 1.0
+	for i := range r.Parts {
+		total += r.Parts[i].sent.value()
+	}
+	point := float64(key*hashMix>>11) / (1 << 53)
+	picked, behind, lag := len(r.Parts)-1, 0, -1e18
+	sum := 0.0
+	for i := range r.Parts {
+		sum += r.Parts[i].share
+		if point < sum {
+			picked = min(picked, i)
+		}
+		if d := r.Parts[i].share*total - r.Parts[i].sent.value(); d > lag {
+			behind, lag = i, d
+		}
+	}
+	p := &r.Parts[picked]
+	if p.sent.value() > p.share*total+slack {
+		return behind
+	}
+	return picked
+}
+
+// counter counts requests and forgets old ones by halves.
+type counter struct{ n atomic.Int64 }
+
+// counterSize is the count at which a counter is halved. All parts of a route
+// are halved alike only on average, which their shares bear.
+const counterSize = 4096
+
+func (c *counter) add() {
+	if n := c.n.Add(1); n >= counterSize {
+		c.n.Store(n / 2)
+	}
+}
+
+func (c *counter) value() float64 { return float64(c.n.Load()) }
+
+// candidate is an upstream with its cost.
+type candidate struct {
+	u          *Upstream
+	cost       float64
+	wait, took time.Duration
+	warm       bool
+	rank       uint64
+}
+
+// Choose picks the upstream with the least expected time to an answer. The
+// caller must call Done on the decision's upstream after the exchange.
+func Choose(r *Request) Decision {
+	if len(r.Pool.Upstreams) == 0 {
+		return Decision{Reason: NoUpstream, Return: maxReturn / 2}
+	}
+	var buf [64]candidate
+	found := r.candidates(buf[:0])
+	if len(found) == 0 {
+		return Decision{Reason: NoUpstream, Return: maxReturn / 4}
+	}
+	away := r.Pool.spill.bounds(r.Key, r.Now)
+	for len(found) > 0 {
+		best := r.best(found, away)
+		c := found[best]
+		if int64(c.took) > r.Deadline-r.Now {
+			return Decision{Reason: Overload, Return: comeBack(c.wait), Expected: c.took, Wait: c.wait}
+		}
+		if c.u.admit(r.Now) {
+			c.u.enter(r.Now)
+			r.Pool.spill.count(c.u.Trip == remoteTrip, r.Now)
+			return Decision{Upstream: c.u, Expected: c.took, Wait: c.wait, Warm: c.warm}
+		}
+		found = slices.Delete(found, best, best+1)
+	}
+	return Decision{Reason: Overload, Return: comeBack(minReturn)}
+}
+
+// comeBack is when room is likely after a wait of the given length: somewhat
+// spread, so that callers do not return together.
+func comeBack(wait time.Duration) time.Duration {
+	d := min(max(wait/2, minReturn), maxReturn)
+	return d + time.Duration(rand.Int64N(int64(d/2)))
+}
+
+// candidates lists the upstreams that may take the request with their costs.
+func (r *Request) candidates(found []candidate) []candidate {
+	top := map[bool]uint64{}
+	for _, u := range r.Pool.Upstreams {
+		if u.Closed() || !r.allowed(u) || slices.Contains(r.Tried, u) {
+			continue
+		}
+		c := candidate{u: u, rank: (r.Key ^ u.seed) * hashMix}
+		c.rank ^= c.rank >> 29
+		c.rank *= hashMix
+		remote := u.Trip == remoteTrip
+		top[remote] = max(top[remote], c.rank)
+		found = append(found, c)
+	}
+	for i := range found {
+		c := &found[i]
+		r.weigh(c, r.Key != 0 && c.rank == top[c.u.Trip == remoteTrip])
+	}
+	return found
+}
+
+func (r *Request) allowed(u *Upstream) bool {
+	return len(r.Route.Homes) == 0 || slices.Contains(r.Route.Homes, u.Region)
+}
+
+// weigh computes the cost of a candidate. First tells that it is the one that
+// requests of this key prefer in its region.
+func (r *Request) weigh(c *candidate, first bool) {
+	u := c.u
+	s := u.state(r.Now, r.Key)
+	work := r.Route.work
+	c.warm = s.warm || first
+	run := work.cold()
+	if c.warm {
+		run = work.warm()
+	}
+	slots := float64(max(1, u.Slots))
+	slow := s.slow
+	if u.cold(r.Now) {
+		slow *= 2
+	}
+	wait := max(0, s.load+1-slots) / slots * work.mean() * slow
+	c.wait = time.Duration(wait)
+	c.took = u.Trip + time.Duration(wait+run*slow)
+	c.cost = float64(c.took)
+	c.cost += failedCost * s.failing * float64(r.Route.Aim)
+	// Evens out the load among upstreams that are alike.
+	c.cost += s.load / slots * work.warm() / 4
+	if late := s.late - time.Duration(work.cold()*slow) - c.wait; late > silenceTime {
+		c.cost += float64(downCost)
+	}
+	if s.down {
+		c.cost += float64(downCost)
+	}
+}
+
+// best returns the index of the cheapest candidate. Away says which regions the
+// request may go to.
+func (r *Request) best(found []candidate, away direction) int {
+	best, at := -1, 0.0
+	for i := range found {
+		c := &found[i]
+		cost := c.cost
+		remote := c.u.Trip == remoteTrip
+		if away == stay && remote || away == leave && !remote {
+			// A bound on moves must not keep requests from the only room there is.
+			cost += float64(downCost) / 2
+		}
+		if best < 0 || cost < at {
+			best, at = i, cost
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/core/dispatcher/table.go
@@ -0,0 +1,227 @@
+// Package dispatcher decides which upstream takes a request, which request is
+// refused and when it may come back. It needs no network and no clock: callers
+// pass the time, in nanoseconds on a monotonic clock.
+//
+// Choose weighs the expected time to an answer on every usable upstream: the
+// distance, the wait for a slot, and the work, which is less on an upstream that
+// has seen the request's key. Requests of one key prefer the same upstream on
+// all instances, without any message between them.
+package dispatcher
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hornbeamstream.example/core/limiter"
+	"hornbeamstream.example/core/steerer"
+)
+
+// Table is an immutable snapshot for traffic. The upstreams, routes and pools
+// in it carry counters that outlive the snapshot.
+type Table struct {
+	// View is what the table was built from.
+	View  steerer.View
+	hosts map[string][]*Route
+	pools map[string]*Pool
+}
+
+// Route is a route with what was learned about its requests.
+type Route struct {
+	steerer.Route
+	Parts []Part
+	work  *work
+}
+
+// Part is a service of a route.
+type Part struct {
+	Pool  *Pool
+	share float64
+	sent  *counter
+}
+
+// Pool is a service with its usable upstreams.
+type Pool struct {
+	steerer.Service
+	Upstreams []*Upstream
+	// Retries bounds the requests that are sent once more.
+	Retries *limiter.Budget
+	spill   *spill
+	// home is the number of slots in this instance's region, all that of all.
+	home, all int
+}
+
+// Builder builds tables and keeps what was learned between them. It belongs to
+// the control goroutine.
+type Builder struct {
+	Self   steerer.Instance
+	Bounds steerer.Bounds
+	// Regions gives the region of each failure domain.
+	Regions map[string]string
+
+	upstreams map[incarnation]*Upstream
+	budgets   map[string]*limiter.Budget
+	spills    map[string]*spill
+	works     map[string]*work
+	counters  map[string]*counter
+}
+
+type incarnation struct {
+	id, service, address string
+	born                 int64
+}
+
+// Build returns the table for a view. Now is the current time.
+func (b *Builder) Build(v steerer.View, now int64) *Table {
+	b.init()
+	t := &Table{View: v, hosts: map[string][]*Route{}, pools: map[string]*Pool{}}
+	if v.Config == nil {
+		return t
+	}
+	for _, s := range v.Config.Services {
+		t.pools[s.Name] = b.pool(s)
+	}
+	b.place(t, now)
+	for i := range v.Config.Routes {
+		r := b.route(t, &v.Config.Routes[i])
+		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(x, y *Route) int { return cmp.Compare(len(y.Prefix), len(x.Prefix)) })
+	}
+	return t
+}
+
+func (b *Builder) init() {
+	if b.upstreams != nil {
+		return
+	}
+	b.upstreams = map[incarnation]*Upstream{}
+	b.budgets = map[string]*limiter.Budget{}
+	b.spills = map[string]*spill{}
+	b.works = map[string]*work{}
+	b.counters = map[string]*counter{}
+}
+
+func (b *Builder) pool(s steerer.Service) *Pool {
+	return &Pool{
+		Service: s,
+		Retries: kept(b.budgets, s.Name),
+		spill:   kept(b.spills, s.Name),
+	}
+}
+
+// kept returns the entry of a map, which it makes at first use.
+func kept[T any](m map[string]*T, key string) *T {
+	if m[key] == nil {
+		m[key] = new(T)
+	}
+	return m[key]
+}
+
+// place puts the upstreams into their pools and closes those that are gone.
+func (b *Builder) place(t *Table, now int64) {
+	present := map[incarnation]bool{}
+	for _, u := range t.View.Upstreams {
+		p := t.pools[u.Service]
+		if p == nil {
+			continue
+		}
+		key := incarnation{u.ID, u.Service, u.Address, u.Born}
+		present[key] = true
+		live := b.upstreams[key]
+		if live == nil {
+			live = newUpstream(u, b.Regions[u.Domain], b.Self)
+			b.upstreams[key] = live
+		}
+		live.update(u, p, b.coldRate(&t.View, u, p), b.connShare(&t.View, p), now)
+		p.Upstreams = append(p.Upstreams, live)
+		p.all += live.Slots
+		if live.Region == b.Self.Region {
+			p.home += live.Slots
+		}
+	}
+	for key, u := range b.upstreams {
+		if !present[key] {
+			u.closed.Store(true)
+			delete(b.upstreams, key)
+		}
+	}
+	for _, p := range t.pools {
+		p.spill.start(p, len(regions(b.Regions)))
+	}
+}
+
+func regions(domains map[string]string) map[string]bool {
+	found := map[string]bool{}
+	for _, r := range domains {
+		found[r] = true
+	}
+	return found
+}
+
+// coldRate is this instance's share of the requests a second that a cold
+// upstream takes. Only some instances of its region have one, so that their
+// single requests do not add up to more than the slack.
+func (b *Builder) coldRate(v *steerer.View, u steerer.Upstream, p *Pool) float64 {
+	region := b.Regions[u.Domain]
+	if region != b.Self.Region {
+		return 0
+	}
+	most := max(1, int(b.Bounds.ColdSlack))
+	own := xxhash.Sum64String(u.ID + b.Self.Name)
+	members, ahead := 0, 0
+	for _, i := range v.Peers {
+		if i.Region != region {
+			continue
+		}
+		members++
+		if xxhash.Sum64String(u.ID+i.Name) > own {
+			ahead++
+		}
+	}
+	if ahead >= most {
+		return 0
+	}
+	return p.ColdRate / float64(max(1, min(members, most)))
+}
+
+// connShare is this instance's share of the connections to one upstream.
+func (b *Builder) connShare(v *steerer.View, p *Pool) int {
+	return max(2, p.Conns*4/5/max(1, len(v.Peers)))
+}
+
+func (b *Builder) route(t *Table, r *steerer.Route) *Route {
+	route := &Route{Route: *r, work: kept(b.works, r.Name)}
+	route.work.aim.Store(int64(r.Aim))
+	total := 0.0
+	for _, part := range r.Parts {
+		total += part.Weight
+	}
+	for _, part := range r.Parts {
+		if p := t.pools[part.Service]; p != nil && part.Weight > 0 {
+			c := kept(b.counters, r.Name+" "+part.Service)
+			route.Parts = append(route.Parts, Part{Pool: p, share: part.Weight / total, sent: c})
+		}
+	}
+	return route
+}
+
+// Pool returns a service by its name, nil if there is none.
+func (t *Table) Pool(name string) *Pool { return t.pools[name] }
+
+// Route returns the route with the longest prefix that begins the path, nil if
+// there is none. The host is in lower case and without a port.
+func (t *Table) Route(host, path string) *Route {
+	for _, r := range t.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Known tells whether a configuration is in force.
+func (t *Table) Known() bool { return t != nil && t.View.Config != nil }
--- /dev/null
+++ b/core/steerer/events.go
@@ -0,0 +1,97 @@
+package steerer
+
+// Event is an input of Step.
+type Event interface{ steererEvent() }
+
+// Object is the state of one object in the store. Exactly one of the pointers
+// is set, except for evacuations, which have a name only.
+type Object struct {
+	Name     string
+	Deleted  bool
+	Config   *Config
+	Upstream *Upstream
+	Instance *Instance
+}
+
+// Listed brings all objects of a kind; those that are missing no longer exist.
+type Listed struct {
+	Now     int64
+	Kind    Kind
+	Objects []Object
+}
+
+// Changed brings the objects of a kind that have changed, oldest first.
+type Changed struct {
+	Now     int64
+	Kind    Kind
+	Objects []Object
+}
+
+// Lost tells that the store does not answer for a kind.
+type Lost struct {
+	Now  int64
+	Kind Kind
+	// Cause is the error of the failed call.
+	Cause string
+}
+
+// Heard is the beacon of another instance.
+type Heard struct {
+	Now    int64
+	Beacon Beacon
+}
+
+// Tick reports the time.
+type Tick struct{ Now int64 }
+
+// Left starts the planned stop of this instance.
+type Left struct{ Now int64 }
+
+func (Listed) steererEvent()  {}
+func (Changed) steererEvent() {}
+func (Lost) steererEvent()    {}
+func (Heard) steererEvent()   {}
+func (Tick) steererEvent()    {}
+func (Left) steererEvent()    {}
+
+// Effect is an output of Step.
+type Effect interface{ steererEffect() }
+
+// Publish hands a new view to the traffic.
+type Publish struct{ View View }
+
+// Send sends a beacon to the given addresses.
+type Send struct {
+	To     []string
+	Beacon Beacon
+}
+
+// Note is a change of what the instance believes, for log and timeline.
+type Note struct {
+	// What names the change in one word, such as configured or drained.
+	What string
+	// Subject is the upstream, instance, domain or kind that has changed.
+	Subject string
+	Version uint64
+	// Cause is a short explanation.
+	Cause string
+}
+
+func (Publish) steererEffect() {}
+func (Send) steererEffect()    {}
+func (Note) steererEffect()    {}
+
+// View is what traffic needs to know. It is not changed once published.
+type View struct {
+	// Config is nil until a configuration is known.
+	Config *Config
+	// Upstreams lists the upstreams that may get new requests, ordered by ID.
+	Upstreams []Upstream
+	// Peers lists the instances that share the budgets, this one included,
+	// whether they can be reached or not, ordered by name.
+	Peers []Instance
+	// Fronts lists the instances that callers may use, ordered by name.
+	Fronts []Instance
+	// Ready tells that this instance may take requests.
+	Ready bool
+}
--- a/hornbeamd/forwarder/call.go
+++ b/hornbeamd/forwarder/call.go
@@ -11,6 +11,9 @@
 	"github.com/valyala/fasthttp"
 
 	"hornbeamstream.example/core/router"
+
+	"hornbeamstream.example/hornbeamd/pooler"
+	"hornbeamstream.example/hornbeamd/trimmer"
 )
 
 var errLarge = errors.New("the body is larger than the service allows, or too large to be sent without Content-Length")
@@ -110,10 +113,10 @@
 	b = append(b, " HTTP/1.1\r\n"...)
 	named := h.Peek(fasthttp.HeaderConnection)
 	for k, v := range h.All() {
-		if skipped(k) || len(named) > 0 && names(named, k) {
+		if skipped(k) || len(named) > 0 && trimmer.Named(named, k) {
 			continue
 		}
-		b = appendField(b, k, v)
+		b = trimmer.AppendField(b, k, v)
 	}
 	if c.size > 0 || len(h.Peek(fasthttp.HeaderContentLength)) > 0 || h.IsPost() || h.IsPut() || h.IsPatch() {
 		b = append(b, "Content-Length: "...)
@@ -127,36 +130,12 @@
 	c.base = append(b, "\r\n"...)
 }
 
-func appendField(b, k, v []byte) []byte {
-	b = append(b, k...)
-	b = append(b, ": "...)
-	b = append(b, v...)
-	return append(b, "\r\n"...)
-}
-
 // skipped tells whether a field of a caller's request is not passed on.
 func skipped(k []byte) bool {
 	if bytes.HasPrefix(k, []byte("Horn-")) {
 		return true
 	}
-	switch string(k) {
-	case fasthttp.HeaderConnection, fasthttp.HeaderContentLength, fasthttp.HeaderTransferEncoding,
-		fasthttp.HeaderKeepAlive, fasthttp.HeaderTE, fasthttp.HeaderTrailer, fasthttp.HeaderUpgrade,
-		fasthttp.HeaderExpect, fasthttp.HeaderProxyAuthorization, fasthttp.HeaderProxyAuthenticate,
-		fasthttp.HeaderProxyConnection:
-		return true
-	}
-	return false
-}
-
-// names tells whether a Connection field names the field k.
-func names(connection, k []byte) bool {
-	for part := range bytes.SplitSeq(connection, []byte{','}) {
-		if bytes.EqualFold(bytes.TrimSpace(part), k) {
-			return true
-		}
-	}
-	return false
+	return trimmer.HopByHop(k)
 }
 
 // reader returns the body that follows the head, and notes that it is spent.
@@ -181,7 +160,7 @@
 // gone tells whether the caller has closed its connection. A once-request goes
 // on, so that a repeat can get its answer.
 func (c *call) gone() bool {
-	return c.ctx != nil && !c.req.Service.Once && closed(c.ctx.Conn())
+	return c.ctx != nil && !c.req.Service.Once && pooler.Closed(c.ctx.Conn())
 }
 
 // appendUpstream builds the request for an upstream.
--- a/hornbeamd/forwarder/exchange.go
+++ b/hornbeamd/forwarder/exchange.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"hornbeamstream.example/hornbeamd/pooler"
 )
 
 const (
@@ -50,7 +52,7 @@
 // buffers, so that no answer is written into memory that a caller uses.
 type exchange struct {
 	pool *pool
-	conn *conn
+	conn *pooler.Conn
 	// fresh tells that the connection was opened for this exchange.
 	fresh    bool
 	deadline int64
@@ -102,7 +104,7 @@
 			err = fmt.Errorf("send: %w", err)
 		}
 	}()
-	if err = x.conn.limitWrite(body != nil || len(x.wire) > sendSize, x.deadline); err != nil {
+	if err = x.conn.LimitWrite(body != nil || len(x.wire) > pooler.SendSize, x.deadline); err != nil {
 		return err
 	}
 	x.start = x.pool.now()
@@ -172,7 +174,7 @@
 	if err := x.conn.SetReadDeadline(time.Unix(0, min(until, x.deadline))); err != nil {
 		return err
 	}
-	_, err := x.conn.br.Peek(1)
+	_, err := x.conn.Reader.Peek(1)
 	return err
 }
 
@@ -204,7 +206,7 @@
 		}
 	}()
 	now := x.pool.now()
-	x.conn.proven = now
+	x.conn.Proven = now
 	if err = x.conn.SetReadDeadline(time.Unix(0, x.deadline)); err != nil {
 		return err
 	}
@@ -219,7 +221,7 @@
 
 func (x *exchange) readHead() error {
 	for {
-		if err := x.header.Read(x.conn.br); err != nil {
+		if err := x.header.Read(x.conn.Reader); err != nil {
 			return err
 		}
 		switch status := x.header.StatusCode(); {
@@ -240,7 +242,7 @@
 	}
 	switch {
 	case x.length == -1:
-		x.chunks = httputil.NewChunkedReader(x.conn.br)
+		x.chunks = httputil.NewChunkedReader(x.conn.Reader)
 		return x.readChunks()
 	case x.length < 0:
 		return errUnframed
@@ -248,7 +250,7 @@
 		return nil
 	}
 	x.body = grown(x.body, x.length)
-	if _, err := io.ReadFull(x.conn.br, x.body); err != nil {
+	if _, err := io.ReadFull(x.conn.Reader, x.body); err != nil {
 		return err
 	}
 	x.whole = true
@@ -276,32 +278,32 @@
 // ended tells a whole answer from one that was cut, which ReadFull reports
 // alike.
 func (x *exchange) ended() bool {
-	_, err := x.chunks.Read(x.conn.one[:])
+	_, err := x.chunks.Read(make([]byte, 1))
 	return err == io.EOF
 }
 
 // skipTrailer reads the end of a chunked answer. A connection with a trailer is
 // not used again.
 func (x *exchange) skipTrailer() {
-	end, err := x.conn.br.Peek(2)
+	end, err := x.conn.Reader.Peek(2)
 	if err != nil || end[0] != '\r' || end[1] != '\n' {
 		x.trailed = true
 		return
 	}
-	_, _ = x.conn.br.Discard(2)
+	_, _ = x.conn.Reader.Discard(2)
 }
 
 // settle puts the connection back if the exchange has left it clean.
 func (x *exchange) settle() {
 	c := x.conn
 	x.conn = nil
-	if x.trailed || c.br.Buffered() > 0 || x.header.ConnectionClose() {
+	if x.trailed || c.Reader.Buffered() > 0 || x.header.ConnectionClose() {
 		x.pool.discard(c)
 		return
 	}
-	c.proven = x.pool.now()
+	c.Proven = x.pool.now()
 	if !x.probing {
-		c.ended = c.proven
+		c.Ended = c.Proven
 	}
 	x.pool.put(c)
 }
--- a/hornbeamd/forwarder/fuzz_test.go
+++ b/hornbeamd/forwarder/fuzz_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"hornbeamstream.example/hornbeamd/pooler"
 )
 
 // script is a connection from which an answer is read.
@@ -33,7 +35,7 @@
 		p := newPool(poolKey{}, new(quantile), now)
 		p.open = 1
 		x := acquireExchange()
-		x.pool, x.conn, x.deadline = p, newConn(&script{Reader: strings.NewReader(text)}, 1), maxTime
+		x.pool, x.conn, x.deadline = p, pooler.NewConn(&script{Reader: strings.NewReader(text)}, 1), maxTime
 		if x.receive([]byte("a"), false) != nil {
 			x.abort()
 			x.release()
--- a/hornbeamd/forwarder/hedge.go
+++ b/hornbeamd/forwarder/hedge.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"hornbeamstream.example/core/router"
+
+	"hornbeamstream.example/hornbeamd/pooler"
 )
 
 // hedgeLeast is the least wait before a hedge, below which timers are too coarse
@@ -34,7 +36,7 @@
 
 	mu sync.Mutex
 	// live is the connection that the second try uses now.
-	live      *conn
+	live      *pooler.Conn
 	cancelled bool
 }
 
@@ -118,7 +120,7 @@
 		if h.state.Load() == hedgeWon {
 			return errHedged
 		}
-		_, err := x.conn.br.Peek(1)
+		_, err := x.conn.Reader.Peek(1)
 		if !isTimeout(err) || x.pool.now() >= x.deadline {
 			return err
 		}
@@ -133,7 +135,7 @@
 
 // run sends the second try. If it wins, it wakes the first one, whose connection
 // is not given back before that has seen the result.
-func (h *hedge) run(first *conn) {
+func (h *hedge) run(first *pooler.Conn) {
 	res := h.f.try(h.call, h.choice)
 	if res.outcome != Ran {
 		h.done <- res
@@ -152,7 +154,7 @@
 }
 
 // attach notes the connection that a cancellation closes.
-func (h *hedge) attach(c *conn) {
+func (h *hedge) attach(c *pooler.Conn) {
 	if h == nil {
 		return
 	}
--- a/hornbeamd/forwarder/maintain.go
+++ b/hornbeamd/forwarder/maintain.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"hornbeamstream.example/hornbeamd/pooler"
 )
 
 const (
@@ -73,12 +75,12 @@
 func (p *pool) expire(now int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closeIdle(func(c *conn) bool { return now-c.ended > int64(idleTime) })
+	p.closeIdle(func(c *pooler.Conn) bool { return now-c.Ended > int64(idleTime) })
 }
 
 // stale takes out the idle connection that has been silent longest, if it is
 // time to probe it and no other one is being probed.
-func (p *pool) stale(now int64) *conn {
+func (p *pool) stale(now int64) *pooler.Conn {
 	if p.pinging.Load() {
 		return nil
 	}
@@ -86,7 +88,7 @@
 	defer p.mu.Unlock()
 	oldest := -1
 	for i, c := range p.idle {
-		if now-c.proven > int64(probeTime) && (oldest < 0 || c.proven < p.idle[oldest].proven) {
+		if now-c.Proven > int64(probeTime) && (oldest < 0 || c.Proven < p.idle[oldest].Proven) {
 			oldest = i
 		}
 	}
@@ -101,7 +103,7 @@
 
 // probe asks for the other end's health on an idle connection. Without an answer
 // all connections are closed that have not worked since.
-func (p *pool) probe(c *conn) {
+func (p *pool) probe(c *pooler.Conn) {
 	defer p.pinging.Store(false)
 	x := acquireExchange()
 	defer x.release()
--- a/hornbeamd/forwarder/pool.go
+++ b/hornbeamd/forwarder/pool.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"hornbeamstream.example/core/observer"
+
+	"hornbeamstream.example/hornbeamd/pooler"
 )
 
 const (
@@ -44,7 +46,7 @@
 
 	mu sync.Mutex
 	// idle has the connection used last at its end.
-	idle []*conn
+	idle []*pooler.Conn
 	open int64
 	last int64
 
@@ -64,7 +66,7 @@
 
 // get returns an idle connection or opens one. When proven is set, the
 // connection is fresh or a byte has arrived on it within provenTime.
-func (p *pool) get(proven bool, deadline int64) (*conn, error) {
+func (p *pool) get(proven bool, deadline int64) (*pooler.Conn, error) {
 	now := p.now()
 	for {
 		c, err := p.take(proven, now)
@@ -74,7 +76,7 @@
 		if c == nil {
 			return p.dial(now, deadline)
 		}
-		if c.quiet() {
+		if c.Quiet() {
 			return c, nil
 		}
 		p.discard(c)
@@ -83,13 +85,13 @@
 
 // take returns an idle connection, or nil after it has counted the connection
 // that the caller opens.
-func (p *pool) take(proven bool, now int64) (*conn, error) {
+func (p *pool) take(proven bool, now int64) (*pooler.Conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.last = now
 	if n := len(p.idle); n > 0 {
 		c := p.idle[n-1]
-		if !proven || now-c.proven < int64(provenTime) {
+		if !proven || now-c.Proven < int64(provenTime) {
 			p.idle[n-1] = nil
 			p.idle = p.idle[:n-1]
 			return c, nil
@@ -108,7 +110,7 @@
 	return nil, nil
 }
 
-func (p *pool) dial(now, deadline int64) (c *conn, err error) {
+func (p *pool) dial(now, deadline int64) (c *pooler.Conn, err error) {
 	defer func() {
 		if err != nil {
 			p.forget()
@@ -122,7 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(nc, p.now()), nil
+	return pooler.NewConn(nc, p.now()), nil
 }
 
 func (p *pool) forget() {
@@ -132,8 +134,8 @@
 }
 
 // put takes a connection back on which the last exchange has ended cleanly.
-func (p *pool) put(c *conn) {
-	c.used = true
+func (p *pool) put(c *pooler.Conn) {
+	c.Used = true
 	p.mu.Lock()
 	if len(p.idle) < maxIdle && p.open <= p.limit.Load() {
 		p.idle = append(p.idle, c)
@@ -146,7 +148,7 @@
 }
 
 // discard closes a connection, which cancels what runs on it.
-func (p *pool) discard(c *conn) {
+func (p *pool) discard(c *pooler.Conn) {
 	_ = c.Close()
 	p.forget()
 }
@@ -156,11 +158,11 @@
 func (p *pool) dropIdle(since int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closeIdle(func(c *conn) bool { return c.proven < since })
+	p.closeIdle(func(c *pooler.Conn) bool { return c.Proven < since })
 }
 
 // closeIdle closes some idle connections. The pool is locked.
-func (p *pool) closeIdle(drop func(*conn) bool) {
+func (p *pool) closeIdle(drop func(*pooler.Conn) bool) {
 	kept := p.idle[:0]
 	for _, c := range p.idle {
 		if !drop(c) {
--- a/hornbeamd/forwarder/stream.go
+++ b/hornbeamd/forwarder/stream.go
@@ -64,7 +64,7 @@
 	if s.left == 0 {
 		return 0, io.EOF
 	}
-	n, err := x.conn.br.Read(p[:min(int64(len(p)), s.left)])
+	n, err := x.conn.Reader.Read(p[:min(int64(len(p)), s.left)])
 	s.left -= int64(n)
 	if err == io.EOF {
 		err = io.ErrUnexpectedEOF
--- a/hornbeamd/forwarder/try.go
+++ b/hornbeamd/forwarder/try.go
@@ -174,7 +174,7 @@
 			}
 			return err
 		}
-		x.fresh = !x.conn.used
+		x.fresh = !x.conn.Used
 		c.hedge.attach(x.conn)
 		err = x.send(c.reader(), c.size)
 		// A used connection that takes no byte has been closed by the other
--- a/hornbeamd/forwarder/conn.go
+++ b/hornbeamd/pooler/conn.go
@@ -1,4 +1,6 @@
-package forwarder
+// Package pooler keeps connections to upstreams and knows which of them can be
+// used again.
+package pooler
 
 import (
 	"bufio"
@@ -10,20 +12,21 @@
 // headSize bounds the head of an answer in bytes.
 const headSize = 8 << 10
 
-// sendSize is less than the smallest usual send buffer in bytes.
-const sendSize = 4 << 10
+// SendSize is less than the smallest usual send buffer in bytes.
+const SendSize = 4 << 10
 
-// conn is a connection with what is known about it. It belongs to one exchange
+// Conn is a connection with what is known about it. It belongs to one exchange
 // at a time.
-type conn struct {
+type Conn struct {
 	net.Conn
-	br *bufio.Reader
-	// proven is the time at which the last byte arrived, or of the dial.
-	proven int64
-	// ended is the time at which the last exchange of a request ended.
-	ended int64
-	// used tells that an exchange has ended on this connection.
-	used bool
+	// Reader buffers what arrives.
+	Reader *bufio.Reader
+	// Proven is the time at which the last byte arrived, or of the dial.
+	Proven int64
+	// Ended is the time at which the last exchange of a request ended.
+	Ended int64
+	// Used tells that an exchange has ended on this connection.
+	Used bool
 	// limited tells that writes have a deadline.
 	limited bool
 
@@ -35,8 +38,9 @@
 	one   [1]byte
 }
 
-func newConn(nc net.Conn, now int64) *conn {
-	c := &conn{Conn: nc, br: bufio.NewReaderSize(nc, headSize), proven: now, ended: now}
+// NewConn returns a fresh connection. Now is the time in nanoseconds.
+func NewConn(nc net.Conn, now int64) *Conn {
+	c := &Conn{Conn: nc, Reader: bufio.NewReaderSize(nc, headSize), Proven: now, Ended: now}
 	c.raw = rawConn(nc)
 	c.peek = func(fd uintptr) {
 		c.count, _, c.err = syscall.Recvfrom(int(fd), c.one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
@@ -56,9 +60,9 @@
 	return raw
 }
 
-// limitWrite sets the deadline of writes if they can block. The send buffer is
-// empty at the start of an exchange and takes sendSize bytes at once.
-func (c *conn) limitWrite(blocks bool, deadline int64) error {
+// LimitWrite sets the deadline of writes if they can block. The send buffer is
+// empty at the start of an exchange and takes SendSize bytes at once.
+func (c *Conn) LimitWrite(blocks bool, deadline int64) error {
 	switch {
 	case blocks:
 		c.limited = true
@@ -70,10 +74,10 @@
 	return nil
 }
 
-// quiet tells whether the connection is open and nothing has arrived on it. A
+// Quiet tells whether the connection is open and nothing has arrived on it. A
 // byte that nobody asked for would be taken for part of the next answer.
-func (c *conn) quiet() bool {
-	if c.br.Buffered() > 0 {
+func (c *Conn) Quiet() bool {
+	if c.Reader.Buffered() > 0 {
 		return false
 	}
 	if c.raw == nil {
@@ -83,8 +87,8 @@
 	return err == nil && c.err == syscall.EAGAIN
 }
 
-// closed tells whether the other end of a connection has closed it.
-func closed(nc net.Conn) bool {
+// Closed tells whether the other end of a connection has closed it.
+func Closed(nc net.Conn) bool {
 	raw := rawConn(nc)
 	if raw == nil {
 		return false
--- /dev/null
+++ b/hornbeamd/relayer/call.go
@@ -0,0 +1,396 @@
+package relayer
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"hornbeamstream.example/core/dispatcher"
+	"hornbeamstream.example/hornbeamd/pooler"
+	"hornbeamstream.example/hornbeamd/trimmer"
+)
+
+const (
+	// maxSends bounds the exchanges for one request, those that an upstream
+	// refused included.
+	maxSends = 4
+	// patienceShare is the multiple of the expected time after which a request
+	// that may run again is sent to another upstream, but not before
+	// minPatience.
+	patienceShare = 3
+	minPatience   = 250 * time.Millisecond
+	// answerMargin is the part of the caller's time that is kept for the way of
+	// the answer.
+	answerMargin = 15 * time.Millisecond
+	// startingReturn is when to come back to an instance that knows no
+	// configuration yet.
+	startingReturn = 300 * time.Millisecond
+)
+
+// call is one request of a caller.
+type call struct {
+	ctx      *fasthttp.RequestCtx
+	table    *dispatcher.Table
+	route    *dispatcher.Route
+	pool     *dispatcher.Pool
+	req      dispatcher.Request
+	id       []byte
+	began    int64
+	deadline int64
+	head     bool
+	// runs counts the exchanges that may have run the request, sends all.
+	runs, sends int
+	// kept tells that the response holds an upstream's failure, which is passed on
+	// if the request is not sent again.
+	kept    bool
+	dialect Dialect
+	last    outcome
+}
+
+// outcome is how a request or one of its exchanges ended, for answer and log.
+type outcome struct {
+	// word names it in the log.
+	word     string
+	upstream string
+	status   int
+	retryAt  time.Duration
+	expected time.Duration
+	wait     time.Duration
+	cause    string
+}
+
+func (r *Relayer) handle(ctx *fasthttp.RequestCtx) {
+	r.active.Add(1)
+	defer r.active.Add(-1)
+	if r.closing.Load() {
+		defer ctx.Response.SetConnectionClose()
+	}
+	c := &call{ctx: ctx, began: r.cfg.Now(), dialect: r.cfg.Dialect, table: r.cfg.Tables.Load(), head: ctx.IsHead()}
+	in := r.cfg.Dialect.Read(&ctx.Request.Header)
+	c.id = in.ID
+	if !c.table.Known() {
+		c.refuse(outcome{word: "starting", retryAt: startingReturn})
+		r.finish(c)
+		return
+	}
+	c.route = c.table.Route(host(ctx), path(ctx))
+	if c.route == nil || len(c.route.Parts) == 0 {
+		c.fail(fasthttp.StatusNotFound, outcome{word: "no route"})
+		r.finish(c)
+		return
+	}
+	c.prepare(in)
+	r.relay(c)
+	r.finish(c)
+}
+
+// prepare works out what the decisions depend on.
+func (c *call) prepare(in Inbound) {
+	left := c.route.Timeout
+	if in.Left > 0 && (left <= 0 || in.Left < left) {
+		left = in.Left - min(answerMargin, in.Left/8)
+	}
+	c.deadline = c.began + int64(left)
+	key := uint64(0)
+	if len(in.Key) > 0 && c.route.Sticky {
+		key = xxhash.Sum64(in.Key) ^ xxhash.Sum64String(c.route.Name) | 1
+	}
+	c.pool = c.route.SelectPart(key)
+	c.req = dispatcher.Request{Route: c.route, Pool: c.pool, Key: key, Deadline: c.deadline}
+}
+
+// relay sends the request until it is answered or given up.
+func (r *Relayer) relay(c *call) {
+	c.pool.Retries.Success()
+	for {
+		c.req.Now = r.cfg.Now()
+		if c.req.Now >= c.deadline {
+			c.giveUp(outcome{word: "late", status: fasthttp.StatusGatewayTimeout})
+			return
+		}
+		if c.sends > 0 && !c.pool.Retries.Take() {
+			c.giveUp(outcome{word: string(dispatcher.Budget)})
+			return
+		}
+		d := dispatcher.Choose(&c.req)
+		if d.Upstream == nil {
+			c.giveUp(outcome{word: string(d.Reason), retryAt: d.Return, expected: d.Expected, wait: d.Wait})
+			return
+		}
+		if done := r.try(c, &d); done {
+			return
+		}
+	}
+}
+
+// try is one exchange. It reports whether the request is answered.
+func (r *Relayer) try(c *call, d *dispatcher.Decision) (done bool) {
+	x := &exchange{relayer: r, call: c, target: d.Upstream, pool: r.pool(d.Upstream), answer: fasthttp.AcquireResponse()}
+	defer fasthttp.ReleaseResponse(x.answer)
+	x.patience = c.deadline
+	if c.route.Idempotent && c.runs+1 < c.route.Attempts && c.sends+1 < maxSends {
+		x.patience = c.req.Now + int64(max(patienceShare*d.Expected, minPatience))
+	}
+	c.sends++
+	err := x.run()
+	now := r.cfg.Now()
+	res := x.result(err)
+	if x.verdict.Reported && err == nil {
+		d.Report(x.verdict.Load, now)
+	}
+	if x.verdict.ColdLeft > 0 && err == nil {
+		d.Upstream.Cool(now+int64(x.verdict.ColdLeft), now)
+	}
+	d.Done(&c.req, res, time.Duration(now-c.req.Now), now)
+	r.cfg.Metrics.Tried(c.pool.Name, results[res])
+	c.req.Tried = append(c.req.Tried, d.Upstream)
+	c.last = outcome{word: results[res], upstream: d.Upstream.ID, expected: d.Expected, wait: d.Wait}
+	if err != nil {
+		c.last.cause = err.Error()
+	}
+	return c.settle(x, res, err)
+}
+
+var results = [...]string{
+	dispatcher.Answered:    "answered",
+	dispatcher.Failed:      "failed",
+	dispatcher.Shed:        "shed",
+	dispatcher.Unreachable: "unreachable",
+	dispatcher.Abandoned:   "abandoned",
+	dispatcher.Silent:      "silent",
+}
+
+// result judges an exchange.
+func (x *exchange) result(err error) dispatcher.Result {
+	switch {
+	case errors.Is(err, errGone), errors.Is(err, pooler.ErrConns), errors.Is(err, pooler.ErrClosed):
+		return dispatcher.Abandoned
+	case errors.Is(err, errSilent):
+		return dispatcher.Silent
+	case errors.Is(err, errLate):
+		return dispatcher.Abandoned
+	case err != nil && !x.sent && unreached(err):
+		return dispatcher.Unreachable
+	case err != nil:
+		return dispatcher.Failed
+	case x.answer.StatusCode() == fasthttp.StatusMisdirectedRequest:
+		return dispatcher.Unreachable
+	case x.verdict.NotRun:
+		return dispatcher.Shed
+	case x.answer.StatusCode() >= 500:
+		return dispatcher.Failed
+	}
+	return dispatcher.Answered
+}
+
+// settle answers the request or decides that it is sent again.
+func (c *call) settle(x *exchange, res dispatcher.Result, err error) (done bool) {
+	notRun := err == nil && (x.verdict.NotRun || x.answer.StatusCode() == fasthttp.StatusMisdirectedRequest) || err != nil && !x.sent
+	if !notRun {
+		c.runs++
+	}
+	switch {
+	case errors.Is(err, errGone):
+		c.fail(fasthttp.StatusBadGateway, c.last)
+		c.ctx.SetConnectionClose()
+		return true
+	case res == dispatcher.Answered:
+		c.pass(x)
+		return true
+	case !notRun && !c.route.Idempotent:
+		if err == nil {
+			c.pass(x)
+		} else {
+			c.giveUp(c.last)
+		}
+		return true
+	case c.runs >= max(1, c.route.Attempts) || c.sends >= maxSends:
+		if err == nil && !notRun {
+			c.pass(x)
+		} else {
+			c.giveUp(c.last)
+		}
+		return true
+	}
+	if err == nil && !notRun {
+		c.pass(x)
+		c.kept = true
+	}
+	return false
+}
+
+// giveUp ends a request that is not sent any further. Only one that has not run
+// may be refused as such. A failure that an upstream has given is passed on.
+func (c *call) giveUp(o outcome) {
+	if c.last.upstream != "" && o.upstream == "" {
+		o.upstream, o.cause = c.last.upstream, c.last.word+" "+c.last.cause
+	}
+	switch {
+	case c.runs == 0:
+		c.refuse(o)
+	case c.kept:
+		o.status = c.ctx.Response.StatusCode()
+		c.last = o
+	case o.status != 0:
+		c.fail(o.status, o)
+	default:
+		c.fail(fasthttp.StatusBadGateway, o)
+	}
+}
+
+// pass copies an answer to the caller's response.
+func (c *call) pass(x *exchange) {
+	out := &c.ctx.Response
+	out.Reset()
+	x.answer.Header.CopyTo(&out.Header)
+	out.Header.ResetConnectionClose()
+	for _, k := range [...]string{
+		fasthttp.HeaderConnection, fasthttp.HeaderKeepAlive, fasthttp.HeaderTrailer,
+		fasthttp.HeaderUpgrade, fasthttp.HeaderProxyAuthenticate, fasthttp.HeaderProxyConnection,
+	} {
+		out.Header.Del(k)
+	}
+	c.last.status = out.StatusCode()
+	if c.head {
+		out.SkipBody = true
+	} else {
+		out.SetBodyRaw(bytes.Clone(x.answer.Body()))
+	}
+	switch c.last.status {
+	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable, fasthttp.StatusRequestTimeout:
+		// These would promise that the request has not run.
+		out.SetStatusCode(fasthttp.StatusBadGateway)
+		c.dialect.Unsign(&out.Header)
+		out.Header.Del(fasthttp.HeaderRetryAfter)
+	}
+}
+
+// refuse answers that the request has not run and when to come back.
+func (c *call) refuse(o outcome) {
+	out := &c.ctx.Response
+	out.Reset()
+	out.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	retryAt := max(o.retryAt, minRetry)
+	out.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryAt.Seconds(), 'f', 3, 64))
+	out.Header.SetContentType("text/plain; charset=utf-8")
+	out.SetBodyString("The request has not run: " + o.word + ".\n")
+	o.status = fasthttp.StatusServiceUnavailable
+	c.last = o
+}
+
+// minRetry is the least time after which a refused request may come back.
+const minRetry = 50 * time.Millisecond
+
+// fail ends a request that may have run, or one that can't be served at all.
+func (c *call) fail(status int, o outcome) {
+	out := &c.ctx.Response
+	out.Reset()
+	out.SetStatusCode(status)
+	out.Header.SetContentType("text/plain; charset=utf-8")
+	out.SetBodyString(fasthttp.StatusMessage(status) + ": " + o.word + ".\n")
+	o.status = status
+	c.last = o
+}
+
+// gone tells whether the caller of a request that may run again has closed its
+// connection. Other requests go on, because they may have run.
+func (c *call) gone() bool {
+	return c.route.Idempotent && pooler.Closed(c.ctx.Conn())
+}
+
+// finish counts and logs the end of a request.
+func (r *Relayer) finish(c *call) {
+	took := time.Duration(r.cfg.Now() - c.began)
+	route, version := "", uint64(0)
+	if c.route != nil {
+		route = c.route.Name
+	}
+	if c.table.Known() {
+		version = c.table.View.Config.Version
+	}
+	status := c.ctx.Response.StatusCode()
+	r.cfg.Metrics.Answered(route, c.last.word, took)
+	r.cfg.Log.V(verbosity(status)).Info("request",
+		"id", string(c.id), "route", route, "version", version, "outcome", c.last.word,
+		"status", status, "upstream", c.last.upstream, "sends", c.sends, "runs", c.runs,
+		"took", took.Milliseconds(), "expected", c.last.expected.Milliseconds(),
+		"wait", c.last.wait.Milliseconds(), "cause", c.last.cause)
+}
+
+// verbosity ranks log lines: failures come before successes.
+func verbosity(status int) int {
+	if status >= 300 {
+		return 0
+	}
+	return 1
+}
+
+// wire is the request in the form for an upstream.
+func (c *call) wire(upstream string, left time.Duration) []byte {
+	var h fasthttp.RequestHeader
+	in := &c.ctx.Request.Header
+	h.SetNoDefaultContentType(true)
+	c.dialect.Address(&h, upstream, left)
+	body := c.ctx.Request.Body()
+	b := make([]byte, 0, 512+len(body))
+	b = append(b, in.Method()...)
+	b = append(b, ' ')
+	b = append(b, in.RequestURI()...)
+	b = append(b, " HTTP/1.1\r\n"...)
+	named := in.Peek(fasthttp.HeaderConnection)
+	for k, v := range in.All() {
+		if trimmer.HopByHop(k) || len(named) > 0 && trimmer.Named(named, k) || len(h.PeekBytes(k)) > 0 {
+			continue
+		}
+		b = trimmer.AppendField(b, k, v)
+	}
+	for k, v := range h.All() {
+		b = trimmer.AppendField(b, k, v)
+	}
+	if len(body) > 0 || len(in.Peek(fasthttp.HeaderContentLength)) > 0 || in.IsPost() || in.IsPut() || in.IsPatch() {
+		b = trimmer.AppendField(b, []byte(fasthttp.HeaderContentLength), strconv.AppendInt(nil, int64(len(body)), 10))
+	}
+	b = append(b, "\r\n"...)
+	return append(b, body...)
+}
+
+// host returns the host of a request in lower case, without a port.
+func host(ctx *fasthttp.RequestCtx) string {
+	h := string(ctx.Request.Header.Host())
+	if i := strings.LastIndexByte(h, ':'); i >= 0 {
+		h = h[:i]
+	}
+	return strings.ToLower(h)
+}
+
+// path returns the path of a request as the caller sent it, without the query.
+func path(ctx *fasthttp.RequestCtx) string {
+	p := string(ctx.Request.Header.RequestURI())
+	if i := strings.IndexByte(p, '?'); i >= 0 {
+		p = p[:i]
+	}
+	return p
+}
+
+// malformed answers what the codec could not read.
+func malformed(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	var timeout interface{ Timeout() bool }
+	status := fasthttp.StatusBadRequest
+	switch {
+	case errors.As(err, &small):
+		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		status = fasthttp.StatusRequestEntityTooLarge
+	case errors.As(err, &timeout) && timeout.Timeout():
+		status = fasthttp.StatusRequestTimeout
+	}
+	ctx.Response.Reset()
+	ctx.SetStatusCode(status)
+	ctx.SetBodyString(fasthttp.StatusMessage(status) + ".\n")
+}
--- /dev/null
+++ b/hornbeamd/relayer/exchange.go
@@ -0,0 +1,239 @@
+package relayer
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"hornbeamstream.example/core/dispatcher"
+	"hornbeamstream.example/hornbeamd/pooler"
+)
+
+const (
+	// answerSize bounds the body of an answer in bytes. Answers are read as a
+	// whole before any of it is passed on, so that one that breaks off can be
+	// fetched from another upstream.
+	answerSize = 16 << 20
+	// checkTime is the time between two looks at the caller's connection.
+	checkTime = 100 * time.Millisecond
+	// maxStrays bounds the answers to earlier requests that are skipped.
+	maxStrays = 4
+	// provenTime is how recently a connection must have worked for a request
+	// that must not run twice, usedTime for any other.
+	provenTime = 4 * time.Second
+	usedTime   = 10 * time.Second
+	// leastLeft is the least time that an upstream is given.
+	leastLeft = time.Millisecond
+)
+
+var (
+	errGone   = errors.New("the caller has closed its connection")
+	errSilent = errors.New("no answer in the time that it should have taken")
+	errLate   = errors.New("no answer before the deadline")
+	errStray  = errors.New("the answer belongs to another request")
+	errSpoilt = errors.New("the answer is not signed")
+)
+
+// exchange is one request and its answer on one connection.
+type exchange struct {
+	relayer *Relayer
+	call    *call
+	target  *dispatcher.Upstream
+	pool    *pooler.Pool
+	conn    *pooler.Conn
+	fresh   bool
+	// patience is the time until which the answer must have begun.
+	patience int64
+	// sent tells that a byte of the request may have reached the upstream.
+	sent    bool
+	wrote   chan error
+	answer  *fasthttp.Response
+	verdict Verdict
+}
+
+// run sends the request and reads its answer. After an error the connection is
+// closed.
+func (x *exchange) run() (err error) {
+	defer func() {
+		if err != nil {
+			x.abort()
+			err = fmt.Errorf("upstream %s: %w", x.target.ID, err)
+		}
+	}()
+	c := x.call
+	now := x.relayer.cfg.Now()
+	since := now - int64(usedTime)
+	if !c.route.Idempotent {
+		since = now - int64(provenTime)
+	}
+	if x.conn, x.fresh, err = x.pool.Get(since, now, c.deadline, x.target.Conns()); err != nil {
+		return err
+	}
+	if x.fresh {
+		x.relayer.cfg.Metrics.Dialed(c.pool.Name)
+	}
+	if err = x.send(); err != nil {
+		return err
+	}
+	if err = x.await(); err != nil {
+		return err
+	}
+	if err = x.read(); err != nil {
+		return err
+	}
+	x.settle()
+	return nil
+}
+
+// send writes the request. A large body is written beside the wait for the
+// answer, which may come before the body has been taken.
+func (x *exchange) send() error {
+	now := x.relayer.cfg.Now()
+	left := time.Duration(x.call.deadline - now)
+	if left < leastLeft {
+		return errLate
+	}
+	wire := x.call.wire(x.target.ID, left)
+	if err := x.conn.SetWriteDeadline(time.Now().Add(left)); err != nil {
+		return err
+	}
+	if len(wire) <= pooler.SendSize {
+		n, err := x.conn.Write(wire)
+		x.sent = n > 0
+		return err
+	}
+	x.sent = true
+	x.wrote = make(chan error, 1)
+	go func(conn net.Conn) {
+		_, err := conn.Write(wire)
+		x.wrote <- err
+	}(x.conn.Conn)
+	return nil
+}
+
+// await waits for the first byte of the answer. From time to time it looks
+// whether the caller is still there.
+func (x *exchange) await() error {
+	for {
+		now := x.relayer.cfg.Now()
+		until := min(x.patience, x.call.deadline, now+int64(checkTime))
+		_ = x.conn.SetReadDeadline(time.Now().Add(time.Duration(until - now)))
+		_, err := x.conn.Reader.Peek(1)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		now = x.relayer.cfg.Now()
+		switch {
+		case now >= x.call.deadline:
+			return errLate
+		case now >= x.patience:
+			return errSilent
+		case x.call.gone():
+			return errGone
+		}
+	}
+}
+
+// read reads the answer. It skips answers to earlier requests, which an
+// upstream may have sent twice.
+func (x *exchange) read() error {
+	left := time.Duration(x.call.deadline - x.relayer.cfg.Now())
+	_ = x.conn.SetReadDeadline(time.Now().Add(left))
+	for range maxStrays {
+		x.answer.Reset()
+		x.answer.SkipBody = x.call.head
+		if err := x.answer.ReadLimitBody(x.conn.Reader, answerSize); err != nil {
+			return err
+		}
+		x.verdict = x.relayer.cfg.Dialect.Judge(&x.answer.Header)
+		if id := x.verdict.ID; len(id) > 0 && !bytes.Equal(id, x.call.id) {
+			continue
+		}
+		return x.check()
+	}
+	return errStray
+}
+
+// check refuses answers that no upstream can have given to this request.
+func (x *exchange) check() error {
+	status := x.answer.StatusCode()
+	refused := x.verdict.NotRun || status == fasthttp.StatusMisdirectedRequest
+	switch {
+	case refused:
+		return nil
+	case len(x.verdict.ID) == 0 && !x.fresh:
+		return errStray
+	case status < 300 && !x.verdict.Signed:
+		return errSpoilt
+	}
+	return nil
+}
+
+// settle puts the connection back if the exchange has left it clean.
+func (x *exchange) settle() {
+	now := x.relayer.cfg.Now()
+	clean := x.conn.Reader.Buffered() == 0 && !x.answer.ConnectionClose() && x.framed()
+	if x.wrote != nil {
+		select {
+		case err := <-x.wrote:
+			clean = clean && err == nil
+		default:
+			clean = false
+		}
+	}
+	if keep := keepAlive(&x.answer.Header); keep > 0 {
+		x.pool.KeepIdle(keep)
+	}
+	if clean {
+		x.pool.Put(x.conn, now)
+	} else {
+		x.pool.Discard(x.conn)
+	}
+	x.conn = nil
+}
+
+// framed tells whether the answer's end was marked otherwise than by the end of
+// the connection.
+func (x *exchange) framed() bool {
+	n := x.answer.Header.ContentLength()
+	return n >= 0 || n == -1 || x.call.head
+}
+
+func (x *exchange) abort() {
+	if x.conn != nil {
+		x.pool.Discard(x.conn)
+		x.conn = nil
+	}
+}
+
+// keepAlive reads the time for which the other end keeps an idle connection.
+func keepAlive(h *fasthttp.ResponseHeader) time.Duration {
+	v := h.Peek(fasthttp.HeaderKeepAlive)
+	i := bytes.Index(v, []byte("timeout="))
+	if i < 0 {
+		return 0
+	}
+	v = v[i+len("timeout="):]
+	if j := bytes.IndexAny(v, ", "); j >= 0 {
+		v = v[:j]
+	}
+	n, err := strconv.Atoi(string(v))
+	if err != nil || n < 0 {
+		return 0
+	}
+	return time.Duration(n) * time.Second
+}
+
+// unreached tells whether an error means that the upstream could not be
+// connected to.
+func unreached(err error) bool {
+	var op *net.OpError
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &op) && op.Op == "dial"
+}
--- /dev/null
+++ b/hornbeamd/relayer/relayer.go
@@ -0,0 +1,201 @@
+// Package relayer carries requests between callers and upstreams. The
+// dispatcher decides where a request goes; the relayer sends it there, judges
+// what comes back, and answers the caller exactly once.
+package relayer
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/valyala/fasthttp"
+
+	"hornbeamstream.example/core/dispatcher"
+	"hornbeamstream.example/hornbeamd/pooler"
+)
+
+// Inbound is what the head of a request says apart from method and path.
+type Inbound struct {
+	// ID names the attempt of the caller.
+	ID []byte
+	// Left is the time that the caller will wait; 0 if it does not say.
+	Left time.Duration
+	// Key names the object that the request concerns; empty if unknown.
+	Key []byte
+}
+
+// Verdict is what the head of an answer says apart from its status.
+type Verdict struct {
+	// ID names the request that the answer belongs to; empty if it does not say.
+	ID []byte
+	// NotRun tells that the upstream did not run the request and never will.
+	NotRun bool
+	// Signed tells that the answer bears the upstream's signature.
+	Signed bool
+	// Reported tells that Load was given.
+	Reported bool
+	Load     dispatcher.Load
+	// ColdLeft is how long the upstream stays cold.
+	ColdLeft time.Duration
+}
+
+// Dialect reads and writes the header fields of callers and upstreams.
+type Dialect interface {
+	// Read returns what a request's head says. The result refers to the head.
+	Read(h *fasthttp.RequestHeader) Inbound
+	// Address marks a request for one incarnation of an upstream, which may work
+	// on it for the time that is left.
+	Address(h *fasthttp.RequestHeader, upstream string, left time.Duration)
+	// Judge returns what an answer's head says. The result refers to the head.
+	Judge(h *fasthttp.ResponseHeader) Verdict
+	// Unsign removes the upstream's signature from an answer that is not passed
+	// on as it is.
+	Unsign(h *fasthttp.ResponseHeader)
+}
+
+// Metrics counts what the relayer does.
+type Metrics interface {
+	// Answered counts an answered request. Took is the time as the caller sees it.
+	Answered(route, outcome string, took time.Duration)
+	// Tried counts one exchange with an upstream.
+	Tried(service, result string)
+	// Dialed counts a new connection to an upstream.
+	Dialed(service string)
+}
+
+// Config has the parts that a Relayer needs.
+type Config struct {
+	Tables  *atomic.Pointer[dispatcher.Table]
+	Dialect Dialect
+	Metrics Metrics
+	Log     logr.Logger
+	// Now gives the time in nanoseconds on a monotonic clock.
+	Now func() int64
+}
+
+// Relayer serves callers. New makes one.
+type Relayer struct {
+	cfg   Config
+	http  *fasthttp.Server
+	pools sync.Map // *dispatcher.Upstream to *pooler.Pool
+
+	closing atomic.Bool
+	// active is the number of requests in hand.
+	active atomic.Int64
+	idle   idleConns
+}
+
+const (
+	// headSize bounds the head of a request in bytes.
+	headSize = 20 << 10
+	// bodySize bounds the body of a request in bytes.
+	bodySize = 64 << 20
+	// chunkSize is the size of the buffer for answers.
+	chunkSize = 8 << 10
+	// bodyTime bounds the arrival of a request, idleLimit the wait for the next
+	// one if the configuration sets no bound, writeTime the taking of an answer.
+	bodyTime  = 30 * time.Second
+	idleLimit = 120 * time.Second
+	writeTime = 30 * time.Second
+)
+
+// New returns a Relayer.
+func New(cfg Config) *Relayer {
+	r := &Relayer{cfg: cfg}
+	r.http = &fasthttp.Server{
+		Handler:                      r.handle,
+		ErrorHandler:                 malformed,
+		ReadBufferSize:               headSize,
+		WriteBufferSize:              chunkSize,
+		MaxRequestBodySize:           bodySize,
+		ReadTimeout:                  bodyTime,
+		IdleTimeout:                  idleLimit,
+		WriteTimeout:                 writeTime,
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true,
+		NoDefaultDate:                true,
+		NoDefaultContentType:         true,
+		CloseOnShutdown:              true,
+		ConnState:                    r.idle.note,
+		Logger:                       silent{},
+	}
+	r.idle.now = cfg.Now
+	return r
+}
+
+// Serve answers requests on the connections that ln accepts.
+func (r *Relayer) Serve(ln net.Listener) error { return r.http.Serve(ln) }
+
+// Active is the number of requests in hand.
+func (r *Relayer) Active() int { return int(r.active.Load()) }
+
+// Leave closes each caller's connection after its next answer.
+func (r *Relayer) Leave() { r.closing.Store(true) }
+
+// Maintain closes idle connections of callers and the pools of upstreams that
+// are gone. It is called about once a second.
+func (r *Relayer) Maintain() {
+	limit := idleLimit
+	if t := r.cfg.Tables.Load(); t.Known() && t.View.Config.Limits.IdleTime > 0 {
+		limit = t.View.Config.Limits.IdleTime
+	}
+	r.idle.close(limit)
+	r.pools.Range(func(k, v any) bool {
+		if k.(*dispatcher.Upstream).Closed() {
+			v.(*pooler.Pool).Close()
+			r.pools.Delete(k)
+		}
+		return true
+	})
+}
+
+// CloseIdle closes the callers' connections on which no request is in hand.
+func (r *Relayer) CloseIdle() { r.idle.close(0) }
+
+func (r *Relayer) pool(u *dispatcher.Upstream) *pooler.Pool {
+	if p, ok := r.pools.Load(u); ok {
+		return p.(*pooler.Pool)
+	}
+	p, _ := r.pools.LoadOrStore(u, &pooler.Pool{Address: u.Address})
+	return p.(*pooler.Pool)
+}
+
+// silent drops the codec's log lines, which callers could cause at will.
+type silent struct{}
+
+func (silent) Printf(string, ...any) {}
+
+// idleConns knows since when callers' connections have been idle.
+type idleConns struct {
+	now   func() int64
+	mu    sync.Mutex
+	since map[net.Conn]int64
+}
+
+func (i *idleConns) note(c net.Conn, s fasthttp.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.since == nil {
+		i.since = map[net.Conn]int64{}
+	}
+	if s == fasthttp.StateIdle {
+		i.since[c] = i.now()
+		return
+	}
+	delete(i.since, c)
+}
+
+// close closes the connections that have been idle for longer than limit.
+func (i *idleConns) close(limit time.Duration) {
+	now := i.now()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for c, since := range i.since {
+		if now-since >= int64(limit) {
+			_ = c.Close()
+			delete(i.since, c)
+		}
+	}
+}
--- /dev/null
+++ b/hornbeamd/runner/runner.go
@@ -0,0 +1,294 @@
+// Package runner is the process of an instance that takes its configuration,
+// upstreams and peers from a shared store: one control goroutine steps the
+// steerer and executes its effects, others carry traffic.
+package runner
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"hornbeamstream.example/core/dispatcher"
+	"hornbeamstream.example/core/recorder"
+	"hornbeamstream.example/core/steerer"
+	"hornbeamstream.example/hornbeamd/exporter"
+	"hornbeamstream.example/hornbeamd/relayer"
+	"hornbeamstream.example/hornbeamd/watcher"
+)
+
+// Store is what an instance needs of the shared store.
+type Store interface {
+	watcher.Source
+	// Register makes sure that the store has an object for the instance.
+	Register(ctx context.Context, i steerer.Instance) error
+}
+
+// Directory answers callers that ask which instances to use, and health checks.
+type Directory interface {
+	// Handler returns the handler for look-ups and readiness.
+	Handler(view func() *steerer.View, bounds steerer.Bounds) fasthttp.RequestHandler
+}
+
+// Clock is the monotonic clock of a process.
+type Clock struct{ began time.Time }
+
+// NewClock returns a clock that starts now.
+func NewClock() Clock { return Clock{began: time.Now()} }
+
+// Now is the time in nanoseconds since the start. It is never zero.
+func (c Clock) Now() int64 { return int64(time.Since(c.began)) + 1 }
+
+// Config has what an instance is made of.
+type Config struct {
+	Self    steerer.Instance
+	Regions map[string]string
+	Bounds  steerer.Bounds
+	// Lookup, Ready and Admin are the addresses to listen on besides those of
+	// Self. An empty one is not used.
+	Lookup, Ready, Admin string
+	Store                Store
+	Dialect              relayer.Dialect
+	Directory            Directory
+	Log                  logr.Logger
+	// Clock gives the time to all parts of the instance.
+	Clock Clock
+	// Dropped is the number of log lines that were dropped.
+	Dropped func() uint64
+}
+
+const (
+	// tickTime is the time between two ticks of the control goroutine.
+	tickTime = 100 * time.Millisecond
+	// eventQueue bounds the events that wait for the control goroutine.
+	eventQueue = 256
+	// stopShare is the part of the time for a planned stop after which no new
+	// connections are taken, closeShare that after which idle ones are closed.
+	closeShare, stopShare = 0.5, 0.75
+	// stopMargin is the time that is kept for the end of the process.
+	stopMargin = 300 * time.Millisecond
+)
+
+// Runner is one running instance.
+type Runner struct {
+	cfg      Config
+	events   chan steerer.Event
+	state    *steerer.State
+	builder  dispatcher.Builder
+	tables   atomic.Pointer[dispatcher.Table]
+	relayer  *relayer.Relayer
+	registry *prometheus.Registry
+	metrics  *metrics
+	ring     *recorder.Ring
+	clock    recorder.Clock
+	beacons  *net.UDPConn
+}
+
+// New returns an instance that does not run yet.
+func New(cfg Config) *Runner {
+	r := &Runner{
+		cfg:      cfg,
+		events:   make(chan steerer.Event, eventQueue),
+		state:    steerer.New(cfg.Self, cfg.Regions),
+		builder:  dispatcher.Builder{Self: cfg.Self, Bounds: cfg.Bounds, Regions: cfg.Regions},
+		registry: prometheus.NewRegistry(),
+		ring:     &recorder.Ring{},
+	}
+	r.registry.MustRegister(collectors.NewGoCollector())
+	r.metrics = newMetrics(r.registry, cfg.Dropped)
+	r.relayer = relayer.New(relayer.Config{
+		Tables: &r.tables, Dialect: cfg.Dialect, Metrics: r.metrics, Log: cfg.Log, Now: r.now,
+	})
+	return r
+}
+
+func (r *Runner) now() int64 { return r.cfg.Clock.Now() }
+
+// Run serves until the context ends and then stops without cutting requests.
+func (r *Runner) Run(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("instance %s: %w", r.cfg.Self.Name, err)
+		}
+	}()
+	control, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	group, failed := errgroup.WithContext(control)
+	front, err := r.serve(group)
+	if err != nil {
+		return err
+	}
+	r.cfg.Log.Info("started", "instance", r.cfg.Self.Name, "domain", r.cfg.Self.Domain, "front", r.cfg.Self.Front)
+	r.record(steerer.Note{What: string(recorder.Started), Subject: r.cfg.Self.Name})
+	group.Go(func() error { return r.control(failed) })
+	group.Go(func() error { return r.listen(failed) })
+	group.Go(func() error { return r.register(failed) })
+	for _, k := range steerer.Kinds {
+		w := watcher.Watcher{Kind: k, Source: r.cfg.Store, Emit: r.emit(failed), Now: r.now}
+		group.Go(func() error { return w.Run(failed) })
+	}
+	group.Go(func() error {
+		select {
+		case <-failed.Done():
+			return nil
+		case <-ctx.Done():
+		}
+		r.stop(front)
+		end()
+		return nil
+	})
+	// The servers' goroutines end with the process.
+	<-failed.Done()
+	if cause := context.Cause(failed); control.Err() == nil {
+		return cause
+	}
+	r.cfg.Log.Info("stopped", "instance", r.cfg.Self.Name, "requests", r.relayer.Active())
+	return nil
+}
+
+// serve opens the listeners and starts the servers.
+func (r *Runner) serve(group *errgroup.Group) (front net.Listener, err error) {
+	if front, err = net.Listen("tcp", r.cfg.Self.Front); err != nil {
+		return nil, fmt.Errorf("front address: %w", err)
+	}
+	group.Go(func() error {
+		// The listener is closed at a planned stop, which ends Serve first.
+		_ = r.relayer.Serve(front)
+		return nil
+	})
+	handler := r.cfg.Directory.Handler(r.view, r.cfg.Bounds)
+	for _, address := range []string{r.cfg.Lookup, r.cfg.Ready} {
+		if address == "" {
+			continue
+		}
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, fmt.Errorf("look-up address: %w", err)
+		}
+		s := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true, IdleTimeout: time.Minute}
+		group.Go(func() error { return s.Serve(ln) })
+	}
+	if r.cfg.Admin == "" {
+		return front, nil
+	}
+	ln, err := net.Listen("tcp", r.cfg.Admin)
+	if err != nil {
+		// An instance without metrics still serves.
+		r.cfg.Log.Info("no address for operators", "cause", err.Error())
+		return front, nil
+	}
+	admin := exporter.Admin{Registry: r.registry, Ring: r.ring, Status: r.status, Ready: func() bool { return r.view().Ready }}
+	group.Go(func() error { return admin.Server().Serve(ln) })
+	return front, nil
+}
+
+// view returns the view in force.
+func (r *Runner) view() *steerer.View {
+	if t := r.tables.Load(); t != nil {
+		return &t.View
+	}
+	return &steerer.View{}
+}
+
+func (r *Runner) emit(ctx context.Context) func(steerer.Event) {
+	return func(e steerer.Event) {
+		select {
+		case r.events <- e:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// control is the goroutine that owns the state.
+func (r *Runner) control(ctx context.Context) error {
+	tick := time.NewTicker(tickTime)
+	defer tick.Stop()
+	maintained := int64(0)
+	for {
+		var e steerer.Event
+		select {
+		case <-ctx.Done():
+			return nil
+		case e = <-r.events:
+		case <-tick.C:
+			e = steerer.Tick{Now: r.now()}
+			if r.now()-maintained >= int64(time.Second) {
+				maintained = r.now()
+				r.relayer.Maintain()
+			}
+		}
+		var effects []steerer.Effect
+		r.state, effects = steerer.Step(r.state, e)
+		for _, x := range effects {
+			r.execute(x)
+		}
+	}
+}
+
+func (r *Runner) execute(x steerer.Effect) {
+	switch x := x.(type) {
+	case steerer.Publish:
+		r.tables.Store(r.builder.Build(x.View, r.now()))
+	case steerer.Send:
+		r.send(x)
+	case steerer.Note:
+		r.cfg.Log.Info(x.What, "subject", x.Subject, "version", x.Version, "cause", x.Cause)
+		r.record(x)
+	}
+}
+
+// record writes a change to the timeline.
+func (r *Runner) record(n steerer.Note) {
+	wall := time.Now()
+	r.ring.Add(recorder.Event{
+		Stamp: r.clock.Now(wall), Wall: wall, Instance: r.cfg.Self.Name, Domain: r.cfg.Self.Domain,
+		Kind: recorder.Kind(n.What), Version: n.Version, Upstream: n.Subject, Cause: n.Cause,
+	})
+}
+
+// register announces this instance in the store until that has succeeded.
+func (r *Runner) register(ctx context.Context) error {
+	const callTime, pause = 1500 * time.Millisecond, 500 * time.Millisecond
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, callTime)
+		err := r.cfg.Store.Register(call, r.cfg.Self)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		r.cfg.Log.Info("not registered", "cause", err.Error())
+		time.Sleep(pause)
+	}
+	return nil
+}
+
+// stop ends the instance without cutting a request. At first nothing changes but
+// that callers learn to use other instances; then idle connections and the
+// listener are closed, and requests in hand end.
+func (r *Runner) stop(front net.Listener) {
+	began := time.Now()
+	end := began.Add(r.cfg.Bounds.Stop - stopMargin)
+	at := func(share float64) time.Time {
+		return began.Add(time.Duration(share * float64(r.cfg.Bounds.Stop)))
+	}
+	r.events <- steerer.Left{Now: r.now()}
+	r.relayer.Leave()
+	time.Sleep(time.Until(at(closeShare)))
+	r.relayer.CloseIdle()
+	time.Sleep(time.Until(at(stopShare)))
+	_ = front.Close()
+	for time.Now().Before(end) {
+		r.relayer.CloseIdle()
+		if r.relayer.Active() == 0 {
+			return
+		}
+		time.Sleep(tickTime / 2)
+	}
+}
