dispatcher: a key is shared by two upstreams of a region

Change: the two first upstreams of a key by rank, in this region and in the others together, take its requests; the rest only in empty slots. Upstreams whose registration expired while the store was away are left out unless most are.

--- a/core/connector/connector.go
+++ b/core/connector/connector.go
@@ -27,6 +27,10 @@
 	// idleTime is how long a connection may be idle before it is replaced.
 	idleTime = 10 * time.Second
 	maxConns = 64
+	// dialTime bounds the opening of a connection also for calls that may wait
+	// longer: while the platform is cut off, the pauses between the kernel's tries
+	// grow beyond the end of the cut.
+	dialTime = 800 * time.Millisecond
 	// maxAnswer bounds the memory of one answer, which may list many objects.
 	maxAnswer = 64 << 20
 )
@@ -77,8 +81,8 @@
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2}
 
 func dial(address string, timeout time.Duration) (net.Conn, error) {
-	if timeout <= 0 {
-		timeout = defaultTimeout
+	if timeout <= 0 || timeout > dialTime {
+		timeout = dialTime
 	}
 	d := net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive}
 	conn, err := d.Dial("tcp", address)
--- a/core/dispatcher/choose.go
+++ b/core/dispatcher/choose.go
@@ -125,34 +125,87 @@
 	wait, took time.Duration
 	warm       bool
 	rank       uint64
+	// free tells that a slot seems to be free.
+	free bool
 }
 
+// replicas is the number of upstreams in a region that share the requests of a
+// key. Two are enough to even out the load, and few enough that they keep
+// remembering the key.
+const replicas = 2
+
 // Choose picks the upstream with the least expected time to an answer. The
 // caller must call Done on the decision's upstream after the exchange.
 func Choose(r *Request) Decision {
-	if len(r.Pool.Upstreams) == 0 {
-		return Decision{Reason: NoUpstream, Return: maxReturn / 2}
-	}
-	var buf [64]candidate
-	found := r.candidates(buf[:0])
-	if len(found) == 0 {
+	var buf [128]candidate
+	all := r.candidates(buf[:0])
+	if len(all) == 0 {
 		return Decision{Reason: NoUpstream, Return: maxReturn / 4}
 	}
-	away := r.Pool.spill.bounds(r.Key, r.Now)
-	for len(found) > 0 {
-		best := r.best(found, away)
-		c := found[best]
+	away := r.Pool.spill.bounds(r.spillKey(), r.Now)
+	preferred, others := all, all[:0]
+	if r.Key != 0 {
+		preferred, others = prefer(all)
+	}
+	r.weigh(preferred, true)
+	d, found := r.pick(preferred, away)
+	if found && (d.wait <= r.patience() || len(others) == 0) {
+		return r.enter(d, preferred)
+	}
+	// Elsewhere the key is unknown. A run that takes several times as long is
+	// worth it only in a slot that would be empty.
+	r.weigh(others, false)
+	idle := slices.DeleteFunc(others, func(c candidate) bool { return !c.free })
+	both := append(preferred, idle...)
+	if d, found = r.pick(both, away); !found {
+		return Decision{Reason: Overload, Return: comeBack(minReturn)}
+	}
+	return r.enter(d, both)
+}
+
+// patience is the wait for which a request stays with the upstreams that know
+// its key.
+func (r *Request) patience() time.Duration {
+	w := r.Route.work
+	return time.Duration(w.cold() - w.warm())
+}
+
+// spillKey orders requests for the bounds on moves between regions.
+func (r *Request) spillKey() uint64 {
+	if r.Key != 0 {
+		return r.Key
+	}
+	return rand.Uint64()
+}
+
+// pick returns the best of the candidates that take one more request.
+func (r *Request) pick(found []candidate, away direction) (c candidate, ok bool) {
+	best := r.best(found, away)
+	if best < 0 {
+		return c, false
+	}
+	return found[best], true
+}
+
+// enter takes a place at the candidate, or at the next best one if it takes no
+// more requests at present.
+func (r *Request) enter(c candidate, found []candidate) Decision {
+	for {
 		if int64(c.took) > r.Deadline-r.Now {
 			return Decision{Reason: Overload, Return: comeBack(c.wait), Expected: c.took, Wait: c.wait}
 		}
 		if c.u.admit(r.Now) {
 			c.u.enter(r.Now)
-			r.Pool.spill.count(c.u.Trip == remoteTrip, r.Now)
+			r.Pool.spill.count(c.u.remote(), r.Now)
 			return Decision{Upstream: c.u, Expected: c.took, Wait: c.wait, Warm: c.warm}
 		}
-		found = slices.Delete(found, best, best+1)
+		found = slices.DeleteFunc(found, func(x candidate) bool { return x.u == c.u })
+		best := r.best(found, anywhere)
+		if best < 0 {
+			return Decision{Reason: Overload, Return: comeBack(minReturn)}
+		}
+		c = found[best]
 	}
-	return Decision{Reason: Overload, Return: comeBack(minReturn)}
 }
 
 // comeBack is when room is likely after a wait of the given length: somewhat
@@ -162,38 +215,59 @@
 	return d + time.Duration(rand.Int64N(int64(d/2)))
 }
 
-// candidates lists the upstreams that may take the request with their costs.
+// candidates lists the upstreams that may take the request. Rank orders them
+// for a key, alike on all instances.
 func (r *Request) candidates(found []candidate) []candidate {
-	top := map[bool]uint64{}
 	for _, u := range r.Pool.Upstreams {
 		if u.Closed() || !r.allowed(u) || slices.Contains(r.Tried, u) {
 			continue
 		}
-		c := candidate{u: u, rank: (r.Key ^ u.seed) * hashMix}
-		c.rank ^= c.rank >> 29
-		c.rank *= hashMix
-		remote := u.Trip == remoteTrip
-		top[remote] = max(top[remote], c.rank)
-		found = append(found, c)
-	}
-	for i := range found {
-		c := &found[i]
-		r.weigh(c, r.Key != 0 && c.rank == top[c.u.Trip == remoteTrip])
+		rank := (r.Key ^ u.seed) * hashMix
+		rank ^= rank >> 29
+		found = append(found, candidate{u: u, rank: rank * hashMix})
 	}
 	return found
 }
 
+// prefer moves the upstreams that share the key to the front: the first
+// replicas of this region and of the others together.
+func prefer(all []candidate) (preferred, others []candidate) {
+	n := 0
+	for _, remote := range [...]bool{false, true} {
+		for range replicas {
+			best := -1
+			for i := n; i < len(all); i++ {
+				if all[i].u.remote() == remote && (best < 0 || all[i].rank > all[best].rank) {
+					best = i
+				}
+			}
+			if best < 0 {
+				break
+			}
+			all[n], all[best] = all[best], all[n]
+			n++
+		}
+	}
+	return all[:n:n], all[n:]
+}
+
 func (r *Request) allowed(u *Upstream) bool {
 	return len(r.Route.Homes) == 0 || slices.Contains(r.Route.Homes, u.Region)
 }
 
-// weigh computes the cost of a candidate. First tells that it is the one that
-// requests of this key prefer in its region.
-func (r *Request) weigh(c *candidate, first bool) {
+// weigh computes the costs of candidates. Shared tells that their upstreams
+// share the request's key, so that another instance may have sent it there.
+func (r *Request) weigh(found []candidate, shared bool) {
+	for i := range found {
+		r.weighOne(&found[i], shared)
+	}
+}
+
+func (r *Request) weighOne(c *candidate, shared bool) {
 	u := c.u
 	s := u.state(r.Now, r.Key)
 	work := r.Route.work
-	c.warm = s.warm || first
+	c.warm = s.warm || shared && r.Key != 0
 	run := work.cold()
 	if c.warm {
 		run = work.warm()
@@ -203,6 +277,7 @@
 	if u.cold(r.Now) {
 		slow *= 2
 	}
+	c.free = s.load+1 <= slots && !s.down
 	wait := max(0, s.load+1-slots) / slots * work.mean() * slow
 	c.wait = time.Duration(wait)
 	c.took = u.Trip + time.Duration(wait+run*slow)
@@ -225,7 +300,7 @@
 	for i := range found {
 		c := &found[i]
 		cost := c.cost
-		remote := c.u.Trip == remoteTrip
+		remote := c.u.remote()
 		if away == stay && remote || away == leave && !remote {
 			// A bound on moves must not keep requests from the only room there is.
 			cost += float64(downCost) / 2
--- a/core/dispatcher/table.go
+++ b/core/dispatcher/table.go
@@ -136,7 +136,7 @@
 			live = newUpstream(u, b.Regions[u.Domain], b.Self)
 			b.upstreams[key] = live
 		}
-		live.update(u, p, b.coldRate(&t.View, u, p), b.connShare(&t.View, p), now)
+		live.update(u, b.coldRate(&t.View, u, p), b.connShare(&t.View, p), now)
 		p.Upstreams = append(p.Upstreams, live)
 		p.all += live.Slots
 		if live.Region == b.Self.Region {
@@ -150,10 +150,26 @@
 		}
 	}
 	for _, p := range t.pools {
+		p.dropDoubtful()
 		p.spill.start(p, len(regions(b.Regions)))
 	}
 }
 
+// dropDoubtful leaves out the upstreams that may be gone if the others have
+// most of the slots. Otherwise the store has forgotten nearly all, and they are
+// used.
+func (p *Pool) dropDoubtful() {
+	sound := 0
+	for _, u := range p.Upstreams {
+		if !u.doubtful.Load() {
+			sound += u.Slots
+		}
+	}
+	if 2*sound >= p.all {
+		p.Upstreams = slices.DeleteFunc(p.Upstreams, func(u *Upstream) bool { return u.doubtful.Load() })
+	}
+}
+
 func regions(domains map[string]string) map[string]bool {
 	found := map[string]bool{}
 	for _, r := range domains {
--- a/core/dispatcher/upstream.go
+++ b/core/dispatcher/upstream.go
@@ -41,6 +41,7 @@
 	seed uint64
 
 	closed   atomic.Bool
+	doubtful atomic.Bool
 	inflight atomic.Int64
 	// conns is this instance's share of the upstream's connections.
 	conns atomic.Int64
@@ -77,8 +78,9 @@
 }
 
 // update takes over what a registration says now.
-func (u *Upstream) update(r steerer.Upstream, _ *Pool, coldRate float64, conns int, now int64) {
+func (u *Upstream) update(r steerer.Upstream, coldRate float64, conns int, now int64) {
 	u.conns.Store(int64(conns))
+	u.doubtful.Store(r.Doubtful)
 	every := int64(0)
 	if coldRate > 0 {
 		every = int64(float64(time.Second) / coldRate)
@@ -110,6 +112,9 @@
 // Inflight is the number of this instance's requests at the upstream.
 func (u *Upstream) Inflight() int { return int(u.inflight.Load()) }
 
+// remote tells that the upstream is in another region than this instance.
+func (u *Upstream) remote() bool { return u.Trip == remoteTrip }
+
 func (u *Upstream) cold(now int64) bool { return now < u.coldUntil.Load() }
 
 // admit reports whether one more request may be sent; a cold upstream takes
@@ -155,7 +160,7 @@
 		load:    float64(u.inflight.Load()) + u.others*reportFade(now-u.reported),
 		slow:    1 + (u.slow-1)*fade,
 		failing: u.failing * fade,
-		down:    now < u.downUntil,
+		down:    now < u.downUntil || u.doubtful.Load(),
 		warm:    key != 0 && u.warm.has(key),
 	}
 	if u.inflight.Load() > 0 {
@@ -240,7 +245,7 @@
 type keys struct{ now, before map[uint64]struct{} }
 
 // keysSize is about half of the keys that a small upstream remembers.
-const keysSize = 32
+const keysSize = 64
 
 func (k *keys) has(key uint64) bool {
 	if _, ok := k.now[key]; ok {
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -15,7 +15,7 @@
 	silentTime = 2200 * time.Millisecond
 	// returnTime is how long registrations that expired while the store was
 	// away may take to come back after its return.
-	returnTime = 2200 * time.Millisecond
+	returnTime = 1900 * time.Millisecond
 	// restoredTime is how long the upstreams of a domain count as cold after its
 	// evacuation ended: a registration reports a cold upstream within 1.5 s.
 	restoredTime = 2 * time.Second
@@ -226,7 +226,7 @@
 	}
 	back, ok := s.returned[Upstreams]
 	if ok && now-back < int64(returnTime) && !u.Draining {
-		u.goneAt = back + int64(returnTime)
+		u.goneAt, u.Doubtful, s.dirty = back+int64(returnTime), true, true
 		return []Effect{Note{What: "expired", Subject: name, Cause: "while the store was away"}}
 	}
 	delete(s.upstreams, name)
--- a/core/steerer/types.go
+++ b/core/steerer/types.go
@@ -79,6 +79,9 @@
 	Sequence uint64
 	// Draining upstreams take no new requests.
 	Draining bool
+	// Doubtful upstreams have lost their registration while the store was away and
+	// may be gone. They are used if there are no others.
+	Doubtful bool
 	// ColdUntil is the time at which the upstream is warm, on the clock of the
 	// events.
 	ColdUntil int64
--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -40,11 +40,14 @@
 	pool     *dispatcher.Pool
 	req      dispatcher.Request
 	id       []byte
+	object   []byte
 	began    int64
 	deadline int64
 	head     bool
 	// runs counts the exchanges that may have run the request, sends all.
 	runs, sends int
+	// next is where the request goes after an upstream that has been silent.
+	next *dispatcher.Decision
 	// kept tells that the response holds an upstream's failure, which is passed on
 	// if the request is not sent again.
 	kept    bool
@@ -96,6 +99,7 @@
 		left = in.Left - min(answerMargin, in.Left/8)
 	}
 	c.deadline = c.began + int64(left)
+	c.object = in.Key
 	key := uint64(0)
 	if len(in.Key) > 0 && c.route.Sticky {
 		key = xxhash.Sum64(in.Key) ^ xxhash.Sum64String(c.route.Name) | 1
@@ -113,11 +117,11 @@
 			c.giveUp(outcome{word: "late", status: fasthttp.StatusGatewayTimeout})
 			return
 		}
-		if c.sends > 0 && !c.pool.Retries.Take() {
+		if c.next == nil && c.sends > 0 && !c.pool.Retries.Take() {
 			c.giveUp(outcome{word: string(dispatcher.Budget)})
 			return
 		}
-		d := dispatcher.Choose(&c.req)
+		d := c.choose()
 		if d.Upstream == nil {
 			c.giveUp(outcome{word: string(d.Reason), retryAt: d.Return, expected: d.Expected, wait: d.Wait})
 			return
@@ -128,6 +132,32 @@
 	}
 }
 
+// choose returns where the request goes next.
+func (c *call) choose() dispatcher.Decision {
+	if d := c.next; d != nil {
+		c.next = nil
+		return *d
+	}
+	return dispatcher.Choose(&c.req)
+}
+
+// reroute looks for another upstream for a request that the given one does not
+// answer. While the instance stops, no exchange is broken off.
+func (r *Relayer) reroute(c *call, silent *dispatcher.Upstream) bool {
+	if r.closing.Load() || !c.pool.Retries.Take() {
+		return false
+	}
+	q := c.req
+	q.Now = r.cfg.Now()
+	q.Tried = append(q.Tried[:len(q.Tried):len(q.Tried)], silent)
+	d := dispatcher.Choose(&q)
+	if d.Upstream == nil {
+		return false
+	}
+	c.next = &d
+	return true
+}
+
 // try is one exchange. It reports whether the request is answered.
 func (r *Relayer) try(c *call, d *dispatcher.Decision) (done bool) {
 	x := &exchange{relayer: r, call: c, target: d.Upstream, pool: r.pool(d.Upstream), answer: fasthttp.AcquireResponse()}
@@ -316,7 +346,7 @@
 	status := c.ctx.Response.StatusCode()
 	r.cfg.Metrics.Answered(route, c.last.word, took)
 	r.cfg.Log.V(verbosity(status)).Info("request",
-		"id", string(c.id), "route", route, "version", version, "outcome", c.last.word,
+		"id", string(c.id), "route", route, "key", string(c.object), "version", version, "outcome", c.last.word,
 		"status", status, "upstream", c.last.upstream, "sends", c.sends, "runs", c.runs,
 		"took", took.Milliseconds(), "expected", c.last.expected.Milliseconds(),
 		"wait", c.last.wait.Milliseconds(), "cause", c.last.cause)
--- a/hornbeamd/relayer/exchange.go
+++ b/hornbeamd/relayer/exchange.go
@@ -49,7 +49,8 @@
 	pool    *pooler.Pool
 	conn    *pooler.Conn
 	fresh   bool
-	// patience is the time until which the answer must have begun.
+	// patience is the time after which the request is rather sent to another
+	// upstream, if there is one.
 	patience int64
 	// sent tells that a byte of the request may have reached the upstream.
 	sent    bool
@@ -133,8 +134,10 @@
 		switch {
 		case now >= x.call.deadline:
 			return errLate
-		case now >= x.patience:
+		case now >= x.patience && x.relayer.reroute(x.call, x.target):
 			return errSilent
+		case now >= x.patience:
+			x.patience = now + int64(minPatience)
 		case x.call.gone():
 			return errGone
 		}
--- a/hornbeamd/watcher/watcher.go
+++ b/hornbeamd/watcher/watcher.go
@@ -44,7 +44,7 @@
 	gatherTime = 250 * time.Millisecond
 	// Bounds of the pause after a failed call.
 	minPause = 100 * time.Millisecond
-	maxPause = 800 * time.Millisecond
+	maxPause = 400 * time.Millisecond
 )
 
 // Watcher follows one kind.
