--- a/core/dispatcher/choose.go
+++ b/core/dispatcher/choose.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -26,6 +27,8 @@
 	// downCost keeps requests away from unreachable upstreams while there are
 	// others.
 	downCost = 2 * time.Second
+	// strayCost keeps requests in the region where they should run.
+	strayCost = time.Second
 	// minReturn and maxReturn bound the time after which a refused request may
 	// come back.
 	minReturn = 60 * time.Millisecond
@@ -142,25 +145,35 @@
 	if len(all) == 0 {
 		return Decision{Reason: NoUpstream, Return: maxReturn / 4}
 	}
-	away := r.Pool.spill.bounds(r.spillKey(), r.Now)
 	preferred, others := all, all[:0]
 	if r.Key != 0 {
 		preferred, others = prefer(all)
 	}
 	r.weigh(preferred, true)
-	d, found := r.pick(preferred, away)
-	if found && (d.wait <= r.patience() || len(others) == 0) {
-		return r.enter(d, preferred)
+	away := r.Pool.spill.leaves(r.Pool, r.spillKey(), rather(preferred), r.Now)
+	best := r.best(preferred, away)
+	if preferred[best].wait <= r.patience() || len(others) == 0 {
+		return r.enter(preferred[best], preferred, away)
 	}
 	// Elsewhere the key is unknown. A run that takes several times as long is
 	// worth it only in a slot that would be empty.
 	r.weigh(others, false)
-	idle := slices.DeleteFunc(others, func(c candidate) bool { return !c.free })
-	both := append(preferred, idle...)
-	if d, found = r.pick(both, away); !found {
-		return Decision{Reason: Overload, Return: comeBack(minReturn)}
+	both := append(preferred, slices.DeleteFunc(others, func(c candidate) bool { return !c.free })...)
+	return r.enter(both[r.best(both, away)], both, away)
+}
+
+// rather tells whether another region would answer sooner.
+func rather(found []candidate) bool {
+	cost := map[bool]float64{}
+	for i := range found {
+		c := &found[i]
+		if old, ok := cost[c.u.remote()]; !ok || c.cost < old {
+			cost[c.u.remote()] = c.cost
+		}
 	}
-	return r.enter(d, both)
+	home, near := cost[false]
+	remote, far := cost[true]
+	return far && (!near || remote < home)
 }
 
 // patience is the wait for which a request stays with the upstreams that know
@@ -178,33 +191,22 @@
 	return rand.Uint64()
 }
 
-// pick returns the best of the candidates that take one more request.
-func (r *Request) pick(found []candidate, away direction) (c candidate, ok bool) {
-	best := r.best(found, away)
-	if best < 0 {
-		return c, false
-	}
-	return found[best], true
-}
-
 // enter takes a place at the candidate, or at the next best one if it takes no
 // more requests at present.
-func (r *Request) enter(c candidate, found []candidate) Decision {
+func (r *Request) enter(c candidate, found []candidate, away bool) Decision {
 	for {
 		if int64(c.took) > r.Deadline-r.Now {
 			return Decision{Reason: Overload, Return: comeBack(c.wait), Expected: c.took, Wait: c.wait}
 		}
 		if c.u.admit(r.Now) {
 			c.u.enter(r.Now)
-			r.Pool.spill.count(c.u.remote(), r.Now)
 			return Decision{Upstream: c.u, Expected: c.took, Wait: c.wait, Warm: c.warm}
 		}
 		found = slices.DeleteFunc(found, func(x candidate) bool { return x.u == c.u })
-		best := r.best(found, anywhere)
-		if best < 0 {
+		if len(found) == 0 {
 			return Decision{Reason: Overload, Return: comeBack(minReturn)}
 		}
-		c = found[best]
+		c = found[r.best(found, away)]
 	}
 }
 
@@ -293,19 +295,18 @@
 	}
 }
 
-// best returns the index of the cheapest candidate. Away says which regions the
-// request may go to.
-func (r *Request) best(found []candidate, away direction) int {
-	best, at := -1, 0.0
+// best returns the index of the cheapest candidate. Away tells that the request
+// should run in another region, otherwise in this one.
+func (r *Request) best(found []candidate, away bool) int {
+	best, at := 0, math.Inf(1)
 	for i := range found {
 		c := &found[i]
 		cost := c.cost
-		remote := c.u.remote()
-		if away == stay && remote || away == leave && !remote {
+		if c.u.remote() != away {
 			// A bound on moves must not keep requests from the only room there is.
-			cost += float64(downCost) / 2
+			cost += float64(strayCost)
 		}
-		if best < 0 || cost < at {
+		if cost < at {
 			best, at = i, cost
 		}
 	}
--- a/core/dispatcher/spill.go
+++ b/core/dispatcher/spill.go
@@ -13,76 +13,59 @@
 	spillStep = 0.03
 )
 
-// direction says where a request may run.
-type direction uint8
-
-const (
-	// anywhere leaves the choice to the costs.
-	anywhere direction = iota
-	// stay keeps the request in this instance's region.
-	stay
-	// leave sends it to another region.
-	leave
-)
-
 // spill bounds how fast the share of a service's requests that run outside of
-// this instance's region moves.
+// this instance's region moves. Requests are ordered by the hashes of their
+// keys, so that a key moves as a whole.
 type spill struct {
 	mu sync.Mutex
-	// share is the share of the last span of time.
-	share      float64
-	began      int64
-	away, home int
-	started    bool
+	// share is the share of requests that leave the region.
+	share   float64
+	started bool
+	// began is when the present span of time began, in which away of all
+	// requests would rather have left.
+	began     int64
+	away, all int
 }
 
-// start sets the first share: what the region's slots can't carry if all
-// regions have the same load.
-func (s *spill) start(p *Pool, regions int) {
+// leaves tells whether a request with the given key runs in another region.
+// Rather tells that it would be answered sooner there.
+func (s *spill) leaves(p *Pool, key uint64, rather bool, now int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.started || p.all == 0 {
-		return
+	s.start(p, now)
+	if now-s.began >= int64(spillTime) {
+		s.turn(now)
 	}
-	s.started = true
-	s.share = max(0, 1-float64(regions)*float64(p.home)/float64(p.all))
+	s.all++
+	if rather {
+		s.away++
+	}
+	return spillPoint(key) < s.share
 }
 
-// bounds says where a request with the given key may run. Keys are ordered by
-// their hashes, so that a key moves as a whole.
-func (s *spill) bounds(key uint64, now int64) direction {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.turn(now)
-	point := float64((key^0x5bd1e995)*hashMix>>11) / (1 << 53)
-	switch {
-	case point < s.share-spillStep:
-		return leave
-	case point > s.share+spillStep:
-		return stay
+// start sets the first share: what the region's slots can't carry if all
+// regions have the same load.
+func (s *spill) start(p *Pool, now int64) {
+	if s.started || p.all == 0 {
+		return
 	}
-	return anywhere
+	s.started, s.began = true, now
+	s.share = max(0, 1-float64(p.regions)*float64(p.home)/float64(p.all))
 }
 
 // turn ends a span of time.
 func (s *spill) turn(now int64) {
-	if now-s.began < int64(spillTime) {
-		return
+	if s.all > 0 {
+		wanted := float64(s.away) / float64(s.all)
+		s.share += min(max(wanted-s.share, -spillStep), spillStep)
 	}
-	if n := s.away + s.home; n > 0 {
-		seen := float64(s.away) / float64(n)
-		s.share += min(max(seen-s.share, -spillStep), spillStep)
-	}
-	s.began, s.away, s.home = now, 0, 0
+	s.began, s.away, s.all = now, 0, 0
 }
 
-func (s *spill) count(away bool, now int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.turn(now)
-	if away {
-		s.away++
-	} else {
-		s.home++
-	}
+// spillPoint maps a key to a place between 0 and 1.
+func spillPoint(key uint64) float64 {
+	key ^= key >> 33
+	key *= hashMix
+	key ^= key >> 29
+	return float64(key*hashMix>>11) / (1 << 53)
 }
--- a/core/dispatcher/table.go
+++ b/core/dispatcher/table.go
@@ -51,6 +51,8 @@
 	spill   *spill
 	// home is the number of slots in this instance's region, all that of all.
 	home, all int
+	// regions is the number of regions.
+	regions int
 }
 
 // Builder builds tables and keeps what was learned between them. It belongs to
@@ -151,7 +153,7 @@
 	}
 	for _, p := range t.pools {
 		p.dropDoubtful()
-		p.spill.start(p, len(regions(b.Regions)))
+		p.regions = len(regions(b.Regions))
 	}
 }
 
--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -60,6 +60,8 @@
 	// word names it in the log.
 	word     string
 	upstream string
+	// domain is the upstream's failure domain.
+	domain   string
 	status   int
 	retryAt  time.Duration
 	expected time.Duration
@@ -179,7 +181,7 @@
 	d.Done(&c.req, res, time.Duration(now-c.req.Now), now)
 	r.cfg.Metrics.Tried(c.pool.Name, results[res])
 	c.req.Tried = append(c.req.Tried, d.Upstream)
-	c.last = outcome{word: results[res], upstream: d.Upstream.ID, expected: d.Expected, wait: d.Wait}
+	c.last = outcome{word: results[res], upstream: d.Upstream.ID, domain: d.Upstream.Domain, expected: d.Expected, wait: d.Wait}
 	if err != nil {
 		c.last.cause = err.Error()
 	}
@@ -347,7 +349,7 @@
 	r.cfg.Metrics.Answered(route, c.last.word, took)
 	r.cfg.Log.V(verbosity(status)).Info("request",
 		"id", string(c.id), "route", route, "key", string(c.object), "version", version, "outcome", c.last.word,
-		"status", status, "upstream", c.last.upstream, "sends", c.sends, "runs", c.runs,
+		"status", status, "upstream", c.last.upstream, "domain", c.last.domain, "sends", c.sends, "runs", c.runs,
 		"took", took.Milliseconds(), "expected", c.last.expected.Milliseconds(),
 		"wait", c.last.wait.Milliseconds(), "cause", c.last.cause)
 }
