steerer: golden scripts of events and effects

Cause: the reducer landed without tests of its own. Change: seven scripts with their effects as golden files, a table of bad configurations, an example.

--- /dev/null
+++ b/core/steerer/steerer_test.go
@@ -0,0 +1,230 @@
+package steerer
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+var regions = map[string]string{"a-1": "a", "a-2": "a", "b-1": "b"}
+
+func self() Instance {
+	return Instance{Name: "self", Front: "10.0.0.1:80", Beacon: "10.0.0.1:70", Domain: "a-1", Region: "a"}
+}
+
+func other(name, domain string) Instance {
+	return Instance{Name: name, Front: name + ":80", Beacon: name + ":70", Domain: domain, Region: regions[domain]}
+}
+
+func config(version uint64) Object {
+	return Object{Name: "main", Config: &Config{Version: version}}
+}
+
+func server(id string, edit ...func(*Upstream)) Object {
+	u := &Upstream{ID: id, Born: 1, Service: "s", Address: id + ":90", Domain: "a-1", Slots: 4}
+	for _, f := range edit {
+		f(u)
+	}
+	return Object{Name: id, Upstream: u}
+}
+
+func gone(name string) Object { return Object{Name: name, Deleted: true} }
+
+func draining(u *Upstream)              { u.Draining = true }
+func reborn(u *Upstream)                { u.Born = 2 }
+func sequence(n uint64) func(*Upstream) { return func(u *Upstream) { u.Sequence = n } }
+func in(domain string) func(*Upstream)  { return func(u *Upstream) { u.Domain = domain } }
+
+func second(n float64) int64 { return int64(n * float64(time.Second)) }
+
+// started is a script that makes the instance ready.
+func started(upstreams ...Object) []Event {
+	return []Event{
+		Listed{Now: second(0.1), Kind: Configs, Objects: []Object{config(5)}},
+		Listed{Now: second(0.1), Kind: Upstreams, Objects: upstreams},
+		Listed{Now: second(0.1), Kind: Evacuations},
+		Listed{Now: second(0.1), Kind: Instances, Objects: []Object{{Name: "far", Instance: ptr(other("far", "b-1"))}, {Name: "near", Instance: ptr(other("near", "a-2"))}}},
+	}
+}
+
+func ptr[T any](v T) *T { return &v }
+
+// scripts are event sequences; the golden files have the effects.
+func scripts() map[string][]Event {
+	return map[string][]Event{
+		"versions-never-step-back": append(started(),
+			Changed{Now: second(1), Kind: Configs, Objects: []Object{config(9)}},
+			Changed{Now: second(2), Kind: Configs, Objects: []Object{config(10)}},
+			Changed{Now: second(3), Kind: Configs, Objects: []Object{config(9), gone("main")}},
+			Listed{Now: second(4), Kind: Configs, Objects: []Object{config(7)}},
+		),
+		"draining-upstream-gets-nothing-new": append(started(server("u1"), server("u2")),
+			Changed{Now: second(1), Kind: Upstreams, Objects: []Object{server("u1", sequence(2), draining)}},
+			Changed{Now: second(2), Kind: Upstreams, Objects: []Object{gone("u1")}},
+		),
+		"late-registration-does-not-revive": append(started(server("u1")),
+			Changed{Now: second(1), Kind: Upstreams, Objects: []Object{server("u1", sequence(8), draining)}},
+			Changed{Now: second(2), Kind: Upstreams, Objects: []Object{server("u1", sequence(7))}},
+			Changed{Now: second(3), Kind: Upstreams, Objects: []Object{server("u1", reborn)}},
+			Changed{Now: second(4), Kind: Upstreams, Objects: []Object{server("u1", sequence(9))}},
+		),
+		"unreadable-registration-names-no-upstream": append(started(server("u1"), server("u2")),
+			Changed{Now: second(1), Kind: Upstreams, Objects: []Object{{Name: "u1"}}},
+		),
+		"expired-while-the-store-was-away": append(started(server("u1"), server("u2"), server("u3", draining)),
+			Lost{Now: second(1), Kind: Upstreams, Cause: "no answer in time"},
+			Lost{Now: second(2), Kind: Upstreams, Cause: "no answer in time"},
+			Changed{Now: second(9), Kind: Upstreams, Objects: []Object{gone("u1"), gone("u2"), gone("u3")}},
+			Changed{Now: second(10), Kind: Upstreams, Objects: []Object{server("u2")}},
+			Tick{Now: second(10.8)},
+			Tick{Now: second(11)},
+			Changed{Now: second(15), Kind: Upstreams, Objects: []Object{gone("u2")}},
+		),
+		"evacuated-domain-gets-nothing-and-comes-back-cold": append(started(server("u1"), server("u2", in("b-1"))),
+			Changed{Now: second(1), Kind: Evacuations, Objects: []Object{{Name: "a-1"}}},
+			Changed{Now: second(5), Kind: Evacuations, Objects: []Object{gone("a-1")}},
+		),
+		"instances-by-their-beacons": append(started(),
+			Heard{Now: second(1), Beacon: Beacon{Name: "near", Ready: true}},
+			Heard{Now: second(1), Beacon: Beacon{Name: "far", Ready: true}},
+			Heard{Now: second(1), Beacon: Beacon{Name: "stranger", Ready: true}},
+			Tick{Now: second(1.2)},
+			Heard{Now: second(2), Beacon: Beacon{Name: "far", Ready: true}},
+			Tick{Now: second(3.5)},
+			Heard{Now: second(4), Beacon: Beacon{Name: "far", Ready: false}},
+			Heard{Now: second(5), Beacon: Beacon{Name: "near", Ready: true}},
+			Left{Now: second(5.1)},
+		),
+	}
+}
+
+func TestScripts(t *testing.T) {
+	for name, events := range scripts() {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := New(self(), regions)
+			var out strings.Builder
+			for _, e := range events {
+				var effects []Effect
+				s, effects = Step(s, e)
+				fmt.Fprintln(&out, describe(e))
+				for _, x := range effects {
+					fmt.Fprintln(&out, "   ", effect(x))
+				}
+			}
+			file := filepath.Join("testdata", name+".golden")
+			if *update {
+				is.NoErr(os.MkdirAll("testdata", 0o755))
+				is.NoErr(os.WriteFile(file, []byte(out.String()), 0o644))
+			}
+			want, err := os.ReadFile(file)
+			is.NoErr(err)
+			is.Equal(out.String(), string(want))
+		})
+	}
+}
+
+func describe(e Event) string {
+	switch e := e.(type) {
+	case Listed:
+		return fmt.Sprintf("%.1f listed %s: %s", float64(e.Now)/1e9, e.Kind, objects(e.Objects))
+	case Changed:
+		return fmt.Sprintf("%.1f changed %s: %s", float64(e.Now)/1e9, e.Kind, objects(e.Objects))
+	case Lost:
+		return fmt.Sprintf("%.1f lost %s", float64(e.Now)/1e9, e.Kind)
+	case Heard:
+		return fmt.Sprintf("%.1f heard %+v", float64(e.Now)/1e9, e.Beacon)
+	case Tick:
+		return fmt.Sprintf("%.1f tick", float64(e.Now)/1e9)
+	case Left:
+		return fmt.Sprintf("%.1f left", float64(e.Now)/1e9)
+	}
+	return fmt.Sprint(e)
+}
+
+func objects(all []Object) string {
+	var parts []string
+	for _, o := range all {
+		text := o.Name
+		switch {
+		case o.Deleted:
+			text += " deleted"
+		case o.Config != nil:
+			text += fmt.Sprintf(" version %d", o.Config.Version)
+		case o.Upstream != nil:
+			text += fmt.Sprintf(" born %d sequence %d draining %t", o.Upstream.Born, o.Upstream.Sequence, o.Upstream.Draining)
+		}
+		parts = append(parts, text)
+	}
+	return strings.Join(parts, ", ")
+}
+
+func effect(x Effect) string {
+	switch x := x.(type) {
+	case Note:
+		return fmt.Sprintf("note %s %s version %d %s", x.What, x.Subject, x.Version, x.Cause)
+	case Send:
+		return fmt.Sprintf("send %+v to %v", x.Beacon, x.To)
+	case Publish:
+		v := x.View
+		var ups, fronts []string
+		for _, u := range v.Upstreams {
+			text := u.ID
+			if u.Doubtful {
+				text += " doubtful"
+			}
+			if u.ColdUntil > 0 {
+				text += fmt.Sprintf(" cold until %.1f", float64(u.ColdUntil)/1e9)
+			}
+			ups = append(ups, text)
+		}
+		for _, f := range v.Fronts {
+			fronts = append(fronts, f.Name)
+		}
+		version := uint64(0)
+		if v.Config != nil {
+			version = v.Config.Version
+		}
+		return fmt.Sprintf("publish version %d ready %t upstreams %q fronts %v peers %d nearest to a %v", version, v.Ready, ups, fronts, len(v.Peers), v.Nearest("a", 9))
+	}
+	return fmt.Sprint(x)
+}
+
+func TestCheckReportsEveryProblem(t *testing.T) {
+	is := is.New(t)
+	good := Route{Name: "good", Host: "h", Prefix: "/p/", Timeout: time.Second, Attempts: 1, Parts: []Part{{Service: "s", Weight: 1}}}
+	edit := func(name string, f func(*Route)) Route {
+		r := good
+		r.Name, r.Parts = name, []Part{{Service: "s", Weight: 1}}
+		f(&r)
+		return r
+	}
+	c := &Config{Services: []Service{{Name: "s"}}, Routes: []Route{
+		good,
+		edit("host", func(r *Route) { r.Host = "" }),
+		edit("prefix", func(r *Route) { r.Prefix = "/p" }),
+		edit("timeout", func(r *Route) { r.Timeout = 0 }),
+		edit("attempts", func(r *Route) { r.Attempts = 0 }),
+		edit("service", func(r *Route) { r.Parts[0].Service = "x" }),
+		edit("weight", func(r *Route) { r.Parts[0].Weight = 0 }),
+		edit("negative", func(r *Route) { r.Parts[0].Weight = -1 }),
+	}}
+	err := c.Check()
+	is.True(err != nil)
+	is.Equal(len(strings.Split(err.Error(), "\n")), 7) // one line for each bad route
+	is.NoErr((&Config{Services: c.Services, Routes: c.Routes[:1]}).Check())
+}
+
+func ExampleView_Nearest() {
+	v := View{Fronts: []Instance{other("near", "a-2"), other("far", "b-1")}}
+	fmt.Println(v.Nearest("a", 64), v.Nearest("c", 64))
+	// Output: [near:80] [near:80 far:80]
+}
