dispatcher: large answers keep to the failure domain

Cause: half of all downloads crossed domains, the largest part of the bytes between them. Change: requests with large answers prefer the first upstream of the own domain.

--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,10 @@
 
 all: build
 
+# The second line is the build line of deploy/system.toml.
 build:
 	go build -o bin/ ./hornbeamd ./hornctl ./hornbench
+	$(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)
 
 test: lint unit
 
--- a/core/dispatcher/choose.go
+++ b/core/dispatcher/choose.go
@@ -141,7 +141,7 @@
 	}
 	preferred, others := all, all[:0]
 	if r.Key != 0 {
-		preferred, others = prefer(all)
+		preferred, others = r.prefer(all)
 	}
 	r.weigh(preferred, true)
 	away := r.Pool.spill.leaves(r.Pool, r.spillKey(), rather(preferred), r.Now)
@@ -225,14 +225,36 @@
 	return found
 }
 
-// prefer moves the upstreams that know the key to the front: the first by rank
-// of this region and the first of the others together.
-func prefer(all []candidate) (preferred, others []candidate) {
+// group is where an upstream lies from an instance's point of view.
+type group uint8
+
+const (
+	ownDomain group = iota
+	ownRegion
+	otherRegion
+	groups
+)
+
+// group returns the group of an upstream for the request. Only large answers
+// keep to the failure domain: a key that two domains share runs cold twice.
+func (r *Request) group(u *Upstream) group {
+	switch {
+	case u.remote():
+		return otherRegion
+	case r.Route.Bulk && u.Trip == domainTrip:
+		return ownDomain
+	}
+	return ownRegion
+}
+
+// prefer moves the upstreams that know the key to the front: the first one by
+// rank of each group.
+func (r *Request) prefer(all []candidate) (preferred, others []candidate) {
 	n := 0
-	for _, remote := range [...]bool{false, true} {
+	for g := range groups {
 		best := -1
 		for i := n; i < len(all); i++ {
-			if all[i].u.remote() == remote && (best < 0 || all[i].rank > all[best].rank) {
+			if r.group(all[i].u) == g && (best < 0 || all[i].rank > all[best].rank) {
 				best = i
 			}
 		}
