relayer: a request that reached its time limit ends with 504; fault tests

Cause: TestTimeout failed first: a request that may not be repeated ended with 502 at its time limit. Change: the status follows the cause. Fault table of nine ways to fail a request on both kinds of route, and tests of framing, stray answers, time limits, callers that leave and early answers.

--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -185,6 +185,9 @@
 	if err != nil {
 		c.last.cause = err.Error()
 	}
+	if errors.Is(err, errLate) {
+		c.last.status = fasthttp.StatusGatewayTimeout
+	}
 	return c.settle(x, res, err)
 }
 
--- /dev/null
+++ b/hornbeamd/relayer/fault_test.go
@@ -0,0 +1,285 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamstream.example/core/steerer"
+)
+
+// faults are ways in which the first upstream that gets a request fails it.
+// Others answer well.
+var faults = []struct {
+	name  string
+	serve func(*upstreamStub, net.Conn, *http.Request, string)
+	// safe and once are what callers of the two kinds of route see.
+	safe, once int
+	// runs bounds how often a request that must not be repeated runs.
+	runs int
+}{
+	{"refuses without running", func(_ *upstreamStub, c net.Conn, r *http.Request, _ string) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nNotrun: 1\r\nId: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+	}, 200, 200, 1},
+	{"is another incarnation", func(_ *upstreamStub, c net.Conn, _ *http.Request, _ string) {
+		_, _ = fmt.Fprint(c, "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n")
+	}, 200, 200, 1},
+	{"runs and closes without an answer", func(s *upstreamStub, c net.Conn, r *http.Request, _ string) {
+		s.run(r)
+		_ = c.Close()
+	}, 200, 502, 1},
+	{"runs and cuts its answer", func(s *upstreamStub, c net.Conn, r *http.Request, _ string) {
+		s.run(r)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSign: 1\r\nContent-Length: 50\r\n\r\nshort", r.Header.Get("Id"))
+		_ = c.Close()
+	}, 200, 502, 1},
+	{"runs and sends no protocol", func(s *upstreamStub, c net.Conn, r *http.Request, _ string) {
+		s.run(r)
+		_, _ = fmt.Fprint(c, "%$&/()=\r\n\r\n")
+		_ = c.Close()
+	}, 200, 502, 1},
+	{"answers without its signature", func(s *upstreamStub, c net.Conn, r *http.Request, _ string) {
+		s.run(r)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok", r.Header.Get("Id"))
+	}, 200, 502, 1},
+	{"answers another request only", func(s *upstreamStub, c net.Conn, r *http.Request, _ string) {
+		s.run(r)
+		for range maxStrays {
+			_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: other\r\nSign: 1\r\nContent-Length: 2\r\n\r\nno")
+		}
+	}, 200, 502, 1},
+	{"fails with a status of its own", func(s *upstreamStub, c net.Conn, r *http.Request, _ string) {
+		s.run(r)
+		s.reply(c, r, 500, "own failure")
+	}, 200, 500, 1},
+	{"runs and then promises that it has not", func(s *upstreamStub, c net.Conn, r *http.Request, _ string) {
+		s.run(r)
+		s.reply(c, r, 503, "false promise")
+	}, 200, 502, 1},
+}
+
+// TestFaults sends a request of each kind to an upstream with a fault beside one
+// without. What must not be repeated runs once at most, and only what has not
+// run is refused as such.
+func TestFaults(t *testing.T) {
+	for _, f := range faults {
+		for _, kind := range []string{"safe", "once"} {
+			t.Run(f.name+"/"+kind, func(t *testing.T) {
+				is := is.New(t)
+				var used atomic.Bool
+				serve := func(s *upstreamStub, c net.Conn, r *http.Request, body string) {
+					if !used.Swap(true) {
+						f.serve(s, c, r, body)
+						return
+					}
+					good(s, c, r, body)
+				}
+				g := startRig(t, startStub(t, "u1", serve), startStub(t, "u2", serve))
+				a := g.ask("POST", "/"+kind+"/x?q=%41", "body")
+				is.NoErr(a.err)
+				want := f.safe
+				if kind == "once" {
+					want = f.once
+					is.True(g.runs() <= f.runs) // runs at most once
+				}
+				is.Equal(a.status, want)
+				is.Equal(a.header.Get("Sign") != "", a.status == 200 || a.status == 500) // only the upstream's own answers are signed
+				if a.status == 200 {
+					is.True(strings.HasSuffix(a.body, " POST /"+kind+"/x?q=%41 body")) // passed on unchanged
+				}
+			})
+		}
+	}
+}
+
+// TestStrayAnswerIsSkipped sends an answer twice, so that the second one stands
+// where the next request's answer is expected.
+func TestStrayAnswerIsSkipped(t *testing.T) {
+	is := is.New(t)
+	s := startStub(t, "u1", func(s *upstreamStub, c net.Conn, r *http.Request, _ string) {
+		s.run(r)
+		if r.Header.Get("Id") == "q2" {
+			s.reply(c, &http.Request{Header: http.Header{"Id": {"q1"}}}, 200, "for q1")
+		}
+		s.reply(c, r, 200, "for "+r.Header.Get("Id"))
+	})
+	g := startRig(t, s)
+	is.Equal(g.ask("GET", "/once/x", "").body, "for q1")
+	is.Equal(g.ask("GET", "/once/x", "", "Id", "q2").body, "for q2")
+	is.Equal(g.ask("GET", "/once/x", "", "Id", "q3").body, "for q3")
+	is.Equal(s.conns.Load(), int64(1)) // all on one connection
+}
+
+// TestBytesAfterAnAnswerEndTheConnection leaves bytes on the connection that
+// belong to no request.
+func TestBytesAfterAnAnswerEndTheConnection(t *testing.T) {
+	is := is.New(t)
+	s := startStub(t, "u1", func(s *upstreamStub, c net.Conn, r *http.Request, _ string) {
+		s.run(r)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSign: 1\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n", r.Header.Get("Id"))
+	})
+	g := startRig(t, s)
+	is.Equal(g.ask("GET", "/once/x", "").body, "ok")
+	is.Equal(g.ask("GET", "/once/x", "").body, "ok")
+	is.Equal(s.conns.Load(), int64(2)) // a fresh one for the second request
+}
+
+// TestEndings sends answers whose end is marked in the ways of the protocol.
+func TestEndings(t *testing.T) {
+	for name, tail := range map[string]string{
+		"length": "Content-Length: 5\r\n\r\nhello",
+		"chunks": "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+		"close":  "\r\nhello",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := startRig(t, startStub(t, "u1", func(s *upstreamStub, c net.Conn, r *http.Request, _ string) {
+				s.run(r)
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSign: 1\r\n%s", r.Header.Get("Id"), tail)
+				if name == "close" {
+					_ = c.Close()
+				}
+			}))
+			a := g.ask("GET", "/once/x", "")
+			is.NoErr(a.err)
+			is.Equal(a.body, "hello")
+		})
+	}
+}
+
+// TestUnreachableIsRefused tells callers truthfully that nothing has run.
+func TestUnreachableIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := startStub(t, "u1", good)
+	_ = s.listener.Close()
+	g := startRig(t, s)
+	a := g.ask("POST", "/once/x", "body")
+	is.Equal(a.status, 503)
+	is.True(a.header.Get("Retry-After") != "")
+	is.Equal(g.runs(), 0)
+}
+
+// TestTimeout answers at the route's time limit, and passes on no more time than
+// is left.
+func TestTimeout(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	defer close(release)
+	s := startStub(t, "u1", func(s *upstreamStub, _ net.Conn, r *http.Request, _ string) {
+		s.run(r)
+		<-release
+	})
+	g := startRig(t, s)
+	began := time.Now()
+	a := g.ask("POST", "/once/x", "body", "Left", "300")
+	is.Equal(a.status, 504)
+	is.True(time.Since(began) < rigTimeout) // the caller's time, not the route's
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.True(len(s.seen) == 1)
+	left := s.seen[0].Header.Get("Left")
+	is.True(len(left) == 3 && left < "300") // less than what the caller has
+	is.Equal(s.seen[0].Header.Get("Expect"), "u1")
+}
+
+// TestSilentUpstreamIsLeft sends a request that may be repeated to another
+// upstream once the first one has been silent for long.
+func TestSilentUpstreamIsLeft(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	defer close(release)
+	var used atomic.Bool
+	serve := func(s *upstreamStub, c net.Conn, r *http.Request, body string) {
+		if !used.Swap(true) {
+			<-release
+			return
+		}
+		good(s, c, r, body)
+	}
+	g := startRig(t, startStub(t, "u1", serve), startStub(t, "u2", serve))
+	a := g.ask("GET", "/safe/x", "")
+	is.Equal(a.status, 200)
+}
+
+// TestCallerGone ends the exchange of a request that may be repeated when its
+// caller closes the connection, and lets others run on.
+func TestCallerGone(t *testing.T) {
+	for _, kind := range []string{"safe", "once"} {
+		t.Run(kind, func(t *testing.T) {
+			is := is.New(t)
+			began, ended := make(chan struct{}), make(chan error, 1)
+			g := startRig(t, startStub(t, "u1", func(s *upstreamStub, c net.Conn, r *http.Request, _ string) {
+				s.run(r)
+				close(began)
+				_ = c.SetReadDeadline(time.Now().Add(600 * time.Millisecond))
+				_, err := c.Read(make([]byte, 1))
+				ended <- err
+				s.reply(c, r, 200, "late")
+			}))
+			ctx, leave := context.WithCancel(context.Background())
+			go func() {
+				<-began
+				leave()
+			}()
+			is.True(g.askContext(ctx, "GET", "/"+kind+"/x", "").err != nil)
+			var timeout net.Error
+			err := <-ended
+			kept := err != nil && errors.As(err, &timeout) && timeout.Timeout()
+			is.Equal(kept, kind == "once")
+		})
+	}
+}
+
+// TestLargeBodyRejectedEarly reads an answer that comes before the body has been
+// taken, and does not use the connection again.
+func TestLargeBodyRejectedEarly(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = ln.Close() }()
+	accepted := make(chan struct{}, 8)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- struct{}{}
+			go func() {
+				buf := make([]byte, 1024)
+				_, _ = c.Read(buf)
+				_, _ = fmt.Fprint(c, "HTTP/1.1 400 No\r\nId: q1\r\nSign: 1\r\nContent-Length: 2\r\n\r\nno")
+			}()
+		}
+	}()
+	g := startRig(t, &upstreamStub{id: "u1", listener: ln})
+	for range 2 {
+		a := g.ask("POST", "/once/x", strings.Repeat("b", 8<<20))
+		is.Equal(a.status, 400)
+		is.Equal(a.body, "no")
+	}
+	is.Equal(len(accepted), 2)
+}
+
+// TestOwnAnswers are those that need no upstream.
+func TestOwnAnswers(t *testing.T) {
+	is := is.New(t)
+	g := startRig(t, startStub(t, "u1", good))
+	is.Equal(g.ask("GET", "/other/x", "").status, 404)
+	is.Equal(g.ask("GET", "/safe", "").status, 404) // the prefix ends with a slash
+	is.Equal(g.ask("GET", "/safe/x", "").status, 200)
+	g.publish(func(v *steerer.View) { v.Upstreams = nil })
+	a := g.ask("GET", "/safe/x", "")
+	is.Equal(a.status, 503)
+	is.True(a.header.Get("Retry-After") != "")
+	g.publish(func(v *steerer.View) { v.Config = nil })
+	is.Equal(g.ask("GET", "/safe/x", "").status, 503) // knows no configuration
+}
