steerer: in large systems three readers relay the store's changes

Change: beyond 16 instances the first three by rank read the store with short waits and prove in their beacons how fresh they are; the others fetch changes from them by connect-go and read the store themselves without a fresh proof or when they lag.

--- a/core/hornpb/hornpbconnect/horn.connect.go
+++ b/core/hornpb/hornpbconnect/horn.connect.go
@@ -25,6 +25,8 @@
 const (
 	// PeerName is the fully-qualified name of the Peer service.
 	PeerName = "horn.v1.Peer"
+	// RelayName is the fully-qualified name of the Relay service.
+	RelayName = "horn.v1.Relay"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -43,6 +45,8 @@
 	PeerOutcomeProcedure = "/horn.v1.Peer/Outcome"
 	// PeerVoteProcedure is the fully-qualified name of the Peer's Vote RPC.
 	PeerVoteProcedure = "/horn.v1.Peer/Vote"
+	// RelayChangesProcedure is the fully-qualified name of the Relay's Changes RPC.
+	RelayChangesProcedure = "/horn.v1.Relay/Changes"
 )
 
 // PeerClient is a client for the horn.v1.Peer service.
@@ -192,3 +196,73 @@
 func (UnimplementedPeerHandler) Vote(context.Context, *connect.Request[hornpb.VoteRequest]) (*connect.Response[hornpb.VoteResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("horn.v1.Peer.Vote is not implemented"))
 }
+
+// RelayClient is a client for the horn.v1.Relay service.
+type RelayClient interface {
+	Changes(context.Context, *connect.Request[hornpb.ChangesRequest]) (*connect.Response[hornpb.ChangesResponse], error)
+}
+
+// NewRelayClient constructs a client for the horn.v1.Relay service. By default, it uses the Connect
+// protocol with the binary Protobuf Codec, asks for gzipped responses, and sends uncompressed
+// requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewRelayClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) RelayClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	relayMethods := hornpb.File_horn_proto.Services().ByName("Relay").Methods()
+	return &relayClient{
+		changes: connect.NewClient[hornpb.ChangesRequest, hornpb.ChangesResponse](
+			httpClient,
+			baseURL+RelayChangesProcedure,
+			connect.WithSchema(relayMethods.ByName("Changes")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// relayClient implements RelayClient.
+type relayClient struct {
+	changes *connect.Client[hornpb.ChangesRequest, hornpb.ChangesResponse]
+}
+
+// Changes calls horn.v1.Relay.Changes.
+func (c *relayClient) Changes(ctx context.Context, req *connect.Request[hornpb.ChangesRequest]) (*connect.Response[hornpb.ChangesResponse], error) {
+	return c.changes.CallUnary(ctx, req)
+}
+
+// RelayHandler is an implementation of the horn.v1.Relay service.
+type RelayHandler interface {
+	Changes(context.Context, *connect.Request[hornpb.ChangesRequest]) (*connect.Response[hornpb.ChangesResponse], error)
+}
+
+// NewRelayHandler builds an HTTP handler from the service implementation. It returns the path on
+// which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewRelayHandler(svc RelayHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	relayMethods := hornpb.File_horn_proto.Services().ByName("Relay").Methods()
+	relayChangesHandler := connect.NewUnaryHandler(
+		RelayChangesProcedure,
+		svc.Changes,
+		connect.WithSchema(relayMethods.ByName("Changes")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/horn.v1.Relay/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case RelayChangesProcedure:
+			relayChangesHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedRelayHandler returns CodeUnimplemented from all methods.
+type UnimplementedRelayHandler struct{}
+
+func (UnimplementedRelayHandler) Changes(context.Context, *connect.Request[hornpb.ChangesRequest]) (*connect.Response[hornpb.ChangesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("horn.v1.Relay.Changes is not implemented"))
+}
--- a/core/steerer/events.go
+++ b/core/steerer/events.go
@@ -1,5 +1,7 @@
 package steerer
 
+import "time"
+
 // Event is an input of Step.
 type Event interface{ steererEvent() }
 
@@ -18,6 +20,10 @@
 	Now     int64
 	Kind    Kind
 	Objects []Object
+	// Revision is the store's revision of the list. Stale tells that the list may
+	// be older than the store's answer.
+	Revision uint64
+	Stale    bool
 }
 
 // Changed brings the objects of a kind that have changed, oldest first.
@@ -25,6 +31,32 @@
 	Now     int64
 	Kind    Kind
 	Objects []Object
+	// Revision is the store's revision up to which the changes are complete.
+	Revision uint64
+}
+
+// Fetched brings what another instance knows of a kind: all objects if Whole is
+// set, otherwise the changes since the revision that it was asked for. A
+// Revision of 0 means that it could not be asked.
+type Fetched struct {
+	Now      int64
+	Kind     Kind
+	From     string
+	Objects  []Object
+	Revision uint64
+	Whole    bool
+	// Returned is when the store answered that instance again after it was away,
+	// 0 if that was long ago.
+	Returned int64
+}
+
+// Asked is another instance's question for the changes of a kind, answered by
+// Reply with the same Call.
+type Asked struct {
+	Now   int64
+	Call  uint64
+	Kind  Kind
+	After uint64
 }
 
 // Lost tells that the store does not answer for a kind.
@@ -49,6 +81,8 @@
 
 func (Listed) steererEvent()  {}
 func (Changed) steererEvent() {}
+func (Fetched) steererEvent() {}
+func (Asked) steererEvent()   {}
 func (Lost) steererEvent()    {}
 func (Heard) steererEvent()   {}
 func (Tick) steererEvent()    {}
@@ -66,6 +100,36 @@
 	Beacon Beacon
 }
 
+// Read makes the instance follow a kind in the store itself, from a revision
+// on, or stop doing so. Wait is how long one
+// call waits for a change.
+type Read struct {
+	Kind     Kind
+	On       bool
+	Revision uint64
+	Wait     time.Duration
+	// Rare tells to leave long pauses between failed calls, because many other
+	// instances may do the same.
+	Rare bool
+}
+
+// Fetch asks another instance for the changes of a kind; it ends with Fetched.
+type Fetch struct {
+	Kind  Kind
+	From  Instance
+	After uint64
+}
+
+// Reply answers Asked.
+type Reply struct {
+	Call     uint64
+	Objects  []Object
+	Revision uint64
+	Whole    bool
+	// Returned is the time since the store's return, 0 if that was long ago.
+	Returned time.Duration
+}
+
 // Note is a change of what the instance believes, for log and timeline.
 type Note struct {
 	// What names the change in one word, such as configured or drained.
@@ -79,6 +143,9 @@
 
 func (Publish) steererEffect() {}
 func (Send) steererEffect()    {}
+func (Read) steererEffect()    {}
+func (Fetch) steererEffect()   {}
+func (Reply) steererEffect()   {}
 func (Note) steererEffect()    {}
 
 // View is what traffic needs to know. It is not changed once published.
--- /dev/null
+++ b/core/steerer/source.go
@@ -0,0 +1,301 @@
+package steerer
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// fewInstances is the size of a system in which every instance reads the
+	// store itself. In larger ones readers do, and the others ask them.
+	fewInstances = 16
+	// readers is the number of instances that read the store.
+	readers = 3
+	// longWait is how long a call waits for a change if nobody depends on its
+	// end; shortWait is the time between two proofs of a reader.
+	longWait  = 25 * time.Second
+	shortWait = 700 * time.Millisecond
+	// proofTime is how long an instance relies on a proof: a reader's wait, the
+	// time between two beacons, and a lost one.
+	proofTime = 1700 * time.Millisecond
+	// fetchTime is how long an answer of another instance is waited for.
+	fetchTime = 800 * time.Millisecond
+	// behindTime is how long an instance lags behind the readers before it reads
+	// the store itself.
+	behindTime = time.Second
+	// historySize bounds the changes of a kind that are kept for others.
+	historySize = 1024
+)
+
+// source is where an instance has its knowledge of a kind from.
+type source struct {
+	// known tells that the objects are known as of some revision.
+	known bool
+	// revision is that up to which all changes are known.
+	revision uint64
+	// reading tells that this instance reads the kind from the store itself.
+	reading bool
+	wait    time.Duration
+	// proven is when the store last confirmed what is known here; 0 means never.
+	proven int64
+	// asked is when another instance was last asked; 0 means that no answer is
+	// awaited.
+	asked int64
+	// wanted is the highest revision that another instance has proven, behind
+	// since when it is not known here; 0 means that it is.
+	wanted uint64
+	behind int64
+	// history has the changes since base, oldest first.
+	history []change
+	base    uint64
+}
+
+// change is a change with the revision at which it was known.
+type change struct {
+	revision uint64
+	object   Object
+}
+
+// proof is a Proof on the own clock.
+type proof struct {
+	revision uint64
+	at       int64
+}
+
+func newSources() map[Kind]*source {
+	all := map[Kind]*source{}
+	for _, k := range Kinds {
+		all[k] = &source{}
+	}
+	return all
+}
+
+// waitOf is how long a call waits for a change of a kind. Instances come and go
+// rarely, and nothing depends on knowing them at once.
+func (s *State) waitOf(k Kind) time.Duration {
+	switch {
+	case len(s.peers) < fewInstances:
+		return longWait
+	case k == Instances:
+		return 8 * shortWait
+	}
+	return shortWait
+}
+
+// relyOn is how long a proof of a kind counts.
+func relyOn(k Kind) time.Duration {
+	if k == Instances {
+		return 8 * proofTime
+	}
+	return proofTime
+}
+
+// advance notes that all changes up to a revision are known. Confirmed tells
+// that the store itself has said so just now.
+func (s *State) advance(now int64, k Kind, revision uint64, confirmed bool, objects []Object) []Effect {
+	c := s.sources[k]
+	if !c.known {
+		c.known, c.base, s.dirty = true, revision, true
+	}
+	if confirmed {
+		c.proven = now
+	}
+	for _, o := range objects {
+		c.history = append(c.history, change{revision, o})
+	}
+	if n := len(c.history) - historySize; n > 0 {
+		c.base = c.history[n-1].revision
+		c.history = append(c.history[:0], c.history[n:]...)
+	}
+	moved := revision > c.revision && len(objects) > 0
+	c.revision = max(c.revision, revision)
+	if c.revision >= c.wanted {
+		c.behind = 0
+	}
+	if !moved || !c.reading || len(s.peers) < fewInstances {
+		return nil
+	}
+	// Tells the others at once that there is something to ask for.
+	return []Effect{s.beacon(now)}
+}
+
+// assign decides which kinds this instance reads from the store itself.
+func (s *State) assign(now int64) (out []Effect) {
+	duty := s.isReader(now)
+	for _, k := range Kinds {
+		c := s.sources[k]
+		on, wait := duty || !s.covered(now, k), s.waitOf(k)
+		if !s.sources[Instances].known {
+			// Which instances read is not known yet.
+			on = k == Instances && now >= s.listAt
+		}
+		if on == c.reading && (!on || wait == c.wait) {
+			continue
+		}
+		c.reading, c.wait = on, wait
+		out = append(out, Read{Kind: k, On: on, Revision: c.revisionToRead(), Wait: wait, Rare: !duty})
+	}
+	return out
+}
+
+func (c *source) revisionToRead() uint64 {
+	if !c.known {
+		return 0
+	}
+	return c.revision
+}
+
+// isReader tells whether this instance is one of the readers: the first by rank
+// among those that it has heard from lately.
+func (s *State) isReader(now int64) bool {
+	if len(s.peers) < fewInstances {
+		return true
+	}
+	own, ahead := rank(s.Self.Name), 0
+	for _, p := range s.peers {
+		if p.near(now) && rank(p.Name) > own {
+			ahead++
+		}
+	}
+	return ahead < readers
+}
+
+func rank(name string) uint64 { return xxhash.Sum64String("reader " + name) }
+
+// covered tells whether another instance proves fresh knowledge of a kind, which
+// is known here as well.
+func (s *State) covered(now int64, k Kind) bool {
+	if b := s.sources[k].behind; b != 0 && now-b >= int64(behindTime) {
+		return false
+	}
+	for _, p := range s.peers {
+		if q, ok := p.proofs[k]; ok && now-q.at < int64(relyOn(k)) {
+			return true
+		}
+	}
+	return false
+}
+
+// prove takes over the proofs of a beacon.
+func (p *peer) prove(e Heard) {
+	for k, q := range e.Beacon.Proofs {
+		if p.proofs == nil {
+			p.proofs = map[Kind]proof{}
+		}
+		p.proofs[k] = proof{q.Revision, e.Now - q.Age*int64(time.Millisecond)}
+	}
+}
+
+// proofs lists what this instance proves to others.
+func (s *State) proofs(now int64) map[Kind]Proof {
+	if len(s.peers) < fewInstances {
+		return nil
+	}
+	var all map[Kind]Proof
+	for k, c := range s.sources {
+		if !c.reading || c.proven == 0 {
+			continue
+		}
+		if all == nil {
+			all = map[Kind]Proof{}
+		}
+		all[k] = Proof{Revision: c.revision, Age: (now - c.proven) / int64(time.Millisecond)}
+	}
+	return all
+}
+
+// fetchFrom asks an instance for the changes that it has read and that are not
+// known here.
+func (s *State) fetchFrom(now int64, p *peer) (out []Effect) {
+	for _, k := range Kinds {
+		c := s.sources[k]
+		q, ok := p.proofs[k]
+		switch {
+		case !ok || now-q.at >= int64(relyOn(k)) || c.known && q.revision <= c.revision:
+			continue
+		}
+		if c.wanted = max(c.wanted, q.revision); c.behind == 0 {
+			c.behind = now
+		}
+		switch {
+		case c.reading && c.proven != 0 && now-c.proven < int64(relyOn(k)):
+			continue
+		case c.asked != 0 && now-c.asked < int64(fetchTime):
+			continue
+		}
+		c.asked = now
+		out = append(out, Fetch{Kind: k, From: p.Instance, After: c.revisionToRead()})
+	}
+	return out
+}
+
+func (s *State) fetched(e Fetched) (out []Effect) {
+	c := s.sources[e.Kind]
+	c.asked = 0
+	if e.Returned > s.returned[e.Kind] {
+		s.returned[e.Kind] = e.Returned
+	}
+	if e.Revision == 0 || c.known && e.Revision < c.revision {
+		return nil
+	}
+	if e.Whole {
+		out = s.list(e.Now, e.Kind, e.Objects)
+	} else {
+		out = s.apply(e.Now, e.Kind, e.Objects)
+	}
+	return append(out, s.advance(e.Now, e.Kind, e.Revision, false, e.Objects)...)
+}
+
+// reply tells another instance what is known here.
+func (s *State) reply(e Asked) Reply {
+	c := s.sources[e.Kind]
+	r := Reply{Call: e.Call}
+	if c == nil || !c.known {
+		return r
+	}
+	r.Revision = c.revision
+	if back, ok := s.returned[e.Kind]; ok && e.Now-back < int64(returnTime) {
+		r.Returned = time.Duration(e.Now - back)
+	}
+	if e.After < c.base || e.After == 0 {
+		r.Whole, r.Objects = true, s.objects(e.Kind)
+		return r
+	}
+	for _, h := range c.history {
+		if h.revision > e.After {
+			r.Objects = append(r.Objects, h.object)
+		}
+	}
+	return r
+}
+
+// objects lists all objects of a kind, ordered by name.
+func (s *State) objects(k Kind) (all []Object) {
+	switch k {
+	case Configs:
+		if s.config != nil {
+			all = append(all, Object{Name: s.configName, Config: s.config})
+		}
+	case Upstreams:
+		for _, u := range s.upstreams {
+			if u.goneAt == 0 {
+				all = append(all, Object{Name: u.ID, Upstream: &u.Upstream})
+			}
+		}
+	case Evacuations:
+		for domain := range maps.Keys(s.evacuated) {
+			all = append(all, Object{Name: domain})
+		}
+	case Instances:
+		all = append(all, Object{Name: s.Self.Name, Instance: &s.Self})
+		for _, p := range s.peers {
+			all = append(all, Object{Name: p.Name, Instance: &p.Instance})
+		}
+	}
+	slices.SortFunc(all, func(a, b Object) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -10,9 +10,15 @@
 const (
 	// beaconTime is the time between two beacons to the same instance.
 	beaconTime = 500 * time.Millisecond
+	// gatherTime is the time in which instances that start together register.
+	gatherTime = time.Second
+	// remoteRounds is the number of beacons to instances of the own region for one
+	// to those of other regions.
+	remoteRounds = 3
 	// silentTime is how long an instance is used without a beacon: three of them
-	// may get lost.
+	// may get lost, or two in other regions.
 	silentTime = 2200 * time.Millisecond
+	remoteTime = 5 * time.Second
 	// returnTime is how long registrations that expired while the store was
 	// away may take to come back after its return.
 	returnTime = 1900 * time.Millisecond
@@ -26,20 +32,26 @@
 	Self    Instance
 	Regions map[string]string
 
-	config    *Config
-	upstreams map[string]*upstream
-	evacuated map[string]bool
+	config *Config
+	// configName is the name of its object.
+	configName string
+	upstreams  map[string]*upstream
+	evacuated  map[string]bool
 	// restored holds the time at which the upstreams of a domain that was
 	// evacuated count as warm again.
 	restored map[string]int64
 	peers    map[string]*peer
-	listed   map[Kind]bool
-	lost     map[Kind]bool
+	sources  map[Kind]*source
+	// listAt is when the instances are listed for the first time.
+	listAt int64
+	lost   map[Kind]bool
 	// returned is when the store answered again for a kind after it was lost.
 	returned map[Kind]int64
 	leaving  bool
-	next     int64
-	dirty    bool
+	// next is when the next beacons are sent, rounds how often they were.
+	next   int64
+	rounds int
+	dirty  bool
 }
 
 // upstream is a registration.
@@ -56,19 +68,29 @@
 	// heard is when its last beacon arrived; 0 means never.
 	heard int64
 	ready bool
+	// silence is how long it is used without a beacon.
+	silence time.Duration
+	// proofs has what the instance has read from the store itself.
+	proofs map[Kind]proof
 }
 
 // New returns the state of an instance that knows nothing yet. Regions gives
-// the region of each failure domain.
-func New(self Instance, regions map[string]string) *State {
+// the region of each failure domain. If the whole system starts for the first
+// time, the instance leaves the others time to register.
+func New(self Instance, regions map[string]string, first bool) *State {
+	listAt := int64(0)
+	if first {
+		listAt = int64(gatherTime)
+	}
 	return &State{
+		listAt:    listAt,
 		Self:      self,
 		Regions:   regions,
 		upstreams: map[string]*upstream{},
 		evacuated: map[string]bool{},
 		restored:  map[string]int64{},
 		peers:     map[string]*peer{},
-		listed:    map[Kind]bool{},
+		sources:   newSources(),
 		lost:      map[Kind]bool{},
 		returned:  map[Kind]int64{},
 	}
@@ -82,13 +104,19 @@
 	case Listed:
 		now = e.Now
 		out = s.regain(e.Now, e.Kind)
-		out = append(out, s.list(e)...)
+		out = append(out, s.list(e.Now, e.Kind, e.Objects)...)
+		out = append(out, s.advance(e.Now, e.Kind, e.Revision, !e.Stale, e.Objects)...)
 	case Changed:
 		now = e.Now
 		out = s.regain(e.Now, e.Kind)
-		for _, o := range e.Objects {
-			out = append(out, s.change(e.Now, e.Kind, o)...)
-		}
+		out = append(out, s.apply(e.Now, e.Kind, e.Objects)...)
+		out = append(out, s.advance(e.Now, e.Kind, e.Revision, true, e.Objects)...)
+	case Fetched:
+		now = e.Now
+		out = s.fetched(e)
+	case Asked:
+		now = e.Now
+		out = []Effect{s.reply(e)}
 	case Lost:
 		now = e.Now
 		out = s.lose(e)
@@ -127,20 +155,24 @@
 	return []Effect{Note{What: "regained", Subject: string(k)}}
 }
 
-func (s *State) list(e Listed) (out []Effect) {
+// list takes over all objects of a kind.
+func (s *State) list(now int64, k Kind, all []Object) []Effect {
 	present := map[string]bool{}
-	for _, o := range e.Objects {
+	for _, o := range all {
 		present[o.Name] = true
-		out = append(out, s.change(e.Now, e.Kind, o)...)
 	}
-	for _, name := range s.names(e.Kind) {
+	out := s.apply(now, k, all)
+	for _, name := range s.names(k) {
 		if !present[name] {
-			out = append(out, s.change(e.Now, e.Kind, Object{Name: name, Deleted: true})...)
+			out = append(out, s.change(now, k, Object{Name: name, Deleted: true})...)
 		}
 	}
-	if !s.listed[e.Kind] {
-		s.listed[e.Kind] = true
-		s.dirty = true
+	return out
+}
+
+func (s *State) apply(now int64, k Kind, objects []Object) (out []Effect) {
+	for _, o := range objects {
+		out = append(out, s.change(now, k, o)...)
 	}
 	return out
 }
@@ -183,7 +215,7 @@
 	case s.config != nil && c.Version == s.config.Version:
 		return nil
 	}
-	s.config, s.dirty = c, true
+	s.config, s.configName, s.dirty = c, o.Name, true
 	return []Effect{Note{What: "configured", Subject: o.Name, Version: c.Version}}
 }
 
@@ -266,32 +298,39 @@
 	if old != nil && old.Instance == *o.Instance {
 		return nil
 	}
-	s.peers[o.Name], s.dirty = &peer{Instance: *o.Instance}, true
+	p := &peer{Instance: *o.Instance, silence: silentTime}
+	if p.Region != s.Self.Region {
+		p.silence = remoteTime
+	}
+	s.peers[o.Name], s.dirty = p, true
 	s.next = 0
 	return []Effect{Note{What: "met", Subject: o.Name}}
 }
 
-func (s *State) hear(e Heard) []Effect {
+func (s *State) hear(e Heard) (out []Effect) {
 	p := s.peers[e.Beacon.Name]
 	if p == nil {
 		return nil
 	}
 	was := p.alive(e.Now)
 	p.heard, p.ready = e.Now, e.Beacon.Ready
-	if was == p.alive(e.Now) {
-		return nil
-	}
-	s.dirty = true
-	if was {
-		return []Effect{Note{What: "withdrawn", Subject: p.Name, Cause: "it is not ready"}}
+	p.prove(e)
+	switch now := p.alive(e.Now); {
+	case was && !now:
+		s.dirty = true
+		out = append(out, Note{What: "withdrawn", Subject: p.Name, Cause: "it is not ready"})
+	case now && !was:
+		s.dirty = true
+		out = append(out, Note{What: "found", Subject: p.Name})
 	}
-	return []Effect{Note{What: "found", Subject: p.Name}}
+	return append(out, s.fetchFrom(e.Now, p)...)
 }
 
 // alive tells whether callers may use the instance.
-func (p *peer) alive(now int64) bool {
-	return p.ready && p.heard != 0 && now-p.heard < int64(silentTime)
-}
+func (p *peer) alive(now int64) bool { return p.ready && p.near(now) }
+
+// near tells whether a beacon has come lately.
+func (p *peer) near(now int64) bool { return p.heard != 0 && now-p.heard < int64(p.silence) }
 
 func (s *State) tick(now int64) (out []Effect) {
 	for _, name := range slices.Sorted(maps.Keys(s.upstreams)) {
@@ -302,7 +341,7 @@
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.peers)) {
-		if p := s.peers[name]; p.ready && p.heard != 0 && now-p.heard >= int64(silentTime) {
+		if p := s.peers[name]; p.ready && !p.near(now) {
 			p.ready, s.dirty = false, true
 			out = append(out, Note{What: "silent", Subject: name, Cause: "no beacon in time"})
 		}
@@ -312,28 +351,35 @@
 			delete(s.restored, domain)
 		}
 	}
+	out = append(out, s.assign(now)...)
 	if now >= s.next {
 		s.next = now + int64(beaconTime)
-		out = append(out, s.beacon())
+		s.rounds++
+		out = append(out, s.beacon(now))
 	}
 	return out
 }
 
-func (s *State) beacon() Send {
-	b := Beacon{Name: s.Self.Name, Ready: s.ready()}
+// beacon goes to the instances of the region, and less often to the others
+// unless they need it to know what this instance has read.
+func (s *State) beacon(now int64) Send {
+	b := Beacon{Name: s.Self.Name, Ready: s.ready(), Proofs: s.proofs(now)}
 	if s.config != nil {
 		b.Version = s.config.Version
 	}
+	everywhere := s.leaving || len(b.Proofs) > 0 || s.rounds%remoteRounds == 0
 	to := make([]string, 0, len(s.peers))
 	for _, name := range slices.Sorted(maps.Keys(s.peers)) {
-		to = append(to, s.peers[name].Beacon)
+		if p := s.peers[name]; everywhere || p.Region == s.Self.Region {
+			to = append(to, p.Beacon)
+		}
 	}
 	return Send{To: to, Beacon: b}
 }
 
 // ready tells whether this instance can take requests.
 func (s *State) ready() bool {
-	return !s.leaving && s.config != nil && s.listed[Upstreams] && s.listed[Evacuations]
+	return !s.leaving && s.config != nil && s.sources[Upstreams].known && s.sources[Evacuations].known
 }
 
 func (s *State) view(now int64) View {
--- a/core/steerer/steerer_test.go
+++ b/core/steerer/steerer_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"strings"
@@ -106,11 +107,99 @@
 	}
 }
 
+// crowd is a system that is too large for every instance to read the store.
+func crowd() []Event {
+	var all []Object
+	for i := range 20 {
+		domain := "a-2"
+		if i%2 == 1 {
+			domain = "b-1"
+		}
+		all = append(all, Object{Name: fmt.Sprintf("i%02d", i), Instance: ptr(other(fmt.Sprintf("i%02d", i), domain))})
+	}
+	events := []Event{
+		Tick{Now: second(0.05)},
+		Listed{Now: second(0.1), Kind: Instances, Objects: all, Revision: 50},
+	}
+	for i := range 20 {
+		b := Beacon{Name: fmt.Sprintf("i%02d", i), Ready: true}
+		if i < 2 {
+			b.Proofs = map[Kind]Proof{Configs: {60, 10}, Upstreams: {60, 10}, Evacuations: {60, 10}, Instances: {60, 10}}
+		}
+		events = append(events, Heard{Now: second(0.2), Beacon: b})
+	}
+	return append(events, Tick{Now: second(0.3)},
+		Fetched{Now: second(0.31), Kind: Configs, From: "i00", Revision: 60, Whole: true, Objects: []Object{config(5)}},
+		Fetched{Now: second(0.31), Kind: Upstreams, From: "i00", Revision: 60, Whole: true, Objects: []Object{server("u1"), server("u2")}},
+		Fetched{Now: second(0.31), Kind: Evacuations, From: "i00", Revision: 60, Whole: true},
+	)
+}
+
+// proving is a beacon of a reader.
+func proving(at float64, revision uint64, age int64) Event {
+	return Heard{Now: second(at), Beacon: Beacon{Name: "i00", Ready: true, Proofs: map[Kind]Proof{Upstreams: {revision, age}}}}
+}
+
+// relayScripts have the parts of a system in which few instances read the store.
+func relayScripts() map[string][]Event {
+	return map[string][]Event{
+		"large-system-asks-readers": append(crowd(),
+			proving(0.8, 60, 300),
+			proving(1.2, 64, 10),
+			proving(1.3, 64, 110),
+			Fetched{Now: second(1.4), Kind: Upstreams, From: "i00", Revision: 64, Objects: []Object{server("u1", draining)}},
+			proving(1.5, 64, 10),
+		),
+		"lost-question-is-repeated": append(crowd(),
+			proving(1.2, 64, 10),
+			proving(1.6, 64, 10),
+			Fetched{Now: second(1.7), Kind: Upstreams, From: "i00"},
+			proving(1.8, 64, 10),
+			proving(2.9, 64, 10),
+		),
+		"stale-readers-are-replaced": append(crowd(),
+			proving(1.0, 60, 0),
+			proving(2.0, 60, 1000),
+			Tick{Now: second(2.1)},
+			Tick{Now: second(2.9)},
+			Changed{Now: second(3), Kind: Upstreams, Revision: 70, Objects: []Object{gone("u1")}},
+			proving(3.2, 72, 5),
+			Tick{Now: second(3.3)},
+			proving(3.4, 72, 5),
+		),
+		"instance-that-cannot-ask-reads-itself": append(crowd(),
+			proving(1.2, 64, 10),
+			Fetched{Now: second(1.9), Kind: Upstreams, From: "i00"},
+			proving(2.1, 64, 10),
+			Tick{Now: second(2.25)},
+			Changed{Now: second(2.3), Kind: Upstreams, Revision: 64, Objects: []Object{gone("u1")}},
+			Tick{Now: second(2.4)},
+		),
+		"expiry-reported-by-a-reader-after-the-store's-return": append(crowd(),
+			Fetched{Now: second(5), Kind: Upstreams, From: "i00", Revision: 80, Returned: second(4.5), Objects: []Object{gone("u1")}},
+			Tick{Now: second(6)},
+			Fetched{Now: second(6.1), Kind: Upstreams, From: "i00", Revision: 82, Returned: second(4.5), Objects: []Object{server("u1")}},
+			Tick{Now: second(7)},
+		),
+		"answers-to-other-instances": append(started(server("u1"), server("u2")),
+			Asked{Now: second(0.5), Call: 1, Kind: Upstreams, After: 0},
+			Changed{Now: second(1), Kind: Upstreams, Revision: 30, Objects: []Object{server("u3")}},
+			Changed{Now: second(2), Kind: Upstreams, Revision: 40, Objects: []Object{gone("u1")}},
+			Asked{Now: second(3), Call: 2, Kind: Upstreams, After: 30},
+			Asked{Now: second(3), Call: 3, Kind: Upstreams, After: 40},
+			Asked{Now: second(3), Call: 4, Kind: Configs, After: 0},
+			Asked{Now: second(3), Call: 5, Kind: "unknown", After: 0},
+		),
+	}
+}
+
 func TestScripts(t *testing.T) {
-	for name, events := range scripts() {
+	all := scripts()
+	maps.Copy(all, relayScripts())
+	for name, events := range all {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			s := New(self(), regions)
+			s := New(self(), regions, false)
 			var out strings.Builder
 			for _, e := range events {
 				var effects []Effect
@@ -138,6 +227,10 @@
 		return fmt.Sprintf("%.1f listed %s: %s", float64(e.Now)/1e9, e.Kind, objects(e.Objects))
 	case Changed:
 		return fmt.Sprintf("%.1f changed %s: %s", float64(e.Now)/1e9, e.Kind, objects(e.Objects))
+	case Fetched:
+		return fmt.Sprintf("%.1f fetched %s from %s, revision %d whole %t: %s", float64(e.Now)/1e9, e.Kind, e.From, e.Revision, e.Whole, objects(e.Objects))
+	case Asked:
+		return fmt.Sprintf("%.1f asked %d for %s after %d", float64(e.Now)/1e9, e.Call, e.Kind, e.After)
 	case Lost:
 		return fmt.Sprintf("%.1f lost %s", float64(e.Now)/1e9, e.Kind)
 	case Heard:
@@ -173,6 +266,12 @@
 		return fmt.Sprintf("note %s %s version %d %s", x.What, x.Subject, x.Version, x.Cause)
 	case Send:
 		return fmt.Sprintf("send %+v to %v", x.Beacon, x.To)
+	case Read:
+		return fmt.Sprintf("read %s %t from %d, wait %v, rare %t", x.Kind, x.On, x.Revision, x.Wait, x.Rare)
+	case Fetch:
+		return fmt.Sprintf("fetch %s from %s after %d", x.Kind, x.From.Name, x.After)
+	case Reply:
+		return fmt.Sprintf("reply to %d: revision %d whole %t returned %v: %s", x.Call, x.Revision, x.Whole, x.Returned, objects(x.Objects))
 	case Publish:
 		v := x.View
 		var ups, fronts []string
--- a/core/steerer/types.go
+++ b/core/steerer/types.go
@@ -90,7 +90,8 @@
 // Instance is an instance of this system.
 type Instance struct {
 	Name string
-	// Front is where callers connect, Beacon where other instances send beacons.
+	// Front is where callers connect, Beacon where other instances send beacons
+	// and ask for changes.
 	Front  string
 	Beacon string
 	Domain string
@@ -105,6 +106,17 @@
 	Ready bool `json:"r"`
 	// Version is the configuration in force there.
 	Version uint64 `json:"v"`
+	// Proofs tells, for each kind that the instance reads from the store itself,
+	// how fresh its knowledge is.
+	Proofs map[Kind]Proof `json:"p,omitempty"`
+}
+
+// Proof says that an instance knew all changes of a kind up to a revision.
+type Proof struct {
+	Revision uint64 `json:"r"`
+	// Age is the time since the store confirmed that, in milliseconds, as of the
+	// sending of the beacon.
+	Age int64 `json:"a"`
 }
 
 // Bounds are the limits that the environment sets to all instances together.
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -51,6 +51,8 @@
 	Self    steerer.Instance
 	Regions map[string]string
 	Bounds  steerer.Bounds
+	// First tells that the whole system starts for the first time.
+	First bool
 	// Lookup, Ready and Admin are the addresses to listen on besides those of
 	// Self. An empty one is not used.
 	Lookup, Ready, Admin string
@@ -73,7 +75,7 @@
 	// connections are taken, closeShare that after which idle ones are closed.
 	closeShare, stopShare = 0.5, 0.75
 	// stopMargin is the time that is kept for the end of the process.
-	stopMargin = 300 * time.Millisecond
+	stopMargin = 600 * time.Millisecond
 )
 
 // Runner is one running instance.
@@ -89,6 +91,8 @@
 	ring     *recorder.Ring
 	clock    recorder.Clock
 	beacons  *net.UDPConn
+	watchers map[steerer.Kind]*watcher.Watcher
+	relay    *relay
 }
 
 // New returns an instance that does not run yet.
@@ -96,7 +100,7 @@
 	r := &Runner{
 		cfg:      cfg,
 		events:   make(chan steerer.Event, eventQueue),
-		state:    steerer.New(cfg.Self, cfg.Regions),
+		state:    steerer.New(cfg.Self, cfg.Regions, cfg.First),
 		builder:  dispatcher.Builder{Self: cfg.Self, Bounds: cfg.Bounds, Regions: cfg.Regions},
 		registry: prometheus.NewRegistry(),
 		ring:     &recorder.Ring{},
@@ -106,6 +110,12 @@
 	r.relayer = relayer.New(relayer.Config{
 		Tables: &r.tables, Dialect: cfg.Dialect, Metrics: r.metrics, Log: cfg.Log, Now: r.now,
 	})
+	r.relay = newRelay(r)
+	r.watchers = map[steerer.Kind]*watcher.Watcher{}
+	guard := &watcher.Guard{}
+	for _, k := range steerer.Kinds {
+		r.watchers[k] = &watcher.Watcher{Kind: k, Source: cfg.Store, Now: r.now, Guard: guard, Lead: k == steerer.Instances}
+	}
 	return r
 }
 
@@ -130,10 +140,11 @@
 	group.Go(func() error { return r.control(failed) })
 	group.Go(func() error { return r.listen(failed) })
 	group.Go(func() error { return r.register(failed) })
-	for _, k := range steerer.Kinds {
-		w := watcher.Watcher{Kind: k, Source: r.cfg.Store, Emit: r.emit(failed), Now: r.now}
+	for _, w := range r.watchers {
+		w.Emit = r.emit(failed)
 		group.Go(func() error { return w.Run(failed) })
 	}
+	group.Go(func() error { return r.serveChanges(failed) })
 	group.Go(func() error {
 		select {
 		case <-failed.Done():
@@ -238,6 +249,12 @@
 		r.tables.Store(r.builder.Build(x.View, r.now()))
 	case steerer.Send:
 		r.send(x)
+	case steerer.Read:
+		r.watchers[x.Kind].Follow(watcher.Order{On: x.On, Revision: x.Revision, Wait: x.Wait, Rare: x.Rare})
+	case steerer.Fetch:
+		go r.relay.fetch(x)
+	case steerer.Reply:
+		r.relay.reply(x)
 	case steerer.Note:
 		r.cfg.Log.Info(x.What, "subject", x.Subject, "version", x.Version, "cause", x.Cause)
 		r.record(x)
--- a/hornbeamd/watcher/watcher.go
+++ b/hornbeamd/watcher/watcher.go
@@ -7,6 +7,8 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"hornbeamstream.example/core/steerer"
@@ -34,56 +36,152 @@
 }
 
 const (
-	// callTime bounds a call that does not wait, waitTime the wait of a watch.
+	// callTime bounds a call that does not wait.
 	callTime = 1500 * time.Millisecond
-	waitTime = 25 * time.Second
 	// waitSlack is the time that a watch's answer may take after its wait.
 	waitSlack = 1500 * time.Millisecond
 	// gatherTime is the pause after a change, in which further ones gather, so
 	// that a series of changes costs few calls.
 	gatherTime = 250 * time.Millisecond
-	// Bounds of the pause after a failed call.
-	minPause = 100 * time.Millisecond
-	maxPause = 400 * time.Millisecond
+	// Bounds of the pause after a failed call, and the upper one for instances
+	// that only stand in for others.
+	minPause  = 100 * time.Millisecond
+	maxPause  = 400 * time.Millisecond
+	rarePause = 1500 * time.Millisecond
 )
 
-// Watcher follows one kind.
+// Order says what a Watcher has to do.
+type Order struct {
+	On bool
+	// Revision is that from which on changes are wanted; 0 lists all objects.
+	Revision uint64
+	// Wait is how long a call waits for a change.
+	Wait time.Duration
+	// Rare makes the pauses after failed calls long.
+	Rare bool
+}
+
+// Watcher follows one kind while it is told to. Follow must be called before
+// Run does anything.
 type Watcher struct {
 	Kind   steerer.Kind
 	Source Source
 	// Emit takes the events. Now gives the time on the clock of the events.
 	Emit func(steerer.Event)
 	Now  func() int64
+	// Guard is shared by the watchers of one store.
+	Guard *Guard
+	// Lead tries the store while it is away; the others wait for its success.
+	Lead bool
+
+	once   sync.Once
+	orders chan Order
+	order  Order
+	mu     sync.Mutex
+	// end ends the call that is waiting.
+	end context.CancelFunc
 }
 
+// Guard lets one of several watchers find out whether a store that was lost
+// answers again.
+type Guard struct{ lost atomic.Bool }
+
+// Follow gives a new order and ends the call that waits under the old one.
+func (w *Watcher) Follow(o Order) {
+	w.init()
+	select {
+	case <-w.orders:
+	default:
+	}
+	w.orders <- o
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.end != nil {
+		w.end()
+	}
+}
+
+// call returns the context of a call that Follow can end.
+func (w *Watcher) call(ctx context.Context, until time.Time) (context.Context, context.CancelFunc) {
+	ctx, end := context.WithDeadline(ctx, until)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.end = end
+	return ctx, end
+}
+
+func (w *Watcher) init() { w.once.Do(func() { w.orders = make(chan Order, 1) }) }
+
 // Run follows the kind until the context ends.
 func (w *Watcher) Run(ctx context.Context) error {
+	w.init()
 	pause := minPause
-	revision, known := uint64(0), false
-	for ctx.Err() == nil {
+	revision := uint64(0)
+	for w.next(ctx, &revision) {
 		var err error
-		if known {
+		if revision > 0 {
 			revision, err = w.watch(ctx, revision)
 		} else {
 			revision, err = w.list(ctx)
 		}
 		switch {
 		case err == nil:
-			known, pause = true, minPause
+			w.Guard.lost.Store(false)
+			pause = minPause
 			continue
 		case ctx.Err() != nil:
 			return nil
 		case errors.Is(err, ErrHistory):
-			known = false
+			revision = 0
 			continue
 		}
+		w.Guard.lost.Store(true)
 		w.Emit(steerer.Lost{Now: w.Now(), Kind: w.Kind, Cause: err.Error()})
-		sleep(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
-		pause = min(2*pause, maxPause)
+		pause = w.pause(ctx, pause)
 	}
 	return nil
 }
 
+// next waits until there is something to do. It reports whether the context is
+// still in force.
+func (w *Watcher) next(ctx context.Context, revision *uint64) bool {
+	for {
+		orders := w.orders
+		if w.order.On {
+			select {
+			case w.order = <-orders:
+			default:
+				return ctx.Err() == nil
+			}
+		} else {
+			select {
+			case w.order = <-orders:
+			case <-ctx.Done():
+				return false
+			}
+		}
+		*revision = max(*revision, w.order.Revision)
+	}
+}
+
+// pause waits after a failed call and returns the length of the next pause.
+func (w *Watcher) pause(ctx context.Context, d time.Duration) time.Duration {
+	most := maxPause
+	if w.order.Rare {
+		most = rarePause
+	}
+	sleep(ctx, d/2+time.Duration(rand.Int64N(int64(d))))
+	if !w.Lead {
+		// The lead's success ends the wait; a lead that follows nothing must not
+		// hold the others up for long.
+		until := time.Now().Add(rarePause)
+		for w.Guard.lost.Load() && time.Now().Before(until) && ctx.Err() == nil {
+			sleep(ctx, minPause/2)
+		}
+	}
+	return min(2*d, most)
+}
+
 func (w *Watcher) list(ctx context.Context) (revision uint64, err error) {
 	var all []steerer.Object
 	after := ""
@@ -103,19 +201,23 @@
 			break
 		}
 	}
-	w.Emit(steerer.Listed{Now: w.Now(), Kind: w.Kind, Objects: all})
+	w.Emit(steerer.Listed{Now: w.Now(), Kind: w.Kind, Objects: all, Revision: revision})
 	return revision, nil
 }
 
 func (w *Watcher) watch(ctx context.Context, revision uint64) (uint64, error) {
-	until := time.Now().Add(waitTime)
-	call, cancel := context.WithDeadline(ctx, until.Add(waitSlack))
+	until := time.Now().Add(w.order.Wait)
+	call, cancel := w.call(ctx, until.Add(waitSlack))
 	defer cancel()
 	page, err := w.Source.Watch(call, w.Kind, revision, until)
+	if errors.Is(call.Err(), context.Canceled) && ctx.Err() == nil {
+		// There is a new order.
+		return revision, nil
+	}
 	if err != nil {
 		return revision, err
 	}
-	w.Emit(steerer.Changed{Now: w.Now(), Kind: w.Kind, Objects: page.Objects})
+	w.Emit(steerer.Changed{Now: w.Now(), Kind: w.Kind, Objects: page.Objects, Revision: page.Revision})
 	if len(page.Objects) > 0 {
 		sleep(ctx, gatherTime)
 	}
