dispatcher, limiter: late exchanges teach how slow an upstream is; retries as the bounds say

Change: an exchange that ends late or silent counts with its time as a lower bound; a service's retries are bounded by the site's share and this instance's part of the slack; a retry that reached nobody is given back.

--- a/core/dispatcher/learn.go
+++ b/core/dispatcher/learn.go
@@ -19,8 +19,10 @@
 	// Unreachable means that no connection could be opened.
 	Unreachable
 	// Abandoned means that this instance ended the exchange itself, because its
-	// caller has gone or the time was over.
+	// caller has gone.
 	Abandoned
+	// Late means that no answer came before the request's deadline.
+	Late
 	// Silent means that no answer came in the time that it should have taken.
 	Silent
 )
@@ -33,7 +35,10 @@
 	case Answered:
 		u.reached(r.Key)
 		u.learn(now, r.Route.work.learn(d, u, took), false)
-	case Failed, Silent:
+	case Silent, Late:
+		// The answer would have taken longer still.
+		u.learn(now, r.Route.work.relative(d, u, took), took > lateShare*d.Expected)
+	case Failed:
 		u.learn(now, 0, true)
 	case Shed:
 		// Its load is reported apart; a refusal is no sign of a fault unless
@@ -42,6 +47,10 @@
 	case Unreachable:
 		u.unreachable(now)
 		u.learn(now, 0, true)
+		if len(r.Tried) > 0 {
+			// Nothing has arrived.
+			r.Pool.Retries.Return()
+		}
 	case Abandoned:
 	}
 }
@@ -50,6 +59,9 @@
 func (d *Decision) Report(l Load, now int64) { d.Upstream.report(l, now) }
 
 const (
+	// lateShare is the multiple of the expected time from which on a missing
+	// answer counts as a failure.
+	lateShare = 2
 	// workWeight is the weight of one sample in the usual time of a route.
 	workWeight = 32
 	// warmShare and coldShare of a route's aim are its work before any sample.
@@ -87,18 +99,32 @@
 	return (warm*w.warm() + cold*w.cold()) / (warm + cold)
 }
 
+// sample returns the part of the duration that is work, with the usual value.
+func (w *work) sample(d *Decision, u *Upstream, took time.Duration) (t, usual float64) {
+	usual = w.cold()
+	if d.Warm {
+		usual = w.warm()
+	}
+	return max(float64(took-u.Trip-d.Wait), float64(took)/4), usual
+}
+
+// relative returns how slow an exchange was relative to the usual time.
+func (w *work) relative(d *Decision, u *Upstream, took time.Duration) float64 {
+	t, usual := w.sample(d, u, took)
+	return t / usual
+}
+
 // learn adds a sample and returns how slow it was relative to the usual time.
 func (w *work) learn(d *Decision, u *Upstream, took time.Duration) float64 {
-	t := max(float64(took-u.Trip-d.Wait), float64(took)/4)
-	value, count, usual := &w.coldTime, &w.coldCount, w.cold()
+	t, usual := w.sample(d, u, took)
+	value, count := &w.coldTime, &w.coldCount
 	if d.Warm {
-		value, count, usual = &w.warmTime, &w.warmCount, w.warm()
+		value, count = &w.warmTime, &w.warmCount
 	}
-	if n := count.Add(1); n >= counterSize {
-		count.Store(n / 2)
-		(&w.warmCount).Store(w.warmCount.Load()/2 + 1)
+	if count.Add(1) >= counterSize {
+		w.warmCount.Store(w.warmCount.Load()/2 + 1)
+		w.coldCount.Store(w.coldCount.Load() / 2)
 	}
-	sample := min(t, 3*usual)
-	value.Store(int64(usual + (sample-usual)/workWeight))
+	value.Store(int64(usual + (min(t, 3*usual)-usual)/workWeight))
 	return t / usual
 }
--- a/core/dispatcher/load_test.go
+++ b/core/dispatcher/load_test.go
@@ -61,6 +61,15 @@
 			}
 		}
 	}
+	many := today("five of twelve upstreams take twelve times as long")
+	many.change = func(m *model, now time.Duration) {
+		for _, i := range []int{0, 3, 7, 8, 11} {
+			m.upstreams[i].slow = 1
+			if now > 10*time.Second && now < 20*time.Second {
+				m.upstreams[i].slow = 12
+			}
+		}
+	}
 	crash := today("an upstream of six refuses connections")
 	crash.change = func(m *model, now time.Duration) {
 		m.upstreams[1].dead = now > 10*time.Second && now < 16*time.Second
@@ -68,7 +77,7 @@
 	}
 	small := today("upstreams remember a sixth of the keys")
 	small.remembers = 47
-	return []scenario{wave, start, heavy, burst, slow, crash, small}
+	return []scenario{wave, start, heavy, burst, slow, many, crash, small}
 }
 
 // TestPatterns plays each pattern with the dispatcher and with simple policies.
--- a/core/dispatcher/model_test.go
+++ b/core/dispatcher/model_test.go
@@ -62,6 +62,8 @@
 	sent             int64
 	upstream         *modelUpstream
 	attempt          int
+	// sends counts the exchanges, ended is the last one that is over.
+	sends, ended int
 	// done tells the policy how the exchange ended.
 	done func(res Result, l Load, took time.Duration, now int64)
 }
@@ -195,6 +197,9 @@
 	}
 	u := m.upstreams[i]
 	q.upstream, q.sent = u, now
+	sends := q.sends + 1
+	q.sends = sends
+	m.at(q.deadline, func(now int64) { m.expire(q, sends, now) })
 	m.at(now+m.way(q.region, u.region), func(now int64) { m.reach(q, now) })
 }
 
@@ -289,7 +294,12 @@
 func (m *model) answer(q *modelRequest, res Result, now int64) {
 	u := q.upstream
 	l := Load{u.running, len(u.queue), m.slots}
+	sends := q.sends
 	m.at(now+m.way(u.region, q.region), func(now int64) {
+		if q.ended >= sends {
+			return
+		}
+		q.ended = sends
 		if q.done != nil {
 			q.done(res, l, time.Duration(now-q.sent), now)
 		}
@@ -297,6 +307,20 @@
 	})
 }
 
+// expire ends an exchange that has not ended before the deadline.
+func (m *model) expire(q *modelRequest, sends int, now int64) {
+	if q.ended >= sends {
+		return
+	}
+	q.ended = sends
+	if q.done != nil {
+		q.done(Late, Load{}, time.Duration(now-q.sent), now)
+	}
+	if m.counted(q) {
+		m.tally.failed++
+	}
+}
+
 func (m *model) settle(q *modelRequest, res Result, now int64) {
 	if res != Answered && q.attempt == 0 && now < q.deadline {
 		q.attempt++
--- a/core/dispatcher/table.go
+++ b/core/dispatcher/table.go
@@ -83,7 +83,7 @@
 		return t
 	}
 	for _, s := range v.Config.Services {
-		t.pools[s.Name] = b.pool(s)
+		t.pools[s.Name] = b.pool(s, len(v.Peers))
 	}
 	b.place(t, now)
 	for i := range v.Config.Routes {
@@ -107,12 +107,21 @@
 	b.counters = map[string]*counter{}
 }
 
-func (b *Builder) pool(s steerer.Service) *Pool {
-	return &Pool{
+// budgetMargin is the part of the bounds on retries that is used. The rest is
+// for requests that were counted in another window than their retries.
+const budgetMargin = 0.85
+
+func (b *Builder) pool(s steerer.Service, peers int) *Pool {
+	p := &Pool{
 		Service: s,
 		Retries: kept(b.budgets, s.Name),
 		spill:   kept(b.spills, s.Name),
 	}
+	if b.Bounds.RetryShare > 0 {
+		burst := b.Bounds.RetrySlack * budgetMargin / float64(max(1, peers))
+		p.Retries.Set(b.Bounds.RetryShare*budgetMargin, max(1, burst))
+	}
+	return p
 }
 
 // kept returns the entry of a map, which it makes at first use.
--- a/core/dispatcher/upstream.go
+++ b/core/dispatcher/upstream.go
@@ -210,7 +210,8 @@
 	sample := 0.0
 	if failed {
 		sample = 1
-	} else if slow > 0 {
+	}
+	if slow > 0 {
 		u.slow += weight * (min(slow, slowest) - u.slow)
 	}
 	u.failing += weight * (sample - u.failing)
--- a/core/limiter/budget.go
+++ b/core/limiter/budget.go
@@ -12,17 +12,47 @@
 )
 
 // Budget bounds retries to a share of successes: after s successes there have
-// been at most 3 + s/10 retries. Its zero value allows a small burst.
+// been at most 3 + s/10 retries, or what Set has chosen. Its zero value allows a
+// small burst.
 type Budget struct {
-	// debt counts successes that are still owed for retries.
+	// debt counts the parts of successes that are still owed for retries, in
+	// units of one thousandth.
 	debt atomic.Int64
+	// cost is what a retry adds to the debt, limit bounds the debt; 0 means the
+	// default.
+	cost, limit atomic.Int64
+}
+
+// budgetUnit is one success in units of the debt.
+const budgetUnit = 1000
+
+// Set allows a share of the successes, and burst retries beyond it.
+func (b *Budget) Set(share, burst float64) {
+	cost := int64(budgetUnit / max(share, 1e-3))
+	b.cost.Store(cost)
+	b.limit.Store(int64(float64(cost) * burst))
+}
+
+func (b *Budget) bounds() (cost, limit int64) {
+	if cost = b.cost.Load(); cost != 0 {
+		return cost, b.limit.Load()
+	}
+	return budgetCost * budgetUnit, budgetBurst * budgetCost * budgetUnit
 }
 
 // Success earns a share of a retry.
-func (b *Budget) Success() {
+func (b *Budget) Success() { b.pay(budgetUnit) }
+
+// Return gives back a retry that was taken but not made.
+func (b *Budget) Return() {
+	cost, _ := b.bounds()
+	b.pay(cost)
+}
+
+func (b *Budget) pay(n int64) {
 	for {
 		d := b.debt.Load()
-		if d == 0 || b.debt.CompareAndSwap(d, d-1) {
+		if d == 0 || b.debt.CompareAndSwap(d, max(0, d-n)) {
 			return
 		}
 	}
@@ -30,12 +60,13 @@
 
 // Take uses one retry up and tells whether it was there.
 func (b *Budget) Take() bool {
+	cost, limit := b.bounds()
 	for {
 		d := b.debt.Load()
-		if d+budgetCost > budgetBurst*budgetCost {
+		if d+cost > limit {
 			return false
 		}
-		if b.debt.CompareAndSwap(d, d+budgetCost) {
+		if b.debt.CompareAndSwap(d, d+cost) {
 			return true
 		}
 	}
--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -197,6 +197,7 @@
 	dispatcher.Shed:        "shed",
 	dispatcher.Unreachable: "unreachable",
 	dispatcher.Abandoned:   "abandoned",
+	dispatcher.Late:        "late",
 	dispatcher.Silent:      "silent",
 }
 
@@ -208,7 +209,7 @@
 	case errors.Is(err, errSilent):
 		return dispatcher.Silent
 	case errors.Is(err, errLate):
-		return dispatcher.Abandoned
+		return dispatcher.Late
 	case err != nil && !x.sent && unreached(err):
 		return dispatcher.Unreachable
 	case err != nil:
