hornctl: trace shows a request or a version from log files

Cause: a failed request had to be searched by hand in the logs of all instances. Change: hornctl trace reads log lines of any number of instances and shows those of one request after what its instance believed then, or those of one version. The relayer logs each try that is followed by another, with the inputs of its decision.

--- a/core/dispatcher/choose.go
+++ b/core/dispatcher/choose.go
@@ -57,6 +57,10 @@
 	Expected, Wait time.Duration
 	// Warm tells that the upstream should know the request's key.
 	Warm bool
+	// Load is the estimated number of requests at the upstream, Age that of
+	// the upstream's own report that it rests on.
+	Load float64
+	Age  time.Duration
 	// Reason and Return explain a refusal and say when to come back.
 	Reason Reason
 	Return time.Duration
@@ -127,6 +131,8 @@
 	wait, took time.Duration
 	warm       bool
 	rank       uint64
+	load       float64
+	report     time.Duration
 	// free tells that a slot seems to be free.
 	free bool
 }
@@ -190,11 +196,11 @@
 func (r *Request) enter(c candidate, found []candidate, away bool) Decision {
 	for {
 		if int64(c.took) > r.Deadline-r.Now {
-			return Decision{Reason: Overload, Return: r.comeBack(c.wait), Expected: c.took, Wait: c.wait}
+			return Decision{Reason: Overload, Return: r.comeBack(c.wait), Expected: c.took, Wait: c.wait, Load: c.load, Age: c.report}
 		}
 		if c.u.admit(r.Now) {
 			c.u.enter(r.Now)
-			return Decision{Upstream: c.u, Expected: c.took, Wait: c.wait, Warm: c.warm}
+			return Decision{Upstream: c.u, Expected: c.took, Wait: c.wait, Warm: c.warm, Load: c.load, Age: c.report}
 		}
 		found = slices.DeleteFunc(found, func(x candidate) bool { return x.u == c.u })
 		if len(found) == 0 {
@@ -282,6 +288,7 @@
 	u := c.u
 	s := u.state(r.Now, r.Key)
 	work := r.Route.work
+	c.load, c.report = s.load, s.report
 	c.warm = s.warm || shared && r.Key != 0
 	run := work.cold()
 	if c.warm {
--- a/core/dispatcher/upstream.go
+++ b/core/dispatcher/upstream.go
@@ -144,7 +144,9 @@
 // state is what Choose weighs.
 type state struct {
 	// load is the number of requests at the upstream, those of others estimated.
-	load          float64
+	load float64
+	// report is the age of the upstream's last report.
+	report        time.Duration
 	slow, failing float64
 	// late is how long the upstream has been silent beyond what is usual.
 	late time.Duration
@@ -158,6 +160,7 @@
 	fade := math.Exp2(-float64(now-u.learned) / float64(forgetTime))
 	s := state{
 		load:    float64(u.inflight.Load()) + u.others*reportFade(now-u.reported),
+		report:  time.Duration(now - u.reported),
 		slow:    1 + (u.slow-1)*fade,
 		failing: u.failing * fade,
 		down:    now < u.downUntil || u.doubtful.Load(),
--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -66,7 +66,11 @@
 	retryAt  time.Duration
 	expected time.Duration
 	wait     time.Duration
-	cause    string
+	// load and report are the estimated load of the upstream and the age of its
+	// report.
+	load   float64
+	report time.Duration
+	cause  string
 }
 
 func (r *Relayer) handle(ctx *fasthttp.RequestCtx) {
@@ -125,7 +129,7 @@
 		}
 		d := c.choose()
 		if d.Upstream == nil {
-			c.giveUp(outcome{word: string(d.Reason), retryAt: d.Return, expected: d.Expected, wait: d.Wait})
+			c.giveUp(outcome{word: string(d.Reason), retryAt: d.Return, expected: d.Expected, wait: d.Wait, load: d.Load, report: d.Age})
 			return
 		}
 		if done := r.try(c, &d); done {
@@ -181,14 +185,27 @@
 	d.Done(&c.req, res, time.Duration(now-c.req.Now), now)
 	r.cfg.Metrics.Tried(c.pool.Name, results[res])
 	c.req.Tried = append(c.req.Tried, d.Upstream)
-	c.last = outcome{word: results[res], upstream: d.Upstream.ID, domain: d.Upstream.Domain, expected: d.Expected, wait: d.Wait}
+	c.last = outcome{word: results[res], upstream: d.Upstream.ID, domain: d.Upstream.Domain, expected: d.Expected, wait: d.Wait, load: d.Load, report: d.Age}
 	if err != nil {
 		c.last.cause = err.Error()
 	}
 	if errors.Is(err, errLate) {
 		c.last.status = fasthttp.StatusGatewayTimeout
 	}
-	return c.settle(x, res, err)
+	done = c.settle(x, res, err)
+	if !done {
+		r.cfg.Log.Info("send", append(c.last.fields(), "id", string(c.id), "took", (now-c.req.Now)/int64(time.Millisecond))...)
+	}
+	return done
+}
+
+// fields are the parts of an outcome for the log, with times in milliseconds.
+func (o *outcome) fields() []any {
+	return []any{
+		"outcome", o.word, "upstream", o.upstream, "domain", o.domain,
+		"expected", o.expected.Milliseconds(), "wait", o.wait.Milliseconds(),
+		"load", int(o.load), "report", o.report.Milliseconds(), "cause", o.cause,
+	}
 }
 
 var results = [...]string{
@@ -351,11 +368,9 @@
 	}
 	status := c.ctx.Response.StatusCode()
 	r.cfg.Metrics.Answered(route, c.last.word, took)
-	r.cfg.Log.V(verbosity(status)).Info("request",
-		"id", string(c.id), "route", route, "key", string(c.object), "version", version, "outcome", c.last.word,
-		"status", status, "upstream", c.last.upstream, "domain", c.last.domain, "sends", c.sends, "runs", c.runs,
-		"took", took.Milliseconds(), "expected", c.last.expected.Milliseconds(),
-		"wait", c.last.wait.Milliseconds(), "cause", c.last.cause)
+	r.cfg.Log.V(verbosity(status)).Info("request", append(c.last.fields(),
+		"id", string(c.id), "route", route, "key", string(c.object), "version", version,
+		"status", status, "sends", c.sends, "runs", c.runs, "took", took.Milliseconds())...)
 }
 
 // verbosity ranks log lines: failures come before successes.
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -135,7 +135,7 @@
 	if err != nil {
 		return err
 	}
-	r.cfg.Log.Info("started", "instance", r.cfg.Self.Name, "domain", r.cfg.Self.Domain, "front", r.cfg.Self.Front)
+	r.cfg.Log.Info("started", "domain", r.cfg.Self.Domain, "front", r.cfg.Self.Front)
 	r.record(steerer.Note{What: string(recorder.Started), Subject: r.cfg.Self.Name})
 	group.Go(func() error { return r.control(failed) })
 	group.Go(func() error { return r.listen(failed) })
@@ -160,7 +160,7 @@
 	if cause := context.Cause(failed); control.Err() == nil {
 		return cause
 	}
-	r.cfg.Log.Info("stopped", "instance", r.cfg.Self.Name, "requests", r.relayer.Active())
+	r.cfg.Log.Info("stopped", "requests", r.relayer.Active())
 	return nil
 }
 
--- a/hornctl/commands/commands_test.go
+++ b/hornctl/commands/commands_test.go
@@ -129,9 +129,23 @@
 	})
 }
 
+func TestTrace(t *testing.T) {
+	const log = "../tracer/testdata/instances.log"
+	transcript(t, "trace.golden", "", []step{
+		{"trace --id q1 " + log, ExitOK},
+		{"trace --id q1 --json " + log, ExitOK},
+		{"trace --version 7 " + log, ExitOK},
+		{"trace --id absent " + log, ExitFailed},
+		{"trace " + log, ExitUsage},
+		{"trace --id q1 --version 7 " + log, ExitUsage},
+		{"trace --id q1", ExitUsage},
+		{"trace --id q1 missing.log", ExitUsage},
+	})
+}
+
 func TestHelp(t *testing.T) {
 	steps := []step{{"--help", ExitOK}, {"bogus", ExitUsage}, {"--bogus", ExitUsage}, {"status --timeout 0s", ExitUsage}}
-	for _, name := range []string{"check", "ticket", "ticket submit", "ticket list", "ticket show", "ticket wait", "drain", "drain upstream", "shift", "status", "timeline", "completion"} {
+	for _, name := range []string{"check", "ticket", "ticket submit", "ticket list", "ticket show", "ticket wait", "drain", "drain upstream", "shift", "status", "timeline", "trace", "completion"} {
 		steps = append(steps, step{name + " --help", ExitOK})
 	}
 	t.Setenv("USER", "")
