soaker: a fault soak of real processes, with faults from outside by a seed

Cause: nothing proved the promises between real processes of hornplatform. Change: hornbench soak runs instances between stand-ins of the store and upstreams, with loopback proxies, signals, store and upstream faults that overlap, and checks what callers and upstreams see.

--- a/hornbench/main.go
+++ b/hornbench/main.go
@@ -32,6 +32,6 @@
 	return &cli.Command{
 		Name:     "hornbench",
 		Usage:    "stand-ins, load and demo of hornbeamstream on the loopback addresses",
-		Commands: []*cli.Command{demoCommand(), rollingCommand(), rushCommand(), emulateCommand(), loadCommand(), forwardCommand(), costCommand()},
+		Commands: []*cli.Command{demoCommand(), rollingCommand(), rushCommand(), emulateCommand(), loadCommand(), forwardCommand(), costCommand(), soakCommand()},
 	}
 }
--- /dev/null
+++ b/hornbench/soaker/faults.go
@@ -0,0 +1,225 @@
+package soaker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// storeServer serves the store on a loopback address.
+type storeServer struct {
+	address string
+	server  *http.Server
+}
+
+func serveStore(s *Store) (*storeServer, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(ln) }()
+	return &storeServer{ln.Addr().String(), server}, nil
+}
+
+func (s *storeServer) close() { _ = s.server.Close() }
+
+// fault is one kind of disturbance. It begins at once and ends by itself.
+type fault struct {
+	name string
+	// unplanned faults suspend the time bounds while they last and shortly after.
+	unplanned bool
+	run       func(ctx context.Context, w *World, d time.Duration)
+}
+
+// faults are chosen by the seed.
+var faults = []fault{
+	{"instance paused", true, func(_ context.Context, w *World, d time.Duration) { w.anInstance().Pause(d) }},
+	{"instance killed", true, func(ctx context.Context, w *World, d time.Duration) {
+		i := w.anInstance()
+		i.Kill()
+		sleep(ctx, d/2)
+		w.note(i.Start())
+	}},
+	{"instance stopped and started", false, func(ctx context.Context, w *World, d time.Duration) {
+		i := w.anInstance()
+		i.Terminate()
+		sleep(ctx, d/4)
+		w.note(i.Start())
+	}},
+	{"store busy", true, storeFault(storeBusy)},
+	{"store loses answers", true, storeFault(storeLost)},
+	{"store slow", true, storeFault(storeSlow)},
+	{"store forgets its history", true, func(_ context.Context, w *World, _ time.Duration) { w.store.Compact() }},
+	{"store delayed", true, cutFault(proxyDelay)},
+	{"store silent", true, cutFault(proxySilent)},
+	{"store deaf", true, cutFault(proxyDeaf)},
+	{"store resets", true, cutFault(proxyReset)},
+	{"upstream delayed", false, linkFault(proxyDelay)},
+	{"upstream silent", false, linkFault(proxySilent)},
+	{"upstream deaf", false, linkFault(proxyDeaf)},
+	{"upstream resets", false, linkFault(proxyReset)},
+	{"upstream cuts answers", false, modeFault(upstreamCut)},
+	{"upstream answers twice", false, modeFault(upstreamTwice)},
+	{"upstream loses answers", false, modeFault(upstreamLost)},
+	{"upstream slow", false, modeFault(upstreamSlow)},
+	{"upstream fails", false, modeFault(upstreamFails)},
+	{"upstream replaced", false, func(ctx context.Context, w *World, d time.Duration) {
+		u := w.takeUpstream()
+		if u == nil {
+			return
+		}
+		w.note(w.addUpstream(u.Service, u.Domain))
+		u.Drain()
+		w.mu.Lock()
+		w.left = append(w.left, u)
+		w.mu.Unlock()
+		sleep(ctx, max(d, 4*time.Second))
+		u.Stop(false)
+	}},
+	{"upstream crashed", false, func(ctx context.Context, w *World, d time.Duration) {
+		u := w.takeUpstream()
+		if u == nil {
+			return
+		}
+		u.Stop(true)
+		sleep(ctx, d)
+		w.store.Delete("servers", u.ID)
+		w.note(w.addUpstream(u.Service, u.Domain))
+	}},
+	{"configuration moves", false, func(_ context.Context, w *World, _ time.Duration) {
+		w.mu.Lock()
+		service := services[w.random.IntN(len(services))]
+		w.mu.Unlock()
+		w.configure(service)
+	}},
+	{"domain evacuated", false, func(ctx context.Context, w *World, d time.Duration) {
+		domain := domainNames[w.number(len(domainNames))]
+		w.note(w.store.Put("evacuations", domain, struct{}{}))
+		sleep(ctx, d)
+		w.store.Delete("evacuations", domain)
+	}},
+}
+
+func storeFault(m storeMode) func(context.Context, *World, time.Duration) {
+	return func(ctx context.Context, w *World, d time.Duration) {
+		w.store.SetMode(m)
+		sleep(ctx, d)
+		w.store.SetMode(storeUp)
+	}
+}
+
+func cutFault(m proxyMode) func(context.Context, *World, time.Duration) {
+	return func(ctx context.Context, w *World, d time.Duration) {
+		p := w.anInstance().proxy
+		p.SetMode(m)
+		sleep(ctx, d)
+		p.SetMode(proxyPass)
+	}
+}
+
+func linkFault(m proxyMode) func(context.Context, *World, time.Duration) {
+	return func(ctx context.Context, w *World, d time.Duration) {
+		p := w.anUpstream().proxy
+		p.SetMode(m)
+		sleep(ctx, d)
+		p.SetMode(proxyPass)
+	}
+}
+
+func modeFault(m upstreamMode) func(context.Context, *World, time.Duration) {
+	return func(ctx context.Context, w *World, d time.Duration) {
+		u := w.anUpstream()
+		u.SetMode(m)
+		sleep(ctx, d)
+		u.SetMode(upstreamGood)
+	}
+}
+
+// number draws a number below n.
+func (w *World) number(n int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.random.IntN(n)
+}
+
+func (w *World) anInstance() *Instance { return w.instances[w.number(len(w.instances))] }
+
+func (w *World) anUpstream() *Upstream {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.upstreams[w.random.IntN(len(w.upstreams))]
+}
+
+// takeUpstream removes an upstream from the list, unless few are left.
+func (w *World) takeUpstream() *Upstream {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.upstreams) <= len(services)*w.options.Upstreams-2 {
+		return nil
+	}
+	n := w.random.IntN(len(w.upstreams))
+	u := w.upstreams[n]
+	w.upstreams = append(w.upstreams[:n:n], w.upstreams[n+1:]...)
+	return u
+}
+
+// note records an error of the soak itself.
+func (w *World) note(err error) {
+	if err == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = append(w.faults, fmt.Sprintf("%6.2f error: %v", time.Since(w.began).Seconds(), err))
+}
+
+// disturb runs faults, in series and overlapping, until the end of the soak.
+// Several faults never hit the same instance at once: each kind that does has a
+// lock of its own.
+func (w *World) disturb(ctx context.Context) {
+	var group sync.WaitGroup
+	var signals sync.Mutex
+	for time.Now().Before(w.options.Until) && ctx.Err() == nil {
+		f := faults[w.number(len(faults))]
+		d := 300*time.Millisecond + time.Duration(w.number(3000))*time.Millisecond
+		group.Go(func() {
+			if f.name[:8] == "instance" {
+				signals.Lock()
+				defer signals.Unlock()
+			}
+			w.play(ctx, f, d)
+		})
+		sleep(ctx, time.Duration(100+w.number(900))*time.Millisecond)
+	}
+	group.Wait()
+	w.store.SetMode(storeUp)
+}
+
+func (w *World) play(ctx context.Context, f fault, d time.Duration) {
+	from := time.Now()
+	f.run(ctx, w, d)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = append(w.faults, fmt.Sprintf("%6.2f to %6.2f %s", from.Sub(w.began).Seconds(), time.Since(w.began).Seconds(), f.name))
+	if f.unplanned {
+		w.disturbed = append(w.disturbed, span{from.Add(-contactTime), time.Now().Add(contactTime)})
+	}
+}
+
+// calm tells whether time bounds hold in a span of time.
+func (w *World) calm(from, to time.Time) bool {
+	for _, s := range w.disturbed {
+		if from.Before(s.to) && s.from.Before(to) {
+			return false
+		}
+	}
+	return true
+}
+
+// errViolated marks a soak in which a promise was broken.
+var errViolated = errors.New("a promise was broken")
--- /dev/null
+++ b/hornbench/soaker/report.go
@@ -0,0 +1,159 @@
+package soaker
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"time"
+)
+
+// Report is what a soak has seen.
+type Report struct {
+	Seed     uint64
+	Requests int
+	// Outcomes counts requests by status, 0 for no answer.
+	Outcomes map[int]int
+	// Calls is the number of calls to the store.
+	Calls int
+	// Faults lists the faults with their times, Violations the broken promises.
+	Faults     []string
+	Violations []string
+	// SlowestStop is the longest planned stop.
+	SlowestStop time.Duration
+	Logs        string
+}
+
+const (
+	// drainTime is how long a leaving upstream may get requests, applyTime how
+	// long a configuration may take to be in force.
+	drainTime = 2500 * time.Millisecond
+	applyTime = 2500 * time.Millisecond
+	// recovered is the share of requests that are served after the last fault.
+	recovered = 0.9
+)
+
+// Err returns an error if a promise was broken.
+func (r *Report) Err() error {
+	if len(r.Violations) == 0 {
+		return nil
+	}
+	return fmt.Errorf("%w: %d times, first: %s", errViolated, len(r.Violations), r.Violations[0])
+}
+
+// Print writes the report for people.
+func (r *Report) Print(w io.Writer) {
+	fmt.Fprintf(w, "seed %d: %d requests, by status %v, %d calls to the store, slowest planned stop %.1f s, %d violations\n",
+		r.Seed, r.Requests, r.Outcomes, r.Calls, r.SlowestStop.Seconds(), len(r.Violations))
+	if len(r.Violations) == 0 {
+		return
+	}
+	for _, v := range r.Violations[:min(len(r.Violations), 20)] {
+		fmt.Fprintln(w, "  violated:", v)
+	}
+	for _, f := range r.Faults {
+		fmt.Fprintln(w, "  fault:", f)
+	}
+	fmt.Fprintln(w, "  logs:", r.Logs)
+}
+
+func (w *World) report() Report {
+	r := Report{Seed: w.options.Seed, Outcomes: map[int]int{}, Calls: w.store.Calls(), Logs: w.logs()}
+	all := w.journal.All()
+	end := time.Now()
+	served, asked := 0, 0
+	known := map[string]bool{}
+	for _, s := range all {
+		known[s.ID] = true
+		r.Requests++
+		r.Outcomes[s.Status]++
+		r.Violations = append(r.Violations, w.judge(&s)...)
+		if s.Start.After(end.Add(recoverTime - calmTime)) {
+			asked++
+			if s.Status == http.StatusOK {
+				served++
+			}
+		}
+	}
+	if float64(served) < recovered*float64(asked) || asked == 0 {
+		r.Violations = append(r.Violations, fmt.Sprintf("recovery: %d of %d requests served after the last fault", served, asked))
+	}
+	r.Violations = append(r.Violations, w.drains()...)
+	for _, i := range w.instances {
+		r.SlowestStop = max(r.SlowestStop, i.slowest)
+	}
+	r.Faults = w.faults
+	sort.Strings(r.Violations)
+	return r
+}
+
+// judge checks the promises that concern one request.
+func (w *World) judge(s *Sent) (broken []string) {
+	runs := w.ledger.Runs(s.ID)
+	say := func(format string, args ...any) {
+		broken = append(broken, fmt.Sprintf("%s: %s %s at %.2f s, status %d: %s", s.ID, s.Method, s.URI,
+			s.Start.Sub(w.began).Seconds(), s.Status, fmt.Sprintf(format, args...)))
+	}
+	if s.Once && len(runs) > 1 {
+		say("twice: it ran %d times", len(runs))
+	}
+	refused := s.Status == http.StatusServiceUnavailable || s.Status == http.StatusTooManyRequests ||
+		s.Status == http.StatusRequestTimeout || s.Status == http.StatusMisdirectedRequest
+	if s.Once && refused && len(runs) > 0 {
+		say("refused, but it ran at %s", runs[0].Upstream)
+	}
+	if s.Status == http.StatusNotFound {
+		say("denied, though its route was always there")
+	}
+	if s.Status == http.StatusOK && (s.Answer != answerBody(s.ID) || s.Stamp != stamp(s.ID, s.Answer) || s.Echo != s.ID) {
+		say("mixed: another answer than the upstream's")
+	}
+	for _, run := range runs {
+		if run.Method != s.Method || run.URI != s.URI || run.Body != s.Body {
+			say("changed on its way: %s %s %q", run.Method, run.URI, run.Body)
+		}
+		if bad := w.wrongService(s, run); bad != "" {
+			say("%s", bad)
+		}
+	}
+	return broken
+}
+
+// wrongService checks that a request ran where some configuration that may have
+// been in force has sent it.
+func (w *World) wrongService(s *Sent, run Run) string {
+	last := -1
+	for n, m := range w.moves {
+		if m.at.Add(applyTime).Before(s.Start) {
+			last = n
+		}
+	}
+	if last < 0 || !w.calm(w.moves[last].at, run.At) {
+		return ""
+	}
+	for _, m := range w.moves[last:] {
+		if m.service == run.Service {
+			return ""
+		}
+	}
+	return "route: it ran at " + run.Service + ", which no configuration in force names"
+}
+
+// drains checks that leaving upstreams got nothing new.
+func (w *World) drains() (broken []string) {
+	w.ledger.mu.Lock()
+	defer w.ledger.mu.Unlock()
+	for _, u := range w.left {
+		left := u.Left()
+		for id, runs := range w.ledger.runs {
+			for _, run := range runs {
+				// A run may begin after a wait in the upstream's queue.
+				late := run.Upstream == u.ID && run.At.After(left.Add(drainTime+callerTime))
+				if late && w.calm(left, run.At) {
+					broken = append(broken, fmt.Sprintf("%s: ran at %s %.1f s after it had told that it leaves", id, u.ID, run.At.Sub(left).Seconds()))
+				}
+			}
+		}
+	}
+	return broken
+}
--- /dev/null
+++ b/hornbench/soaker/store.go
@@ -0,0 +1,257 @@
+// Package soaker runs real hornplatform processes between stand-ins of the
+// users' platform, injects faults from outside of them by a seed, and checks
+// what callers and upstreams see.
+package soaker
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// historySize is the number of changes that the store keeps.
+const historySize = 400
+
+// object is one object of the store.
+type object struct {
+	Metadata struct {
+		Name     string `json:"name"`
+		Revision uint64 `json:"revision"`
+	} `json:"metadata"`
+	Spec json.RawMessage `json:"spec"`
+}
+
+// change is one entry of the store's history.
+type change struct {
+	kind    string
+	object  object
+	deleted bool
+}
+
+// Store is a stand-in for the platform's store: objects by kind and name,
+// conditional writes, lists and watches. Its zero value is not ready for use.
+type Store struct {
+	mu       sync.Mutex
+	objects  map[string]map[string]object
+	history  []change
+	base     uint64
+	revision uint64
+	wake     chan struct{}
+	mode     storeMode
+	calls    int
+}
+
+// storeMode says how the store treats calls of instances.
+type storeMode string
+
+const (
+	storeUp storeMode = "up"
+	// storeBusy refuses calls; nothing is done.
+	storeBusy storeMode = "busy"
+	// storeLost does what is asked and then closes the connection.
+	storeLost storeMode = "lost"
+	// storeSlow answers late.
+	storeSlow storeMode = "slow"
+)
+
+// slowTime is how late a slow store answers.
+const slowTime = 300 * time.Millisecond
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{objects: map[string]map[string]object{}, revision: 1, base: 1, wake: make(chan struct{}), mode: storeUp}
+}
+
+// SetMode changes how calls of instances are treated.
+func (s *Store) SetMode(m storeMode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = m
+}
+
+// Compact forgets the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.base = nil, s.revision
+	s.signal()
+}
+
+// Put writes an object as the operator or an upstream does, unaffected by the
+// mode.
+func (s *Store) Put(kind, name string, spec any) error {
+	data, err := json.Marshal(spec)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(kind, name, data)
+	return nil
+}
+
+// Delete removes an object.
+func (s *Store) Delete(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[kind][name]
+	if !ok {
+		return
+	}
+	delete(s.objects[kind], name)
+	s.note(change{kind, o, true})
+}
+
+func (s *Store) write(kind, name string, spec json.RawMessage) object {
+	var o object
+	o.Metadata.Name, o.Spec = name, spec
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]object{}
+	}
+	o.Metadata.Revision = s.revision + 1
+	s.objects[kind][name] = o
+	s.note(change{kind, o, false})
+	return o
+}
+
+// note appends a change to the history. The store is locked.
+func (s *Store) note(c change) {
+	s.revision++
+	c.object.Metadata.Revision = s.revision
+	s.history = append(s.history, c)
+	if n := len(s.history) - historySize; n > 0 {
+		s.base = s.history[n-1].object.Metadata.Revision
+		s.history = s.history[n:]
+	}
+	s.signal()
+}
+
+func (s *Store) signal() {
+	close(s.wake)
+	s.wake = make(chan struct{})
+}
+
+// Calls is the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	mode := s.mode
+	s.mu.Unlock()
+	switch mode {
+	case storeBusy:
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+		return
+	case storeSlow:
+		time.Sleep(slowTime)
+	}
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/-/objects/"), "/")
+	status, body := s.serve(r, kind, name)
+	if mode == storeLost && r.Method != http.MethodGet {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A caller that has gone needs no answer.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (s *Store) serve(r *http.Request, kind, name string) (int, any) {
+	query := r.URL.Query()
+	switch {
+	case r.Method == http.MethodGet && query.Has("watch"):
+		return s.watch(r, kind)
+	case r.Method == http.MethodGet:
+		return s.list(kind, query.Get("after"))
+	case r.Method == http.MethodPost || r.Method == http.MethodPut:
+		return s.store(r, kind, name)
+	}
+	return http.StatusNotFound, nil
+}
+
+func (s *Store) list(kind, after string) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	items := []object{}
+	for name, o := range s.objects[kind] {
+		if name > after {
+			items = append(items, o)
+		}
+	}
+	return http.StatusOK, map[string]any{"items": items, "hasMore": false, "currentRev": s.revision}
+}
+
+func (s *Store) store(r *http.Request, kind, name string) (int, any) {
+	var o object
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		return http.StatusBadRequest, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, exists := s.objects[kind][o.Metadata.Name]
+	switch {
+	case r.Method == http.MethodPost && exists:
+		return http.StatusConflict, old
+	case r.Method == http.MethodPut && !exists:
+		return http.StatusNotFound, nil
+	case r.Method == http.MethodPut && string(old.Spec) == string(o.Spec):
+		return http.StatusOK, old
+	}
+	if name == "" {
+		name = o.Metadata.Name
+	}
+	return http.StatusOK, s.write(kind, name, o.Spec)
+}
+
+func (s *Store) watch(r *http.Request, kind string) (int, any) {
+	query := r.URL.Query()
+	from, err := strconv.ParseUint(query.Get("watch"), 10, 64)
+	if err != nil {
+		return http.StatusBadRequest, nil
+	}
+	wait, err := strconv.Atoi(query.Get("waitMs"))
+	if err != nil {
+		return http.StatusBadRequest, nil
+	}
+	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		events, revision, wake, gone := s.since(kind, from)
+		if gone {
+			return http.StatusGone, nil
+		}
+		if len(events) > 0 {
+			return http.StatusOK, map[string]any{"events": events, "currentRev": revision}
+		}
+		select {
+		case <-wake:
+		case <-r.Context().Done():
+			return http.StatusOK, nil
+		case <-timeout:
+			return http.StatusOK, map[string]any{"events": []any{}, "currentRev": revision}
+		}
+	}
+}
+
+// since returns the changes of a kind after a revision.
+func (s *Store) since(kind string, from uint64) (events []map[string]any, revision uint64, wake chan struct{}, gone bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if from < s.base {
+		return nil, 0, nil, true
+	}
+	for _, c := range s.history {
+		if c.kind == kind && c.object.Metadata.Revision > from {
+			events = append(events, map[string]any{"object": c.object, "deleted": c.deleted})
+		}
+	}
+	return events, s.revision, s.wake, false
+}
