watcher, journaler, pooler: tests

Cause: three packages had no tests. Change: prepared answers of a store, orders that change during a call, one caller for a store that is away; a log whose output takes nothing; connections that must not be used again.

--- /dev/null
+++ b/hornbeamd/journaler/journaler_test.go
@@ -0,0 +1,64 @@
+package journaler
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestNeverBlocks logs to an output that takes nothing.
+func TestNeverBlocks(t *testing.T) {
+	is := is.New(t)
+	r, w := io.Pipe()
+	defer func() { is.NoErr(r.Close()) }()
+	j, log := Open(w)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for n := range 10 * queueSize {
+			log.Info("line", "n", n)
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(time.Minute):
+		t.Fatal("logging blocks")
+	}
+	is.True(j.Dropped() > 0)
+}
+
+// TestFailuresComeFirst drops details before failures, and tells how many lines
+// were dropped.
+func TestFailuresComeFirst(t *testing.T) {
+	is := is.New(t)
+	r, w := io.Pipe()
+	defer func() { is.NoErr(r.Close()) }()
+	_, log := Open(w)
+	log = log.WithValues("instance", "i1").WithName("n")
+	for range 2 * detailBurst {
+		log.V(1).Info("detail")
+	}
+	log.Info("failure")
+	counts := map[string]int{}
+	s := bufio.NewScanner(r)
+	for s.Scan() {
+		var line struct {
+			Msg      string `json:"msg"`
+			Instance string `json:"instance"`
+			Lines    int    `json:"lines"`
+		}
+		is.NoErr(json.Unmarshal(s.Bytes(), &line))
+		counts[line.Msg]++
+		if line.Msg == "log lines dropped" {
+			is.True(line.Lines > 0)
+			break
+		}
+		is.Equal(line.Instance, "i1")
+	}
+	is.Equal(counts["failure"], 1)
+	is.True(counts["detail"] >= detailBurst && counts["detail"] < 2*detailBurst)
+}
--- /dev/null
+++ b/hornbeamd/pooler/pool_test.go
@@ -0,0 +1,105 @@
+package pooler
+
+import (
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// listen accepts connections and hands them out.
+func listen(t *testing.T) (string, chan net.Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = ln.Close() })
+	conns := make(chan net.Conn, 16)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			conns <- c
+		}
+	}()
+	return ln.Addr().String(), conns
+}
+
+const far = int64(time.Hour)
+
+func TestPoolReuses(t *testing.T) {
+	is := is.New(t)
+	address, _ := listen(t)
+	p := &Pool{Address: address}
+	c, fresh, err := p.Get(0, 1, far, 4)
+	is.NoErr(err)
+	is.True(fresh)
+	p.Put(c, 10)
+	again, fresh, err := p.Get(5, 20, far, 4)
+	is.NoErr(err)
+	is.True(!fresh && again == c)
+	p.Put(c, 30)
+	_, fresh, err = p.Get(31, 40, far, 4)
+	is.NoErr(err)
+	is.True(fresh) // the idle one has not proven to work lately enough
+}
+
+func TestPoolLimit(t *testing.T) {
+	is := is.New(t)
+	address, _ := listen(t)
+	p := &Pool{Address: address}
+	a, _, err := p.Get(0, 1, far, 1)
+	is.NoErr(err)
+	_, _, err = p.Get(0, 1, far, 1)
+	is.True(errors.Is(err, ErrConns))
+	p.Put(a, 2)
+	_, fresh, err := p.Get(3, 4, far, 1)
+	is.NoErr(err)
+	is.True(fresh) // an unproven connection makes room for a fresh one
+}
+
+// TestPoolDropsDoubtfulConnections uses no connection that the other end has
+// closed, that bytes have arrived on, or that the other end may be closing.
+func TestPoolDropsDoubtfulConnections(t *testing.T) {
+	for name, spoil := range map[string]func(p *Pool, server net.Conn){
+		"closed":   func(_ *Pool, server net.Conn) { _ = server.Close() },
+		"bytes":    func(_ *Pool, server net.Conn) { _, _ = io.WriteString(server, "x") },
+		"expired":  func(p *Pool, _ net.Conn) { p.KeepIdle(100 * time.Nanosecond) },
+		"distrust": func(p *Pool, _ net.Conn) { p.Distrust(100) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, conns := listen(t)
+			p := &Pool{Address: address}
+			c, _, err := p.Get(0, 1, far, 4)
+			is.NoErr(err)
+			p.Put(c, 2)
+			spoil(p, <-conns)
+			until := time.Now().Add(10 * time.Second)
+			for c.Quiet() && name != "expired" && name != "distrust" && time.Now().Before(until) {
+				time.Sleep(time.Millisecond)
+			}
+			_, fresh, err := p.Get(0, 1000, far, 4)
+			is.NoErr(err)
+			is.True(fresh)
+		})
+	}
+}
+
+func TestPoolClosed(t *testing.T) {
+	is := is.New(t)
+	address, _ := listen(t)
+	p := &Pool{Address: address}
+	c, _, err := p.Get(0, 1, far, 4)
+	is.NoErr(err)
+	p.Close()
+	_, _, err = p.Get(0, 2, far, 4)
+	is.True(errors.Is(err, ErrClosed))
+	p.Put(c, 3)
+	_, err = c.Write([]byte("x"))
+	is.True(err != nil) // closed when it comes back
+}
--- /dev/null
+++ b/hornbeamd/watcher/watcher_test.go
@@ -0,0 +1,186 @@
+package watcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamstream.example/core/steerer"
+)
+
+// script is a source whose answers are prepared. After the last one it waits
+// until the call ends.
+type script struct {
+	answers []answer
+	calls   []string
+}
+
+type answer struct {
+	page Page
+	err  error
+}
+
+func (s *script) next(ctx context.Context, call string) (Page, error) {
+	s.calls = append(s.calls, call)
+	if len(s.answers) == 0 {
+		<-ctx.Done()
+		return Page{}, ctx.Err()
+	}
+	a := s.answers[0]
+	s.answers = s.answers[1:]
+	return a.page, a.err
+}
+
+func (s *script) List(ctx context.Context, _ steerer.Kind, after string) (Page, error) {
+	return s.next(ctx, "list "+after)
+}
+
+func (s *script) Watch(ctx context.Context, _ steerer.Kind, revision uint64, _ time.Time) (Page, error) {
+	return s.next(ctx, fmt.Sprint("watch ", revision))
+}
+
+func objects(names ...string) (all []steerer.Object) {
+	for _, n := range names {
+		all = append(all, steerer.Object{Name: n})
+	}
+	return all
+}
+
+var errDown = errors.New("down")
+
+// TestWatcher plays answers of a store and checks calls and events.
+func TestWatcher(t *testing.T) {
+	tests := []struct {
+		name    string
+		order   Order
+		answers []answer
+		calls   string
+		events  string
+	}{
+		{
+			"lists all pages and watches from the first one's revision",
+			Order{On: true, Wait: time.Second},
+			[]answer{{Page{objects("a"), "a", 5}, nil}, {Page{objects("b"), "", 7}, nil}, {Page{objects("c"), "", 9}, nil}},
+			"[list  list a watch 5 watch 9]",
+			"[listed a b at 5 changed c at 9]",
+		},
+		{
+			"starts from a known revision",
+			Order{On: true, Revision: 4, Wait: time.Second},
+			[]answer{{Page{nil, "", 6}, nil}},
+			"[watch 4 watch 6]", "[changed at 6]",
+		},
+		{
+			"goes on after failures without losing its place",
+			Order{On: true, Revision: 4, Wait: time.Second},
+			[]answer{{Page{}, errDown}, {Page{}, errDown}, {Page{objects("a"), "", 6}, nil}},
+			"[watch 4 watch 4 watch 4 watch 6]", "[lost lost changed a at 6]",
+		},
+		{
+			"lists again when the history is gone",
+			Order{On: true, Revision: 4, Wait: time.Second},
+			[]answer{{Page{}, ErrHistory}, {Page{objects("a"), "", 8}, nil}},
+			"[watch 4 list  watch 8]", "[listed a at 8]",
+		},
+		{"does nothing without an order", Order{}, nil, "[]", "[]"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, end := context.WithCancel(context.Background())
+				s := &script{answers: tt.answers}
+				var events []string
+				w := &Watcher{
+					Source: s, Now: func() int64 { return 1 }, Guard: &Guard{}, Lead: true,
+					Emit: func(e steerer.Event) { events = append(events, describe(e)) },
+				}
+				if tt.order.On {
+					w.Follow(tt.order)
+				}
+				go func() { is.NoErr(w.Run(ctx)) }()
+				time.Sleep(time.Second)
+				end()
+				synctest.Wait()
+				is.Equal(fmt.Sprint(s.calls), tt.calls)
+				is.Equal(fmt.Sprint(events), tt.events)
+			})
+		})
+	}
+}
+
+func describe(e steerer.Event) string {
+	text := ""
+	var all []steerer.Object
+	revision := uint64(0)
+	switch e := e.(type) {
+	case steerer.Listed:
+		text, all, revision = "listed", e.Objects, e.Revision
+	case steerer.Changed:
+		text, all, revision = "changed", e.Objects, e.Revision
+	case steerer.Lost:
+		return "lost"
+	}
+	for _, o := range all {
+		text += " " + o.Name
+	}
+	return fmt.Sprint(text, " at ", revision)
+}
+
+// TestFollowEndsACall takes a new order while a call waits under the old one.
+func TestFollowEndsACall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, end := context.WithCancel(context.Background())
+		s := &script{}
+		lost := false
+		w := &Watcher{Source: s, Now: func() int64 { return 1 }, Guard: &Guard{}, Emit: func(steerer.Event) { lost = true }}
+		w.Follow(Order{On: true, Revision: 3, Wait: time.Minute})
+		go func() { is.NoErr(w.Run(ctx)) }()
+		time.Sleep(time.Second)
+		w.Follow(Order{})
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		is.Equal(len(s.calls), 1) // no call without an order
+		w.Follow(Order{On: true, Revision: 8, Wait: time.Minute})
+		time.Sleep(time.Second)
+		synctest.Wait()
+		is.Equal(fmt.Sprint(s.calls), "[watch 3 watch 8]")
+		is.True(!lost)
+		end()
+		synctest.Wait()
+	})
+}
+
+// TestOneTriesForAll lets only the leading watcher call a store that is away.
+func TestOneTriesForAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, end := context.WithCancel(context.Background())
+		guard := &Guard{}
+		down := make([]answer, 1000)
+		for i := range down {
+			down[i].err = errDown
+		}
+		var sources []*script
+		for n := range 4 {
+			s := &script{answers: append([]answer(nil), down...)}
+			sources = append(sources, s)
+			w := &Watcher{Source: s, Now: func() int64 { return 1 }, Guard: guard, Lead: n == 0, Emit: func(steerer.Event) {}}
+			w.Follow(Order{On: true, Revision: 3, Wait: time.Second})
+			go func() { is.NoErr(w.Run(ctx)) }()
+		}
+		time.Sleep(6 * time.Second)
+		end()
+		synctest.Wait()
+		is.True(len(sources[0].calls) >= 9) // the lead finds a return within half a second
+		for _, s := range sources[1:] {
+			is.True(len(s.calls) <= 5) // the others leave the store alone
+		}
+	})
+}
