dispatcher: a second upstream for what the first of a key cannot take; usual load for old reports

Change: an old report gives way to the usual load of the region's upstreams; above a usage of 0.7 requests go to no upstream that does not know their key; the second upstream of a key in the own region takes requests in empty slots.

--- a/core/dispatcher/choose.go
+++ b/core/dispatcher/choose.go
@@ -26,6 +26,9 @@
 	// downCost keeps requests away from unreachable upstreams while there are
 	// others.
 	downCost = 2 * time.Second
+	// busyUsage is the usage of slots above which requests go to no upstream that
+	// does not know their key.
+	busyUsage = 0.7
 	// strayCost keeps requests in the region where they should run.
 	strayCost = time.Second
 	// minReturn and maxReturn bound the time after which a refused request may
@@ -133,6 +136,8 @@
 	rank       uint64
 	load       float64
 	report     time.Duration
+	// second tells that the upstream takes the key's requests only in empty slots.
+	second bool
 	// free tells that a slot seems to be free.
 	free bool
 }
@@ -253,20 +258,31 @@
 	return ownRegion
 }
 
-// prefer moves the upstreams that know the key to the front: the first one by
-// rank of each group.
+// replicas is the number of upstreams of a group that may know the key.
+func (r *Request) replicas(g group) int {
+	if g == ownRegion && !r.Route.Bulk {
+		return 2
+	}
+	return 1
+}
+
+// prefer moves the upstreams that may know the key to the front: the first ones
+// by rank of each group.
 func (r *Request) prefer(all []candidate) (preferred, others []candidate) {
 	n := 0
 	for g := range groups {
-		best := -1
-		for i := n; i < len(all); i++ {
-			if r.group(all[i].u) == g && (best < 0 || all[i].rank > all[best].rank) {
-				best = i
+		for n0 := n; n < n0+r.replicas(g); n++ {
+			best := -1
+			for i := n; i < len(all); i++ {
+				if r.group(all[i].u) == g && (best < 0 || all[i].rank > all[best].rank) {
+					best = i
+				}
+			}
+			if best < 0 {
+				break
 			}
-		}
-		if best >= 0 {
 			all[n], all[best] = all[best], all[n]
-			n++
+			all[n].second = n > n0
 		}
 	}
 	return all[:n:n], all[n:]
@@ -303,7 +319,7 @@
 	if u.cold(r.Now) {
 		slow *= 2
 	}
-	c.free = s.load+1 <= slots && !s.down
+	c.free = s.load+1 <= slots && !s.down && (s.warm || u.usage.mean() < busyUsage)
 	wait := max(0, s.load+1-slots) / slots * work.mean() * slow
 	c.wait = time.Duration(wait)
 	c.took = u.Trip + time.Duration(wait+run*slow)
@@ -317,6 +333,23 @@
 	if s.down {
 		c.cost += float64(downCost)
 	}
+	if c.second {
+		c.cost += secondCost(work, s, slots)
+	}
+}
+
+// secondCost keeps the second upstream of a key for what the first one cannot
+// take at once: it may not know the key yet, and a run without it must not
+// displace others.
+func secondCost(w *work, s state, slots float64) float64 {
+	cost := 0.0
+	if !s.warm {
+		cost += w.cold() - w.warm()
+	}
+	if s.load+1 > slots {
+		cost += float64(downCost)
+	}
+	return cost
 }
 
 // best returns the index of the cheapest candidate. Away tells that the request
--- a/core/dispatcher/load_test.go
+++ b/core/dispatcher/load_test.go
@@ -75,9 +75,42 @@
 		m.upstreams[1].dead = now > 10*time.Second && now < 16*time.Second
 		m.upstreams[9].dead = m.upstreams[1].dead
 	}
+	large := today("a large system recovers from a burst")
+	large.instances = 28
+	large.regions = nil
+	for _, r := range []struct {
+		upstreams int
+		phase     float64
+	}{{54, 0.2}, {12, 0.53}, {46, 0.87}} {
+		large.regions = append(large.regions, modelRegion{upstreams: r.upstreams, rate: 510, swing: 0.55, phase: r.phase, keys: 296})
+	}
+	large.work, large.aim, large.timeout = 720*time.Millisecond, 500*time.Millisecond, 4*time.Second
+	large.remembers = 33
+	large.burst = func(now time.Duration) float64 {
+		if now > 8*time.Second && now < 13*time.Second {
+			return 1.8
+		}
+		return 1
+	}
+	large.from = 18 * time.Second
+	cold := large
+	cold.name = "a large system recovers after its upstreams forgot all keys"
+	cold.change = func(m *model, now time.Duration) {
+		if now > 10*time.Second && now < 11*time.Second {
+			for _, u := range m.upstreams {
+				u.recent = nil
+			}
+		}
+	}
+	cold.burst = func(now time.Duration) float64 {
+		if now > 8*time.Second {
+			return 1.45
+		}
+		return 1
+	}
 	small := today("upstreams remember a sixth of the keys")
 	small.remembers = 47
-	return []scenario{wave, start, heavy, burst, slow, many, crash, small}
+	return []scenario{wave, start, heavy, burst, slow, many, crash, small, large, cold}
 }
 
 // TestPatterns plays each pattern with the dispatcher and with simple policies.
--- a/core/dispatcher/model_test.go
+++ b/core/dispatcher/model_test.go
@@ -36,6 +36,8 @@
 	from time.Duration
 	// change edits the upstreams as time goes by.
 	change func(m *model, now time.Duration)
+	// instances is the number of instances of a region, 3 if it is 0.
+	instances int
 	// burst multiplies the rate.
 	burst func(now time.Duration) float64
 }
@@ -111,7 +113,12 @@
 	return x
 }
 
-const instancesPerRegion = 3
+func (s *scenario) perRegion() int {
+	if s.instances > 0 {
+		return s.instances
+	}
+	return 3
+}
 
 type model struct {
 	scenario
@@ -175,7 +182,7 @@
 	next := now + int64(m.random.ExpFloat64()/max(rate, 0.1)*1e9)
 	m.at(next, func(now int64) {
 		q := &modelRequest{
-			region: region, instance: m.random.IntN(instancesPerRegion),
+			region: region, instance: m.random.IntN(m.perRegion()),
 			key:   uint64(region)<<32 | uint64(m.random.IntN(r.keys)) + 1,
 			began: now, deadline: now + int64(m.timeout),
 		}
--- a/core/dispatcher/policies_test.go
+++ b/core/dispatcher/policies_test.go
@@ -23,11 +23,11 @@
 	}
 	for r := range s.regions {
 		var bs []*Builder
-		for i := range instancesPerRegion {
+		for i := range s.perRegion() {
 			bs = append(bs, &Builder{Self: modelInstance(r, i), Bounds: steerer.Bounds{ColdSlack: 5}, Regions: domains})
 		}
 		p.builders = append(p.builders, bs)
-		p.tables = append(p.tables, make([]*Table, instancesPerRegion))
+		p.tables = append(p.tables, make([]*Table, s.perRegion()))
 	}
 	return p
 }
@@ -47,7 +47,7 @@
 		}},
 	}}
 	for r := range m.regions {
-		for i := range instancesPerRegion {
+		for i := range m.perRegion() {
 			v.Peers = append(v.Peers, modelInstance(r, i))
 		}
 	}
--- a/core/dispatcher/table.go
+++ b/core/dispatcher/table.go
@@ -68,6 +68,7 @@
 	spills    map[string]*spill
 	works     map[string]*work
 	counters  map[string]*counter
+	usages    map[string]*usage
 }
 
 type incarnation struct {
@@ -105,6 +106,7 @@
 	b.spills = map[string]*spill{}
 	b.works = map[string]*work{}
 	b.counters = map[string]*counter{}
+	b.usages = map[string]*usage{}
 }
 
 // budgetMargin is the part of the bounds on retries that is used. The rest is
@@ -144,7 +146,8 @@
 		present[key] = true
 		live := b.upstreams[key]
 		if live == nil {
-			live = newUpstream(u, b.Regions[u.Domain], b.Self)
+			region := b.Regions[u.Domain]
+			live = newUpstream(u, region, b.Self, kept(b.usages, u.Service+" "+region))
 			b.upstreams[key] = live
 		}
 		live.update(u, b.coldRate(&t.View, u, p), b.connShare(&t.View, p), now)
--- a/core/dispatcher/upstream.go
+++ b/core/dispatcher/upstream.go
@@ -49,6 +49,9 @@
 	// of the next one. A coldEvery of 0 gives none.
 	coldUntil, coldEvery, next atomic.Int64
 
+	// usage is that of the service's upstreams in the region.
+	usage *usage
+
 	mu sync.Mutex
 	// others is the load by other instances at reported.
 	others   float64
@@ -66,8 +69,8 @@
 	warm      keys
 }
 
-func newUpstream(u steerer.Upstream, region string, self steerer.Instance) *Upstream {
-	live := &Upstream{Upstream: u, Region: region, Trip: remoteTrip, slow: 1, seed: xxhash.Sum64String(u.ID)}
+func newUpstream(u steerer.Upstream, region string, self steerer.Instance, g *usage) *Upstream {
+	live := &Upstream{Upstream: u, Region: region, Trip: remoteTrip, usage: g, slow: 1, seed: xxhash.Sum64String(u.ID)}
 	switch {
 	case u.Domain == self.Domain:
 		live.Trip = domainTrip
@@ -159,7 +162,7 @@
 	defer u.mu.Unlock()
 	fade := math.Exp2(-float64(now-u.learned) / float64(forgetTime))
 	s := state{
-		load:    float64(u.inflight.Load()) + u.others*reportFade(now-u.reported),
+		load:    float64(u.inflight.Load()) + u.othersAt(now),
 		report:  time.Duration(now - u.reported),
 		slow:    1 + (u.slow-1)*fade,
 		failing: u.failing * fade,
@@ -172,6 +175,30 @@
 	return s
 }
 
+// othersAt is the estimated load by other instances. What an old report says
+// gives way to the usual load of the upstreams of the service and region. The
+// upstream is locked.
+func (u *Upstream) othersAt(now int64) float64 {
+	weight := reportFade(now - u.reported)
+	usual := max(0, u.usage.mean()*float64(u.Slots)-float64(u.inflight.Load()))
+	return weight*u.others + (1-weight)*usual
+}
+
+// usage is the mean load of one slot of the upstreams of a service in a region,
+// as they report it.
+type usage struct{ bits atomic.Uint64 }
+
+// usageWeight is the number of reports over which usage is taken.
+const usageWeight = 24
+
+func (g *usage) mean() float64 { return math.Float64frombits(g.bits.Load()) }
+
+func (g *usage) add(load float64) {
+	old := g.mean()
+	// A lost update among many is no harm.
+	g.bits.Store(math.Float64bits(old + (load-old)/usageWeight))
+}
+
 // reportFade is the weight of a report of the given age.
 func reportFade(age int64) float64 {
 	if age <= int64(reportTime) {
@@ -199,6 +226,7 @@
 	defer u.mu.Unlock()
 	u.others = max(0, float64(l.Running+l.Waiting)-float64(u.inflight.Load()))
 	u.reported = now
+	u.usage.add(float64(l.Running+l.Waiting) / float64(max(1, l.Slots)))
 }
 
 // learn adds one sample to the speed and the failures.
