--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -87,6 +87,11 @@
 		r.finish(c)
 		return
 	}
+	if most := r.limits().HeadBytes; most > 0 && len(ctx.Request.Header.RawHeaders()) > most {
+		c.fail(fasthttp.StatusRequestHeaderFieldsTooLarge, outcome{word: "head too large"})
+		r.finish(c)
+		return
+	}
 	c.route = c.table.Route(host(ctx), path(ctx))
 	if c.route == nil || len(c.route.Parts) == 0 {
 		c.fail(fasthttp.StatusNotFound, outcome{word: "no route"})
--- a/hornbeamd/relayer/fault_test.go
+++ b/hornbeamd/relayer/fault_test.go
@@ -1,9 +1,11 @@
 package relayer
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -283,3 +285,41 @@
 	g.publish(func(v *steerer.View) { v.Config = nil })
 	is.Equal(g.ask("GET", "/safe/x", "").status, 503) // knows no configuration
 }
+
+// TestLimits refuses what is larger than the configuration allows and closes
+// connections that have been idle for too long.
+func TestLimits(t *testing.T) {
+	is := is.New(t)
+	g := startRig(t, startStub(t, "u1", good))
+	g.publish(func(v *steerer.View) {
+		v.Config.Limits = steerer.Limits{HeadBytes: 1000, BodyBytes: 2000, IdleTime: time.Nanosecond}
+	})
+	is.Equal(g.ask("POST", "/once/x", strings.Repeat("b", 2000)).status, 200)
+	is.Equal(g.ask("POST", "/once/x", strings.Repeat("b", 2001)).status, 413)
+	is.Equal(g.ask("POST", "/once/x", "", "Pad", strings.Repeat("p", 1000)).status, 431)
+	c, err := net.Dial("tcp", g.address)
+	is.NoErr(err)
+	_, err = fmt.Fprint(c, "GET /once/x HTTP/1.1\r\nHost: h\r\nId: q1\r\n\r\n")
+	is.NoErr(err)
+	reader := bufio.NewReader(c)
+	res, err := http.ReadResponse(reader, nil)
+	is.NoErr(err)
+	_, err = io.Copy(io.Discard, res.Body)
+	is.NoErr(err)
+	until := time.Now().Add(10 * time.Second)
+	_ = c.SetReadDeadline(until)
+	closed := make(chan error, 1)
+	go func() {
+		_, err := reader.ReadByte()
+		closed <- err
+	}()
+	for {
+		g.relayer.Maintain()
+		select {
+		case err := <-closed:
+			is.Equal(err, io.EOF)
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"hornbeamstream.example/core/dispatcher"
+	"hornbeamstream.example/core/steerer"
 	"hornbeamstream.example/hornbeamd/pooler"
 )
 
@@ -94,8 +95,10 @@
 	bodySize = 64 << 20
 	// chunkSize is the size of the buffer for answers.
 	chunkSize = 8 << 10
-	// bodyTime bounds the arrival of a request, idleLimit the wait for the next
+	// headTime bounds the arrival of a request's head, bodyTime that of its body,
+	// idleLimit the wait for the next
 	// one if the configuration sets no bound, writeTime the taking of an answer.
+	headTime  = 10 * time.Second
 	bodyTime  = 30 * time.Second
 	idleLimit = 120 * time.Second
 	writeTime = 30 * time.Second
@@ -110,7 +113,8 @@
 		ReadBufferSize:               headSize,
 		WriteBufferSize:              chunkSize,
 		MaxRequestBodySize:           bodySize,
-		ReadTimeout:                  bodyTime,
+		ReadTimeout:                  headTime,
+		HeaderReceived:               r.bound,
 		IdleTimeout:                  idleLimit,
 		WriteTimeout:                 writeTime,
 		DisablePreParseMultipartForm: true,
@@ -125,6 +129,23 @@
 	return r
 }
 
+// limits returns what the configuration in force allows callers to send.
+func (r *Relayer) limits() steerer.Limits {
+	if t := r.cfg.Tables.Load(); t.Known() {
+		return t.View.Config.Limits
+	}
+	return steerer.Limits{}
+}
+
+// bound limits the body of a request whose head has arrived.
+func (r *Relayer) bound(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+	size := r.limits().BodyBytes
+	if size <= 0 {
+		size = bodySize
+	}
+	return fasthttp.RequestConfig{ReadTimeout: bodyTime, MaxRequestBodySize: size}
+}
+
 // Serve answers requests on the connections that ln accepts.
 func (r *Relayer) Serve(ln net.Listener) error { return r.http.Serve(ln) }
 
@@ -137,9 +158,9 @@
 // Maintain closes idle connections of callers and the pools of upstreams that
 // are gone. It is called about once a second.
 func (r *Relayer) Maintain() {
-	limit := idleLimit
-	if t := r.cfg.Tables.Load(); t.Known() && t.View.Config.Limits.IdleTime > 0 {
-		limit = t.View.Config.Limits.IdleTime
+	limit := r.limits().IdleTime
+	if limit <= 0 {
+		limit = idleLimit
 	}
 	r.idle.close(limit)
 	r.pools.Range(func(k, v any) bool {
--- /dev/null
+++ b/hornbench/soaker/soak_test.go
@@ -0,0 +1,132 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestShortSoak runs real processes for a few seconds.
+func TestShortSoak(t *testing.T) {
+	is := is.New(t)
+	binary := filepath.Join(t.TempDir(), "hornplatform")
+	out, err := exec.Command("go", "build", "-o", binary, "hornbeamstream.example/platform").CombinedOutput()
+	is.NoErr(err)
+	is.Equal(string(out), "")
+	r, err := Soak(context.Background(), Options{
+		Binary: binary, Seed: 4242, Until: time.Now().Add(6 * time.Second),
+		Instances: 4, Upstreams: 3, Callers: 8, Dir: t.TempDir(),
+	})
+	is.NoErr(err)
+	is.NoErr(r.Err())
+	is.True(r.Outcomes[http.StatusOK] > 0)
+}
+
+// TestJudge shows each broken promise to the checks.
+func TestJudge(t *testing.T) {
+	began := time.Now()
+	good := func() Sent {
+		body := answerBody("q")
+		return Sent{
+			ID: "q", Method: "POST", URI: "/once/q", Body: "b", Once: true, Start: began.Add(time.Minute), End: began.Add(time.Minute),
+			Status: 200, Answer: body, Stamp: stamp("q", body), Echo: "q",
+		}
+	}
+	run := Run{"alpha-1", "alpha", "POST", "/once/q", "b", began.Add(time.Minute)}
+	tests := []struct {
+		name string
+		edit func(s *Sent, runs *[]Run)
+		want string
+	}{
+		{"as promised", func(*Sent, *[]Run) {}, ""},
+		{"safe request twice", func(s *Sent, runs *[]Run) { s.Once, *runs = false, append(*runs, run) }, ""},
+		{"twice", func(_ *Sent, runs *[]Run) { *runs = append(*runs, run) }, "twice"},
+		{"refused and run", func(s *Sent, _ *[]Run) { s.Status = 503 }, "refused"},
+		{"refused and not run", func(s *Sent, runs *[]Run) { s.Status, *runs = 503, nil }, ""},
+		{"failed and run", func(s *Sent, _ *[]Run) { s.Status = 502 }, ""},
+		{"other body", func(s *Sent, _ *[]Run) { s.Answer = answerBody("p") }, "mixed"},
+		{"cut body", func(s *Sent, _ *[]Run) { s.Answer = s.Answer[1:] }, "mixed"},
+		{"unsigned", func(s *Sent, _ *[]Run) { s.Stamp = "" }, "mixed"},
+		{"other request", func(s *Sent, _ *[]Run) { s.Echo = "p" }, "mixed"},
+		{"unknown route", func(s *Sent, runs *[]Run) { s.Status, *runs = 404, nil }, "denied"},
+		{"changed path", func(_ *Sent, runs *[]Run) { (*runs)[0].URI = "/once/x" }, "changed"},
+		{"changed body", func(_ *Sent, runs *[]Run) { (*runs)[0].Body = "" }, "changed"},
+		{"wrong service", func(_ *Sent, runs *[]Run) { (*runs)[0].Service = "beta" }, "route"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s, runs := good(), []Run{run}
+			tt.edit(&s, &runs)
+			w := &World{ledger: &Ledger{runs: map[string][]Run{"q": runs}}, moves: []move{{began, "alpha"}}, began: began}
+			text := strings.Join(w.judge(&s), "; ")
+			is.True(strings.Contains(text, tt.want))
+			is.Equal(text == "", tt.want == "")
+		})
+	}
+}
+
+// TestDrains finds a request that ran at an upstream long after it had told that
+// it leaves, unless the time bounds did not hold.
+func TestDrains(t *testing.T) {
+	is := is.New(t)
+	left := time.Now()
+	u := &Upstream{ID: "u", left: left}
+	w := &World{ledger: &Ledger{runs: map[string][]Run{"q": {{Upstream: "u", At: left.Add(10 * time.Second)}}}}, left: []*Upstream{u}}
+	is.Equal(len(w.drains()), 1)
+	w.disturbed = []span{{left.Add(5 * time.Second), left.Add(6 * time.Second)}}
+	is.Equal(len(w.drains()), 0)
+}
+
+// TestProxyModes sends bytes through a proxy in each of its modes.
+func TestProxyModes(t *testing.T) {
+	for mode, want := range map[proxyMode]string{
+		proxyPass: "hello", proxyDelay: "hello", proxySilent: "timeout", proxyDeaf: "timeout", proxyReset: "reset",
+	} {
+		t.Run(string(mode), func(t *testing.T) {
+			is := is.New(t)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { _ = ln.Close() }()
+			go func() {
+				for {
+					c, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					_, _ = fmt.Fprint(c, "hello")
+				}
+			}()
+			p, err := startProxy("127.0.0.1:0", ln.Addr().String())
+			is.NoErr(err)
+			defer p.Close()
+			p.SetMode(mode)
+			is.Equal(receive(t, p.Address()), want)
+		})
+	}
+}
+
+func receive(t *testing.T, address string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	is.New(t).NoErr(err)
+	defer func() { _ = c.Close() }()
+	_ = c.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+	buf := make([]byte, 5)
+	n, err := c.Read(buf)
+	if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+		return "timeout"
+	}
+	if err != nil {
+		return "reset"
+	}
+	return string(buf[:n])
+}
