relayer, steerer: no budget for what reached nobody; restarts read at once

Change: only exchanges after one that may have arrived are paid from the budget, of which 0.95 is used; the first tick comes at once, and reading starts with the list of instances.

--- a/core/dispatcher/learn.go
+++ b/core/dispatcher/learn.go
@@ -47,10 +47,6 @@
 	case Unreachable:
 		u.unreachable(now)
 		u.learn(now, 0, true)
-		if len(r.Tried) > 0 {
-			// Nothing has arrived.
-			r.Pool.Retries.Return()
-		}
 	case Abandoned:
 	}
 }
--- a/core/dispatcher/table.go
+++ b/core/dispatcher/table.go
@@ -111,7 +111,7 @@
 
 // budgetMargin is the part of the bounds on retries that is used. The rest is
 // for requests that were counted in another window than their retries.
-const budgetMargin = 0.85
+const budgetMargin = 0.95
 
 func (b *Builder) pool(s steerer.Service, peers int) *Pool {
 	p := &Pool{
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -106,6 +106,9 @@
 		out = s.regain(e.Now, e.Kind)
 		out = append(out, s.list(e.Now, e.Kind, e.Objects)...)
 		out = append(out, s.advance(e.Now, e.Kind, e.Revision, !e.Stale, e.Objects)...)
+		if e.Kind == Instances {
+			out = append(out, s.assign(e.Now)...)
+		}
 	case Changed:
 		now = e.Now
 		out = s.regain(e.Now, e.Kind)
--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -44,8 +44,11 @@
 	began    int64
 	deadline int64
 	head     bool
-	// runs counts the exchanges that may have run the request, sends all.
-	runs, sends int
+	// runs counts the exchanges that may have run the request, arrivals those that
+	// may have reached an upstream, sends all.
+	runs, arrivals, sends int
+	// paid tells that the next exchange has been taken from the retry budget.
+	paid bool
 	// next is where the request goes after an upstream that has been silent.
 	next *dispatcher.Decision
 	// kept tells that the response holds an upstream's failure, which is passed on
@@ -128,7 +131,7 @@
 			c.giveUp(outcome{word: "late", status: fasthttp.StatusGatewayTimeout})
 			return
 		}
-		if c.next == nil && c.sends > 0 && !c.pool.Retries.Take() {
+		if !c.pay() {
 			c.giveUp(outcome{word: string(dispatcher.Budget)})
 			return
 		}
@@ -143,6 +146,27 @@
 	}
 }
 
+// pay takes the next exchange from the retry budget unless it is the first that
+// may reach an upstream.
+func (c *call) pay() bool {
+	if c.paid || c.arrivals == 0 {
+		return true
+	}
+	c.paid = c.pool.Retries.Take()
+	return c.paid
+}
+
+// arrive notes whether an exchange may have reached its upstream. One that has
+// not gives its part of the retry budget back.
+func (c *call) arrive(sent bool) {
+	if sent {
+		c.arrivals++
+	} else if c.paid {
+		c.pool.Retries.Return()
+	}
+	c.paid = false
+}
+
 // choose returns where the request goes next.
 func (c *call) choose() dispatcher.Decision {
 	if d := c.next; d != nil {
@@ -163,9 +187,10 @@
 	q.Tried = append(q.Tried[:len(q.Tried):len(q.Tried)], silent)
 	d := dispatcher.Choose(&q)
 	if d.Upstream == nil {
+		c.pool.Retries.Return()
 		return false
 	}
-	c.next = &d
+	c.next, c.paid = &d, true
 	return true
 }
 
@@ -179,6 +204,12 @@
 	}
 	c.sends++
 	err := x.run()
+	if c.next == nil {
+		c.arrive(x.sent)
+	} else {
+		// The budget was taken for the exchange that follows.
+		c.arrivals++
+	}
 	now := r.cfg.Now()
 	res := x.result(err)
 	if x.verdict.Reported && err == nil {
--- a/hornbeamd/relayer/fault_test.go
+++ b/hornbeamd/relayer/fault_test.go
@@ -323,3 +323,18 @@
 		}
 	}
 }
+
+// TestUnreachableNeedsNoBudget sends requests on after connections were refused:
+// nothing has reached an upstream, so that nothing is repeated.
+func TestUnreachableNeedsNoBudget(t *testing.T) {
+	is := is.New(t)
+	down, up := startStub(t, "u1", good), startStub(t, "u2", good)
+	_ = down.listener.Close()
+	g := startRig(t, down, up)
+	pool := g.tables.Load().Pool("s")
+	for pool.Retries.Take() {
+	}
+	for range 3 {
+		is.Equal(g.ask("POST", "/once/x", "body").status, 200)
+	}
+}
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -222,7 +222,12 @@
 	tick := time.NewTicker(tickTime)
 	defer tick.Stop()
 	maintained := int64(0)
+	var effects []steerer.Effect
+	r.state, effects = steerer.Step(r.state, steerer.Tick{Now: r.now()})
 	for {
+		for _, x := range effects {
+			r.execute(x)
+		}
 		var e steerer.Event
 		select {
 		case <-ctx.Done():
@@ -235,11 +240,7 @@
 				r.relayer.Maintain()
 			}
 		}
-		var effects []steerer.Effect
 		r.state, effects = steerer.Step(r.state, e)
-		for _, x := range effects {
-			r.execute(x)
-		}
 	}
 }
 
