--- a/core/steerer/source.go
+++ b/core/steerer/source.go
@@ -94,24 +94,38 @@
 	return proofTime
 }
 
-// advance notes that all changes up to a revision are known. Confirmed tells
-// that the store itself has said so just now.
-func (s *State) advance(now int64, k Kind, revision uint64, confirmed bool, objects []Object) []Effect {
-	c := s.sources[k]
+// news is what has become known of a kind.
+type news struct {
+	kind     Kind
+	objects  []Object
+	revision uint64
+	// whole tells that objects are all there are, confirmed that the store itself
+	// has said so just now.
+	whole, confirmed bool
+}
+
+// advance notes that all changes up to a revision are known.
+func (s *State) advance(now int64, n news) []Effect {
+	c, revision := s.sources[n.kind], n.revision
 	if !c.known {
-		c.known, c.base, s.dirty = true, revision, true
+		c.known, s.dirty = true, true
 	}
-	if confirmed {
+	if n.confirmed {
 		c.proven = now
 	}
-	for _, o := range objects {
-		c.history = append(c.history, change{revision, o})
+	if n.whole {
+		// A list does not say which objects are gone.
+		c.base, c.history = revision, nil
+	} else {
+		for _, o := range n.objects {
+			c.history = append(c.history, change{revision, o})
+		}
 	}
-	if n := len(c.history) - historySize; n > 0 {
-		c.base = c.history[n-1].revision
-		c.history = append(c.history[:0], c.history[n:]...)
+	if over := len(c.history) - historySize; over > 0 {
+		c.base = c.history[over-1].revision
+		c.history = append(c.history[:0], c.history[over:]...)
 	}
-	moved := revision > c.revision && len(objects) > 0
+	moved := revision > c.revision && (n.whole || len(n.objects) > 0)
 	c.revision = max(c.revision, revision)
 	if c.revision >= c.wanted {
 		c.behind = 0
@@ -247,7 +261,7 @@
 	} else {
 		out = s.apply(e.Now, e.Kind, e.Objects)
 	}
-	return append(out, s.advance(e.Now, e.Kind, e.Revision, false, e.Objects)...)
+	return append(out, s.advance(e.Now, news{kind: e.Kind, objects: e.Objects, revision: e.Revision, whole: e.Whole})...)
 }
 
 // reply tells another instance what is known here.
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -105,7 +105,7 @@
 		now = e.Now
 		out = s.regain(e.Now, e.Kind)
 		out = append(out, s.list(e.Now, e.Kind, e.Objects)...)
-		out = append(out, s.advance(e.Now, e.Kind, e.Revision, !e.Stale, e.Objects)...)
+		out = append(out, s.advance(e.Now, news{e.Kind, e.Objects, e.Revision, true, !e.Stale})...)
 		if e.Kind == Instances {
 			out = append(out, s.assign(e.Now)...)
 		}
@@ -113,7 +113,7 @@
 		now = e.Now
 		out = s.regain(e.Now, e.Kind)
 		out = append(out, s.apply(e.Now, e.Kind, e.Objects)...)
-		out = append(out, s.advance(e.Now, e.Kind, e.Revision, true, e.Objects)...)
+		out = append(out, s.advance(e.Now, news{e.Kind, e.Objects, e.Revision, false, true})...)
 	case Fetched:
 		now = e.Now
 		out = s.fetched(e)
--- a/core/steerer/steerer_test.go
+++ b/core/steerer/steerer_test.go
@@ -41,7 +41,7 @@
 
 func draining(u *Upstream)              { u.Draining = true }
 func reborn(u *Upstream)                { u.Born = 2 }
-func sequence(n uint64) func(*Upstream) { return func(u *Upstream) { u.Sequence = n } }
+func numbered(n uint64) func(*Upstream) { return func(u *Upstream) { u.Sequence = n } }
 func in(domain string) func(*Upstream)  { return func(u *Upstream) { u.Domain = domain } }
 
 func second(n float64) int64 { return int64(n * float64(time.Second)) }
@@ -68,14 +68,14 @@
 			Listed{Now: second(4), Kind: Configs, Objects: []Object{config(7)}},
 		),
 		"draining-upstream-gets-nothing-new": append(started(server("u1"), server("u2")),
-			Changed{Now: second(1), Kind: Upstreams, Objects: []Object{server("u1", sequence(2), draining)}},
+			Changed{Now: second(1), Kind: Upstreams, Objects: []Object{server("u1", numbered(2), draining)}},
 			Changed{Now: second(2), Kind: Upstreams, Objects: []Object{gone("u1")}},
 		),
 		"late-registration-does-not-revive": append(started(server("u1")),
-			Changed{Now: second(1), Kind: Upstreams, Objects: []Object{server("u1", sequence(8), draining)}},
-			Changed{Now: second(2), Kind: Upstreams, Objects: []Object{server("u1", sequence(7))}},
+			Changed{Now: second(1), Kind: Upstreams, Objects: []Object{server("u1", numbered(8), draining)}},
+			Changed{Now: second(2), Kind: Upstreams, Objects: []Object{server("u1", numbered(7))}},
 			Changed{Now: second(3), Kind: Upstreams, Objects: []Object{server("u1", reborn)}},
-			Changed{Now: second(4), Kind: Upstreams, Objects: []Object{server("u1", sequence(9))}},
+			Changed{Now: second(4), Kind: Upstreams, Objects: []Object{server("u1", numbered(9))}},
 		),
 		"unreadable-registration-names-no-upstream": append(started(server("u1"), server("u2")),
 			Changed{Now: second(1), Kind: Upstreams, Objects: []Object{{Name: "u1"}}},
@@ -181,6 +181,11 @@
 			Fetched{Now: second(6.1), Kind: Upstreams, From: "i00", Revision: 82, Returned: second(4.5), Objects: []Object{server("u1")}},
 			Tick{Now: second(7)},
 		),
+		"answer-after-a-second-list-is-whole": append(started(server("u1"), server("u2")),
+			Changed{Now: second(1), Kind: Upstreams, Revision: 30, Objects: []Object{server("u3")}},
+			Listed{Now: second(2), Kind: Upstreams, Revision: 40, Objects: []Object{server("u2")}},
+			Asked{Now: second(3), Call: 1, Kind: Upstreams, After: 30},
+		),
 		"answers-to-other-instances": append(started(server("u1"), server("u2")),
 			Asked{Now: second(0.5), Call: 1, Kind: Upstreams, After: 0},
 			Changed{Now: second(1), Kind: Upstreams, Revision: 30, Objects: []Object{server("u3")}},
--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -77,8 +77,6 @@
 }
 
 func (r *Relayer) handle(ctx *fasthttp.RequestCtx) {
-	r.active.Add(1)
-	defer r.active.Add(-1)
 	if r.closing.Load() {
 		defer ctx.Response.SetConnectionClose()
 	}
--- a/hornbeamd/relayer/fault_test.go
+++ b/hornbeamd/relayer/fault_test.go
@@ -338,3 +338,28 @@
 		is.Equal(g.ask("POST", "/once/x", "body").status, 200)
 	}
 }
+
+// TestActiveUntilTheAnswerIsWritten counts a request until its caller has taken
+// a large answer, so that a planned stop does not cut it.
+func TestActiveUntilTheAnswerIsWritten(t *testing.T) {
+	is := is.New(t)
+	body := strings.Repeat("b", answerSize-1)
+	g := startRig(t, startStub(t, "u1", func(s *upstreamStub, c net.Conn, r *http.Request, _ string) {
+		s.run(r)
+		s.reply(c, r, 200, body)
+	}))
+	c, err := net.Dial("tcp", g.address)
+	is.NoErr(err)
+	_, err = fmt.Fprint(c, "GET /once/x HTTP/1.1\r\nHost: h\r\nId: q1\r\nConnection: close\r\n\r\n")
+	is.NoErr(err)
+	reader := bufio.NewReader(c)
+	res, err := http.ReadResponse(reader, nil)
+	is.NoErr(err)
+	is.Equal(g.relayer.Active(), 1) // most of the answer has not been taken
+	n, err := io.Copy(io.Discard, res.Body)
+	is.NoErr(err)
+	is.Equal(n, int64(len(body)))
+	for until := time.Now().Add(10 * time.Second); g.relayer.Active() > 0; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(until)) // ends with the answer
+	}
+}
--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -83,9 +83,7 @@
 	pools sync.Map // *dispatcher.Upstream to *pooler.Pool
 
 	closing atomic.Bool
-	// active is the number of requests in hand.
-	active atomic.Int64
-	idle   idleConns
+	conns   callers
 }
 
 const (
@@ -122,10 +120,10 @@
 		NoDefaultDate:                true,
 		NoDefaultContentType:         true,
 		CloseOnShutdown:              true,
-		ConnState:                    r.idle.note,
+		ConnState:                    r.conns.note,
 		Logger:                       silent{},
 	}
-	r.idle.now = cfg.Now
+	r.conns.now = cfg.Now
 	return r
 }
 
@@ -149,8 +147,9 @@
 // Serve answers requests on the connections that ln accepts.
 func (r *Relayer) Serve(ln net.Listener) error { return r.http.Serve(ln) }
 
-// Active is the number of requests in hand.
-func (r *Relayer) Active() int { return int(r.active.Load()) }
+// Active is the number of connections on which a request is in hand. It counts
+// until the whole answer has been handed to the kernel.
+func (r *Relayer) Active() int { return r.conns.active() }
 
 // Leave closes each caller's connection after its next answer.
 func (r *Relayer) Leave() { r.closing.Store(true) }
@@ -162,7 +161,7 @@
 	if limit <= 0 {
 		limit = idleLimit
 	}
-	r.idle.close(limit)
+	r.conns.closeIdle(limit)
 	r.pools.Range(func(k, v any) bool {
 		if k.(*dispatcher.Upstream).Closed() {
 			v.(*pooler.Pool).Close()
@@ -173,7 +172,7 @@
 }
 
 // CloseIdle closes the callers' connections on which no request is in hand.
-func (r *Relayer) CloseIdle() { r.idle.close(0) }
+func (r *Relayer) CloseIdle() { r.conns.closeIdle(0) }
 
 func (r *Relayer) pool(u *dispatcher.Upstream) *pooler.Pool {
 	if p, ok := r.pools.Load(u); ok {
@@ -188,35 +187,46 @@
 
 func (silent) Printf(string, ...any) {}
 
-// idleConns knows since when callers' connections have been idle.
-type idleConns struct {
-	now   func() int64
-	mu    sync.Mutex
-	since map[net.Conn]int64
+// callers knows which of the callers' connections are in use, and since when the
+// others have been idle.
+type callers struct {
+	now  func() int64
+	mu   sync.Mutex
+	busy map[net.Conn]bool
+	idle map[net.Conn]int64
 }
 
-func (i *idleConns) note(c net.Conn, s fasthttp.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.since == nil {
-		i.since = map[net.Conn]int64{}
+func (c *callers) note(conn net.Conn, s fasthttp.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy == nil {
+		c.busy, c.idle = map[net.Conn]bool{}, map[net.Conn]int64{}
 	}
-	if s == fasthttp.StateIdle {
-		i.since[c] = i.now()
-		return
+	delete(c.busy, conn)
+	delete(c.idle, conn)
+	switch s {
+	case fasthttp.StateActive:
+		c.busy[conn] = true
+	case fasthttp.StateIdle:
+		c.idle[conn] = c.now()
 	}
-	delete(i.since, c)
 }
 
-// close closes the connections that have been idle for longer than limit.
-func (i *idleConns) close(limit time.Duration) {
-	now := i.now()
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for c, since := range i.since {
+func (c *callers) active() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.busy)
+}
+
+// closeIdle closes the connections that have been idle for longer than limit.
+func (c *callers) closeIdle(limit time.Duration) {
+	now := c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, since := range c.idle {
 		if now-since >= int64(limit) {
-			_ = c.Close()
-			delete(i.since, c)
+			_ = conn.Close()
+			delete(c.idle, conn)
 		}
 	}
 }
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -305,6 +305,8 @@
 	for time.Now().Before(end) {
 		r.relayer.CloseIdle()
 		if r.relayer.Active() == 0 {
+			// The kernel may still hold the end of an answer.
+			time.Sleep(tickTime)
 			return
 		}
 		time.Sleep(tickTime / 2)
