runner: listeners end with the instance; test of three instances

Cause: a test of three instances crashed: where the look-up address was in use, the server for callers was given no listener; and the listeners outlived the instance. Change: listeners close with the instance's context; the goroutine has its own.

--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -131,7 +131,7 @@
 	control, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	group, failed := errgroup.WithContext(control)
-	front, err := r.serve(group)
+	front, err := r.serve(failed, group)
 	if err != nil {
 		return err
 	}
@@ -164,10 +164,22 @@
 	return nil
 }
 
-// serve opens the listeners and starts the servers.
-func (r *Runner) serve(group *errgroup.Group) (front net.Listener, err error) {
-	if front, err = net.Listen("tcp", r.cfg.Self.Front); err != nil {
-		return nil, fmt.Errorf("front address: %w", err)
+// listenTCP opens a listener that is closed when the context ends.
+func listenTCP(ctx context.Context, what, address string) (net.Listener, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("%s address: %w", what, err)
+	}
+	context.AfterFunc(ctx, func() { _ = ln.Close() })
+	return ln, nil
+}
+
+// serve opens the listeners and starts the servers. It returns the listener for
+// callers.
+func (r *Runner) serve(ctx context.Context, group *errgroup.Group) (net.Listener, error) {
+	front, err := listenTCP(ctx, "front", r.cfg.Self.Front)
+	if err != nil {
+		return nil, err
 	}
 	group.Go(func() error {
 		// The listener is closed at a planned stop, which ends Serve first.
@@ -179,9 +191,9 @@
 		if address == "" {
 			continue
 		}
-		ln, err := net.Listen("tcp", address)
+		ln, err := listenTCP(ctx, "look-up", address)
 		if err != nil {
-			return nil, fmt.Errorf("look-up address: %w", err)
+			return nil, err
 		}
 		s := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true, IdleTimeout: time.Minute}
 		group.Go(func() error { return s.Serve(ln) })
@@ -189,7 +201,7 @@
 	if r.cfg.Admin == "" {
 		return front, nil
 	}
-	ln, err := net.Listen("tcp", r.cfg.Admin)
+	ln, err := listenTCP(ctx, "admin", r.cfg.Admin)
 	if err != nil {
 		// An instance without metrics still serves.
 		r.cfg.Log.Info("no address for operators", "cause", err.Error())
--- /dev/null
+++ b/hornbeamd/runner/runner_test.go
@@ -0,0 +1,229 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"hornbeamstream.example/core/steerer"
+	"hornbeamstream.example/hornbeamd/relayer"
+	"hornbeamstream.example/hornbeamd/watcher"
+)
+
+// memory is a store in memory.
+type memory struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[steerer.Kind]map[string]steerer.Object
+	changes  []stored
+	wake     chan struct{}
+	down     bool
+}
+
+type stored struct {
+	revision uint64
+	kind     steerer.Kind
+	object   steerer.Object
+}
+
+func newMemory() *memory {
+	return &memory{revision: 1, objects: map[steerer.Kind]map[string]steerer.Object{}, wake: make(chan struct{})}
+}
+
+func (m *memory) put(k steerer.Kind, o steerer.Object) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.revision++
+	if m.objects[k] == nil {
+		m.objects[k] = map[string]steerer.Object{}
+	}
+	m.objects[k][o.Name] = o
+	m.changes = append(m.changes, stored{m.revision, k, o})
+	close(m.wake)
+	m.wake = make(chan struct{})
+}
+
+func (m *memory) Register(_ context.Context, i steerer.Instance) error {
+	m.put(steerer.Instances, steerer.Object{Name: i.Name, Instance: &i})
+	return nil
+}
+
+func (m *memory) List(_ context.Context, k steerer.Kind, _ string) (p watcher.Page, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return p, fmt.Errorf("down")
+	}
+	p.Revision = m.revision
+	for _, o := range m.objects[k] {
+		p.Objects = append(p.Objects, o)
+	}
+	return p, nil
+}
+
+func (m *memory) Watch(ctx context.Context, k steerer.Kind, revision uint64, until time.Time) (p watcher.Page, err error) {
+	for {
+		m.mu.Lock()
+		down, wake := m.down, m.wake
+		p = watcher.Page{Revision: m.revision}
+		for _, c := range m.changes {
+			if c.kind == k && c.revision > revision {
+				p.Objects = append(p.Objects, c.object)
+			}
+		}
+		m.mu.Unlock()
+		switch {
+		case down:
+			return p, fmt.Errorf("down")
+		case len(p.Objects) > 0 || !time.Now().Before(until):
+			return p, nil
+		}
+		select {
+		case <-wake:
+		case <-time.After(time.Until(until)):
+		case <-ctx.Done():
+			return p, ctx.Err()
+		}
+	}
+}
+
+// plain implements relayer.Dialect and Directory.
+type plain struct{}
+
+func (plain) Read(h *fasthttp.RequestHeader) relayer.Inbound {
+	return relayer.Inbound{ID: h.Peek("Id")}
+}
+func (plain) Address(*fasthttp.RequestHeader, string, time.Duration) {}
+func (plain) Judge(h *fasthttp.ResponseHeader) relayer.Verdict {
+	return relayer.Verdict{ID: h.Peek("Id"), Signed: true}
+}
+func (plain) Unsign(*fasthttp.ResponseHeader) {}
+
+func (plain) Handler(view func() *steerer.View, _ steerer.Bounds) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		v := view()
+		fmt.Fprintf(ctx, "%t %d", v.Ready, len(v.Nearest("r", 64)))
+	}
+}
+
+// instance is a running instance of the test.
+type instance struct {
+	cfg  Config
+	stop context.CancelFunc
+	done chan struct{}
+	err  error
+}
+
+func start(t *testing.T, m *memory, n int) *instance {
+	t.Helper()
+	ip := fmt.Sprintf("127.91.%d.%d", os.Getpid()%250, n+1)
+	cfg := Config{
+		Self:    steerer.Instance{Name: fmt.Sprint("i", n), Front: ip + ":8381", Beacon: ip + ":7200", Domain: "d", Region: "r"},
+		Regions: map[string]string{"d": "r"},
+		Bounds:  steerer.Bounds{Stop: 2 * time.Second, ColdSlack: 5},
+		Lookup:  ip + ":8383", Admin: ip + ":9464",
+		Store: m, Dialect: plain{}, Directory: plain{}, Log: logr.Discard(), Clock: NewClock(),
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	i := &instance{cfg: cfg, stop: stop, done: make(chan struct{})}
+	go func() {
+		defer close(i.done)
+		i.err = New(cfg).Run(ctx)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-i.done
+	})
+	return i
+}
+
+func get(address, path string) string {
+	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	q, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return err.Error()
+	}
+	q.Host = "h"
+	q.Header.Set("Id", "q1")
+	a, err := client.Do(q)
+	if err != nil {
+		return "error"
+	}
+	defer func() { _ = a.Body.Close() }()
+	body, err := io.ReadAll(a.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return fmt.Sprint(a.StatusCode, " ", string(body))
+}
+
+// await waits until an address answers with the given text.
+func await(t *testing.T, address, path, want string) {
+	t.Helper()
+	got := ""
+	for until := time.Now().Add(30 * time.Second); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		if got = get(address, path); got == want {
+			return
+		}
+	}
+	t.Fatalf("%s%s answers %q, not %q", address, path, got, want)
+}
+
+// TestInstances starts instances that find each other, serve requests, go on
+// without the store, and stop as planned.
+func TestInstances(t *testing.T) {
+	is := is.New(t)
+	upstream, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Set("Id", q.Header.Get("Id"))
+		fmt.Fprint(w, "ran ", q.RequestURI)
+	})}
+	go func() { _ = server.Serve(upstream) }()
+	defer func() { is.NoErr(server.Close()) }()
+
+	m := newMemory()
+	m.put(steerer.Upstreams, steerer.Object{Name: "u", Upstream: &steerer.Upstream{ID: "u", Service: "s", Address: upstream.Addr().String(), Domain: "d", Slots: 4}})
+	var all []*instance
+	for n := range 3 {
+		all = append(all, start(t, m, n))
+	}
+	first, last := all[0], all[2]
+	await(t, first.cfg.Lookup, "/", "200 false 0")
+	is.True(strings.HasPrefix(get(first.cfg.Self.Front, "/p/x"), "503")) // knows no configuration
+	m.put(steerer.Configs, steerer.Object{Name: "main", Config: &steerer.Config{
+		Version:  1,
+		Services: []steerer.Service{{Name: "s", Conns: 50}},
+		Routes: []steerer.Route{{
+			Name: "r", Host: "h", Prefix: "/p/", Timeout: 5 * time.Second, Aim: time.Second, Attempts: 1,
+			Parts: []steerer.Part{{Service: "s", Weight: 1}},
+		}},
+	}})
+	for _, i := range all {
+		await(t, i.cfg.Lookup, "/", "200 true 3")
+		is.Equal(get(i.cfg.Self.Front, "/p/x?y"), "200 ran /p/x?y")
+	}
+	is.True(strings.Contains(get(first.cfg.Admin, "/metrics"), `horn_requests_total{outcome="answered",route="r"} 1`))
+	is.True(strings.Contains(get(first.cfg.Admin, "/timeline"), `"kind":"configured"`))
+	is.True(strings.Contains(get(first.cfg.Admin, "/status"), `"version":1`))
+
+	m.mu.Lock()
+	m.down = true
+	m.mu.Unlock()
+	last.stop()
+	await(t, first.cfg.Lookup, "/", "200 true 2") // others leave it out
+	<-last.done
+	is.NoErr(last.err)
+	is.Equal(get(first.cfg.Self.Front, "/p/x"), "200 ran /p/x") // without the store
+}
