--- a/hornbeamd/forwarder/record_test.go
+++ b/hornbeamd/forwarder/record_test.go
@@ -153,3 +153,20 @@
 		is.Equal(a.Fate, want)
 	}
 }
+
+// TestNotedIDIsFenced fences an id that has been noted at its entry but not
+// started yet: the first send must not run after a repeat was told that it has
+// not.
+func TestNotedIDIsFenced(t *testing.T) {
+	is := is.New(t)
+	k, now := entryKey{"posting", "one"}, int64(time.Hour)
+	r := newRecord(0)
+	seen, ok := r.note(k, now, now)
+	is.True(!seen && ok)
+	a, _ := r.account(k, true, now, now)
+	is.Equal(a.Fate, hornpb.Fate_FATE_NEVER)
+	_, ok = r.start(k, false, now, now)
+	is.True(!ok) // the first send is refused
+	_, ok = r.start(k, true, now, now)
+	is.True(ok) // the repeat that fenced it may run
+}
