steerer, dispatcher: what grew with instances times upstreams

Each build of the table hashed upstreams times instances, each change sent beacons to all at once, and a starting instance fetched all upstreams from a reader. Change: instances of a region on a ring; beacons 0.2 s apart and views 0.05 s apart; first lists come from the store, which may be stale; an instance that makes progress is not behind.

--- a/core/dispatcher/table.go
+++ b/core/dispatcher/table.go
@@ -137,6 +137,7 @@
 // place puts the upstreams into their pools and closes those that are gone.
 func (b *Builder) place(t *Table, now int64) {
 	present := map[incarnation]bool{}
+	r := b.ring(&t.View)
 	for _, u := range t.View.Upstreams {
 		p := t.pools[u.Service]
 		if p == nil {
@@ -150,7 +151,7 @@
 			live = newUpstream(u, region, b.Self, kept(b.usages, u.Service+" "+region))
 			b.upstreams[key] = live
 		}
-		live.update(u, b.coldRate(&t.View, u, p), b.connShare(&t.View, p), now)
+		live.update(u, b.coldRate(r, u, p), b.connShare(&t.View, p), now)
 		p.Upstreams = append(p.Upstreams, live)
 		p.all += live.Slots
 		if live.Region == b.Self.Region {
@@ -195,27 +196,44 @@
 // coldRate is this instance's share of the requests a second that a cold
 // upstream takes. Only some instances of its region have one, so that their
 // single requests do not add up to more than the slack.
-func (b *Builder) coldRate(v *steerer.View, u steerer.Upstream, p *Pool) float64 {
-	region := b.Regions[u.Domain]
-	if region != b.Self.Region {
+func (b *Builder) coldRate(r ring, u steerer.Upstream, p *Pool) float64 {
+	if b.Regions[u.Domain] != b.Self.Region {
 		return 0
 	}
 	most := max(1, int(b.Bounds.ColdSlack))
-	own := xxhash.Sum64String(u.ID + b.Self.Name)
-	members, ahead := 0, 0
+	if r.distance(xxhash.Sum64String(u.ID)) >= most {
+		return 0
+	}
+	return p.ColdRate / float64(max(1, min(len(r.points), most)))
+}
+
+// ring places the instances of the own region on a ring by their hashes.
+type ring struct {
+	points []uint64
+	// own is the place of this instance.
+	own int
+}
+
+func (b *Builder) ring(v *steerer.View) (r ring) {
+	own := xxhash.Sum64String(b.Self.Name)
 	for _, i := range v.Peers {
-		if i.Region != region {
-			continue
-		}
-		members++
-		if xxhash.Sum64String(u.ID+i.Name) > own {
-			ahead++
+		if i.Region == b.Self.Region {
+			r.points = append(r.points, xxhash.Sum64String(i.Name))
 		}
 	}
-	if ahead >= most {
+	slices.Sort(r.points)
+	r.own, _ = slices.BinarySearch(r.points, own)
+	return r
+}
+
+// distance is the number of instances between a point and this instance.
+func (r ring) distance(point uint64) int {
+	n := len(r.points)
+	if n == 0 {
 		return 0
 	}
-	return p.ColdRate / float64(max(1, min(members, most)))
+	first, _ := slices.BinarySearch(r.points, point)
+	return (r.own - first%n + n) % n
 }
 
 // connShare is this instance's share of the connections to one upstream.
--- a/core/steerer/events.go
+++ b/core/steerer/events.go
@@ -108,6 +108,8 @@
 	On       bool
 	Revision uint64
 	Wait     time.Duration
+	// Once ends the reading after a list: others have the changes.
+	Once bool
 	// Rare tells to leave long pauses between failed calls, because many other
 	// instances may do the same.
 	Rare bool
--- a/core/steerer/property_test.go
+++ b/core/steerer/property_test.go
@@ -35,6 +35,7 @@
 	state   *State
 	view    View
 	reading map[Kind]uint64
+	once    map[Kind]bool
 	// paused members do nothing; those that are cut get no answer of the store.
 	paused, cut bool
 	version     uint64
@@ -47,7 +48,7 @@
 	for i := range n {
 		name := fmt.Sprintf("i%02d", i)
 		domain := []string{"a-1", "a-2", "b-1"}[i%3]
-		w.members = append(w.members, &member{state: New(other(name, domain), regions, false), reading: map[Kind]uint64{}})
+		w.members = append(w.members, &member{state: New(other(name, domain), regions, false), reading: map[Kind]uint64{}, once: map[Kind]bool{}})
 	}
 	return w
 }
@@ -124,7 +125,7 @@
 			delete(m.reading, x.Kind)
 			return
 		}
-		m.reading[x.Kind] = x.Revision
+		m.reading[x.Kind], m.once[x.Kind] = x.Revision, x.Once
 	case Send:
 		for _, to := range w.members {
 			if slices.Contains(x.To, to.state.Self.Beacon) && !to.paused && !lost() {
@@ -176,6 +177,9 @@
 		m.reading[k] = w.revision
 	}
 	if revision == 0 {
+		if m.once[k] {
+			delete(m.reading, k)
+		}
 		w.step(m, Listed{Now: w.now, Kind: k, Objects: w.list(k), Revision: w.revision}, lost)
 		return
 	}
--- a/core/steerer/source.go
+++ b/core/steerer/source.go
@@ -27,6 +27,8 @@
 	// behindTime is how long an instance lags behind the readers before it reads
 	// the store itself.
 	behindTime = time.Second
+	// newsTime is the least time between two beacons.
+	newsTime = 200 * time.Millisecond
 	// historySize bounds the changes of a kind that are kept for others.
 	historySize = 1024
 )
@@ -39,7 +41,11 @@
 	revision uint64
 	// reading tells that this instance reads the kind from the store itself.
 	reading bool
-	wait    time.Duration
+	// once tells that reading ends with a list, listed when one came; 0 means
+	// never.
+	once   bool
+	listed int64
+	wait   time.Duration
 	// proven is when the store last confirmed what is known here; 0 means never.
 	proven int64
 	// asked is when another instance was last asked; 0 means that no answer is
@@ -113,6 +119,9 @@
 	if n.confirmed {
 		c.proven = now
 	}
+	if n.whole && c.once {
+		c.once, c.reading, c.listed = false, false, now
+	}
 	if n.whole {
 		// A list does not say which objects are gone.
 		c.base, c.history = revision, nil
@@ -126,15 +135,19 @@
 		c.history = append(c.history[:0], c.history[over:]...)
 	}
 	moved := revision > c.revision && (n.whole || len(n.objects) > 0)
-	c.revision = max(c.revision, revision)
+	if revision > c.revision {
+		// While changes go on, an instance that follows them is never quite there.
+		c.revision, c.behind = revision, now
+	}
 	if c.revision >= c.wanted {
 		c.behind = 0
 	}
 	if !moved || !c.reading || len(s.peers) < fewInstances {
 		return nil
 	}
-	// Tells the others at once that there is something to ask for.
-	return []Effect{s.beacon(now)}
+	// Tells the others soon that there is something to ask for.
+	s.next = min(s.next, max(now, s.sent+int64(newsTime)))
+	return nil
 }
 
 // assign decides which kinds this instance reads from the store itself.
@@ -142,7 +155,7 @@
 	duty := s.isReader(now)
 	for _, k := range Kinds {
 		c := s.sources[k]
-		on, wait := duty || !s.covered(now, k), s.waitOf(k)
+		on, wait := duty || !c.known || !s.covered(now, k), s.waitOf(k)
 		if !s.sources[Instances].known {
 			// Which instances read is not known yet.
 			on = k == Instances && now >= s.listAt
@@ -150,8 +163,8 @@
 		if on == c.reading && (!on || wait == c.wait) {
 			continue
 		}
-		c.reading, c.wait = on, wait
-		out = append(out, Read{Kind: k, On: on, Revision: c.revisionToRead(), Wait: wait, Rare: !duty})
+		c.reading, c.wait, c.once = on, wait, on && !duty && !c.known
+		out = append(out, Read{Kind: k, On: on, Revision: c.revisionToRead(), Wait: wait, Once: c.once, Rare: !duty})
 	}
 	return out
 }
@@ -186,6 +199,10 @@
 	if b := s.sources[k].behind; b != 0 && now-b >= int64(behindTime) {
 		return false
 	}
+	if at := s.sources[k].listed; at != 0 && now-at < int64(relyOn(k)) {
+		// The readers' first proofs may still be on their way.
+		return true
+	}
 	for _, p := range s.peers {
 		if q, ok := p.proofs[k]; ok && now-q.at < int64(relyOn(k)) {
 			return true
@@ -231,6 +248,9 @@
 		switch {
 		case !ok || now-q.at >= int64(relyOn(k)) || c.known && q.revision <= c.revision:
 			continue
+		case !c.known && !s.lost[k]:
+			// A whole list is a burden for a reader; the store has more room.
+			continue
 		}
 		if c.wanted = max(c.wanted, q.revision); c.behind == 0 {
 			c.behind = now
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -10,6 +10,9 @@
 const (
 	// beaconTime is the time between two beacons to the same instance.
 	beaconTime = 500 * time.Millisecond
+	// publishTime is the least time between two views. A tick publishes what has
+	// changed meanwhile.
+	publishTime = 50 * time.Millisecond
 	// gatherTime is the time in which instances that start together register.
 	gatherTime = time.Second
 	// remoteRounds is the number of beacons to instances of the own region for one
@@ -51,7 +54,11 @@
 	// next is when the next beacons are sent, rounds how often they were.
 	next   int64
 	rounds int
-	dirty  bool
+	// sent is when the last beacons were sent.
+	sent int64
+	// publishAt is the time before which no view is published.
+	publishAt int64
+	dirty     bool
 }
 
 // New returns the state of an instance that knows nothing yet. Regions gives
@@ -114,8 +121,8 @@
 		s.leaving, s.dirty, s.next = true, true, 0
 		out = append(s.tick(e.Now), Note{What: "leaving", Subject: s.Self.Name})
 	}
-	if s.dirty {
-		s.dirty = false
+	if s.dirty && (now >= s.publishAt || s.leaving) {
+		s.dirty, s.publishAt = false, now+int64(publishTime)
 		out = append(out, Publish{s.view(now)})
 	}
 	return s, out
@@ -184,7 +191,7 @@
 	}
 	out = append(out, s.assign(now)...)
 	if now >= s.next {
-		s.next = now + int64(beaconTime)
+		s.next, s.sent = now+int64(beaconTime), now
 		s.rounds++
 		out = append(out, s.beacon(now))
 	}
--- a/core/steerer/steerer_test.go
+++ b/core/steerer/steerer_test.go
@@ -206,7 +206,8 @@
 			is := is.New(t)
 			s := New(self(), regions, false)
 			var out strings.Builder
-			for _, e := range events {
+			last := Tick{Now: at(events[len(events)-1]) + second(0.1)}
+			for _, e := range append(events, last) {
 				var effects []Effect
 				s, effects = Step(s, e)
 				fmt.Fprintln(&out, describe(e))
@@ -226,6 +227,27 @@
 	}
 }
 
+// at is the time of an event.
+func at(e Event) int64 {
+	switch e := e.(type) {
+	case Listed:
+		return e.Now
+	case Changed:
+		return e.Now
+	case Fetched:
+		return e.Now
+	case Asked:
+		return e.Now
+	case Heard:
+		return e.Now
+	case Tick:
+		return e.Now
+	case Left:
+		return e.Now
+	}
+	return 0
+}
+
 func describe(e Event) string {
 	switch e := e.(type) {
 	case Listed:
@@ -272,7 +294,7 @@
 	case Send:
 		return fmt.Sprintf("send %+v to %v", x.Beacon, x.To)
 	case Read:
-		return fmt.Sprintf("read %s %t from %d, wait %v, rare %t", x.Kind, x.On, x.Revision, x.Wait, x.Rare)
+		return fmt.Sprintf("read %s %t from %d, wait %v, once %t, rare %t", x.Kind, x.On, x.Revision, x.Wait, x.Once, x.Rare)
 	case Fetch:
 		return fmt.Sprintf("fetch %s from %s after %d", x.Kind, x.From.Name, x.After)
 	case Reply:
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -263,7 +263,7 @@
 	case steerer.Send:
 		r.send(x)
 	case steerer.Read:
-		r.watchers[x.Kind].Follow(watcher.Order{On: x.On, Revision: x.Revision, Wait: x.Wait, Rare: x.Rare})
+		r.watchers[x.Kind].Follow(watcher.Order{On: x.On, Revision: x.Revision, Wait: x.Wait, Once: x.Once, Rare: x.Rare})
 	case steerer.Fetch:
 		go r.relay.fetch(x)
 	case steerer.Reply:
--- a/hornbeamd/runner/runner_test.go
+++ b/hornbeamd/runner/runner_test.go
@@ -59,7 +59,7 @@
 	return nil
 }
 
-func (m *memory) List(_ context.Context, k steerer.Kind, _ string) (p watcher.Page, err error) {
+func (m *memory) List(_ context.Context, k steerer.Kind, _ string, _ bool) (p watcher.Page, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
--- a/hornbeamd/watcher/watcher.go
+++ b/hornbeamd/watcher/watcher.go
@@ -28,8 +28,9 @@
 
 // Source reads the objects of a kind.
 type Source interface {
-	// List returns the objects after the named one.
-	List(ctx context.Context, k steerer.Kind, after string) (Page, error)
+	// List returns the objects after the named one. A stale list costs less and
+	// may be some seconds old.
+	List(ctx context.Context, k steerer.Kind, after string, stale bool) (Page, error)
 	// Watch returns the changes since a revision. It waits for one until the given
 	// time. The error is ErrHistory if the store no longer has them.
 	Watch(ctx context.Context, k steerer.Kind, revision uint64, until time.Time) (Page, error)
@@ -57,6 +58,8 @@
 	Revision uint64
 	// Wait is how long a call waits for a change.
 	Wait time.Duration
+	// Once ends the order with a list.
+	Once bool
 	// Rare makes the pauses after failed calls long.
 	Rare bool
 }
@@ -117,12 +120,16 @@
 	w.init()
 	pause := minPause
 	revision := uint64(0)
+	// The first list may be stale: the changes since then come with the watch. A
+	// stale one whose history is gone would be of no use again, and one of the
+	// instances would make a large system seem small.
+	stale := w.Kind != steerer.Instances
 	for w.next(ctx, &revision) {
 		var err error
 		if revision > 0 {
 			revision, err = w.watch(ctx, revision)
 		} else {
-			revision, err = w.list(ctx)
+			revision, err = w.list(ctx, stale)
 		}
 		switch {
 		case err == nil:
@@ -132,7 +139,7 @@
 		case ctx.Err() != nil:
 			return nil
 		case errors.Is(err, ErrHistory):
-			revision = 0
+			revision, stale = 0, false
 			continue
 		}
 		w.Guard.lost.Store(true)
@@ -182,12 +189,12 @@
 	return min(2*d, most)
 }
 
-func (w *Watcher) list(ctx context.Context) (revision uint64, err error) {
+func (w *Watcher) list(ctx context.Context, stale bool) (revision uint64, err error) {
 	var all []steerer.Object
 	after := ""
 	for {
 		call, cancel := context.WithTimeout(ctx, callTime)
-		page, err := w.Source.List(call, w.Kind, after)
+		page, err := w.Source.List(call, w.Kind, after, stale)
 		cancel()
 		if err != nil {
 			return 0, err
@@ -201,7 +208,10 @@
 			break
 		}
 	}
-	w.Emit(steerer.Listed{Now: w.Now(), Kind: w.Kind, Objects: all, Revision: revision})
+	if w.order.Once {
+		w.order.On = false
+	}
+	w.Emit(steerer.Listed{Now: w.Now(), Kind: w.Kind, Objects: all, Revision: revision, Stale: stale})
 	return revision, nil
 }
 
--- a/hornbeamd/watcher/watcher_test.go
+++ b/hornbeamd/watcher/watcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,8 +37,11 @@
 	return a.page, a.err
 }
 
-func (s *script) List(ctx context.Context, _ steerer.Kind, after string) (Page, error) {
-	return s.next(ctx, "list "+after)
+func (s *script) List(ctx context.Context, _ steerer.Kind, after string, stale bool) (Page, error) {
+	if stale {
+		after += " stale"
+	}
+	return s.next(ctx, strings.TrimSpace("list "+after))
 }
 
 func (s *script) Watch(ctx context.Context, _ steerer.Kind, revision uint64, _ time.Time) (Page, error) {
@@ -66,7 +70,7 @@
 			"lists all pages and watches from the first one's revision",
 			Order{On: true, Wait: time.Second},
 			[]answer{{Page{objects("a"), "a", 5}, nil}, {Page{objects("b"), "", 7}, nil}, {Page{objects("c"), "", 9}, nil}},
-			"[list  list a watch 5 watch 9]",
+			"[list  stale list a stale watch 5 watch 9]",
 			"[listed a b at 5 changed c at 9]",
 		},
 		{
@@ -85,7 +89,13 @@
 			"lists again when the history is gone",
 			Order{On: true, Revision: 4, Wait: time.Second},
 			[]answer{{Page{}, ErrHistory}, {Page{objects("a"), "", 8}, nil}},
-			"[watch 4 list  watch 8]", "[listed a at 8]",
+			"[watch 4 list watch 8]", "[listed a at 8]",
+		},
+		{
+			"lists once",
+			Order{On: true, Wait: time.Second, Once: true},
+			[]answer{{Page{objects("a"), "", 5}, nil}},
+			"[list  stale]", "[listed a at 5]",
 		},
 		{"does nothing without an order", Order{}, nil, "[]", "[]"},
 	}
