relayer: a place that was chosen but not used is given back

Cause: read through: a request that reached its deadline right after its next upstream was chosen left one request in flight there for good, which made it seem busier. Change: the end of a request gives the place and the retry back. Result: TestChosenPlaceIsGivenBack fails without the call and passes with it.

--- a/hornbeamd/relayer/answer.go
+++ b/hornbeamd/relayer/answer.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"hornbeamstream.example/core/dispatcher"
 )
 
 // outcome is how a request or one of its exchanges ended, for answer and log.
@@ -111,6 +113,7 @@
 
 // finish counts and logs the end of a request.
 func (r *Relayer) finish(c *call) {
+	c.dropNext(r.cfg.Now())
 	took := time.Duration(r.cfg.Now() - c.began)
 	route, version := "", uint64(0)
 	if c.route != nil {
@@ -126,6 +129,17 @@
 		"status", status, "sends", c.sends, "runs", c.runs, "took", took.Milliseconds())...)
 }
 
+// dropNext gives back the place of an exchange that was chosen but not begun,
+// because the request ended before.
+func (c *call) dropNext(now int64) {
+	if c.next == nil {
+		return
+	}
+	c.next.Done(&c.req, dispatcher.Abandoned, 0, now)
+	c.arrive(false)
+	c.next = nil
+}
+
 // verbosity ranks log lines: failures come before successes.
 func verbosity(status int) int {
 	if status >= 300 {
--- a/hornbeamd/relayer/fault_test.go
+++ b/hornbeamd/relayer/fault_test.go
@@ -14,7 +14,9 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
 
+	"hornbeamstream.example/core/dispatcher"
 	"hornbeamstream.example/core/steerer"
 )
 
@@ -363,3 +365,18 @@
 		is.True(time.Now().Before(until)) // ends with the answer
 	}
 }
+
+// TestChosenPlaceIsGivenBack ends a request after its next upstream was chosen
+// and before anything was sent there.
+func TestChosenPlaceIsGivenBack(t *testing.T) {
+	is := is.New(t)
+	g := startRig(t, startStub(t, "u1", good))
+	table := g.tables.Load()
+	route := table.Route("h", "/safe/x")
+	q := dispatcher.Request{Route: route, Pool: table.Pool("s"), Now: g.now(), Deadline: g.now() + int64(time.Minute)}
+	d := dispatcher.Choose(&q)
+	is.Equal(d.Upstream.Inflight(), 1)
+	c := &call{ctx: &fasthttp.RequestCtx{}, table: table, route: route, pool: q.Pool, req: q, next: &d}
+	g.relayer.finish(c)
+	is.Equal(d.Upstream.Inflight(), 0)
+}
