steerer: start while the store is away by asking whoever sends beacons

Change: beacons are sent from the address at which they are taken, and the event has that address. An instance that has lost the store and knows no instance asks the first ready one that it hears from for all kinds, and follows the store from that revision once it is back.

--- a/core/steerer/events.go
+++ b/core/steerer/events.go
@@ -67,10 +67,12 @@
 	Cause string
 }
 
-// Heard is the beacon of another instance.
+// Heard is the beacon of another instance. From is the address that it came
+// from, at which the instance takes beacons and answers questions itself.
 type Heard struct {
 	Now    int64
 	Beacon Beacon
+	From   string
 }
 
 // Tick reports the time.
--- a/core/steerer/property_test.go
+++ b/core/steerer/property_test.go
@@ -129,7 +129,7 @@
 	case Send:
 		for _, to := range w.members {
 			if slices.Contains(x.To, to.state.Self.Beacon) && !to.paused && !lost() {
-				w.step(to, Heard{w.now, x.Beacon}, lost)
+				w.step(to, Heard{w.now, x.Beacon, m.state.Self.Beacon}, lost)
 			}
 		}
 	case Fetch:
--- a/core/steerer/source.go
+++ b/core/steerer/source.go
@@ -275,6 +275,23 @@
 	return out
 }
 
+// askStranger asks an instance that is not known for all that it knows, if the
+// store is away and no instance is known at all.
+func (s *State) askStranger(e Heard) (out []Effect) {
+	if s.sources[Instances].known || !s.lost[Instances] || !e.Beacon.Ready || e.From == "" {
+		return nil
+	}
+	for _, k := range Kinds {
+		c := s.sources[k]
+		if c.known || c.asked != 0 && e.Now-c.asked < int64(fetchTime) {
+			continue
+		}
+		c.asked = e.Now
+		out = append(out, Fetch{Kind: k, From: Instance{Name: e.Beacon.Name, Beacon: e.From}})
+	}
+	return out
+}
+
 func (s *State) fetched(e Fetched) (out []Effect) {
 	c := s.sources[e.Kind]
 	c.asked = 0
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -154,7 +154,7 @@
 func (s *State) hear(e Heard) (out []Effect) {
 	p := s.peers[e.Beacon.Name]
 	if p == nil {
-		return nil
+		return s.askStranger(e)
 	}
 	was := p.alive(e.Now)
 	p.heard, p.ready = e.Now, e.Beacon.Ready
--- a/hornbeamd/runner/beacon.go
+++ b/hornbeamd/runner/beacon.go
@@ -20,19 +20,10 @@
 			err = fmt.Errorf("beacons: %w", err)
 		}
 	}()
-	address, err := net.ResolveUDPAddr("udp4", r.cfg.Self.Beacon)
-	if err != nil {
-		return err
-	}
-	conn, err := net.ListenUDP("udp4", address)
-	if err != nil {
-		return err
-	}
-	context.AfterFunc(ctx, func() { _ = conn.Close() })
 	emit := r.emit(ctx)
 	buf := make([]byte, beaconSize)
 	for {
-		n, err := conn.Read(buf)
+		n, from, err := r.beacons.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -45,20 +36,32 @@
 			r.cfg.Log.V(1).Info("unreadable beacon", "cause", err.Error())
 			continue
 		}
-		emit(steerer.Heard{Now: r.now(), Beacon: b})
+		emit(steerer.Heard{Now: r.now(), Beacon: b, From: from.String()})
 	}
 }
 
-// send sends a beacon. A lost one is not repeated.
-func (r *Runner) send(s steerer.Send) {
-	if r.beacons == nil {
-		conn, err := net.ListenUDP("udp4", &net.UDPAddr{})
+// openBeacons opens the socket for beacons. They are sent from the address at
+// which they are taken, so that an instance that knows no other can ask back.
+func (r *Runner) openBeacons(ctx context.Context) (err error) {
+	defer func() {
 		if err != nil {
-			r.cfg.Log.Info("no beacon sent", "cause", err.Error())
-			return
+			err = fmt.Errorf("beacons: %w", err)
 		}
-		r.beacons = conn
+	}()
+	address, err := net.ResolveUDPAddr("udp4", r.cfg.Self.Beacon)
+	if err != nil {
+		return err
 	}
+	r.beacons, err = net.ListenUDP("udp4", address)
+	if err != nil {
+		return err
+	}
+	context.AfterFunc(ctx, func() { _ = r.beacons.Close() })
+	return nil
+}
+
+// send sends a beacon. A lost one is not repeated.
+func (r *Runner) send(s steerer.Send) {
 	data, err := json.Marshal(s.Beacon)
 	if err != nil {
 		r.cfg.Log.Info("no beacon sent", "cause", err.Error())
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -131,6 +131,9 @@
 	control, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	group, failed := errgroup.WithContext(control)
+	if err := r.openBeacons(failed); err != nil {
+		return err
+	}
 	front, err := r.serve(failed, group)
 	if err != nil {
 		return err
--- a/hornbeamd/runner/runner_test.go
+++ b/hornbeamd/runner/runner_test.go
@@ -55,6 +55,12 @@
 }
 
 func (m *memory) Register(_ context.Context, i steerer.Instance) error {
+	m.mu.Lock()
+	down := m.down
+	m.mu.Unlock()
+	if down {
+		return fmt.Errorf("down")
+	}
 	m.put(steerer.Instances, steerer.Object{Name: i.Name, Instance: &i})
 	return nil
 }
@@ -226,4 +232,8 @@
 	<-last.done
 	is.NoErr(last.err)
 	is.Equal(get(first.cfg.Self.Front, "/p/x"), "200 ran /p/x") // without the store
+
+	again := start(t, m, 2) // a start while the store is away
+	await(t, again.cfg.Lookup, "/", "200 true 3")
+	is.Equal(get(again.cfg.Self.Front, "/p/x"), "200 ran /p/x")
 }
