dispatcher: bound moves over all services of an instance

Cause: the bound on moves between regions was kept for each service of an instance. Change: the counts are shared by all services, as the bound is stated for all requests of a region.

--- a/core/dispatcher/spill.go
+++ b/core/dispatcher/spill.go
@@ -23,28 +23,17 @@
 // this instance's region moves. Requests are ordered by the hashes of their
 // keys, so that a key moves as a whole.
 type spill struct {
+	// moves is shared by all services.
+	moves *moves
+
 	mu sync.Mutex
 	// share is the share of requests that leave the region.
 	share   float64
 	started bool
 	// began is when the present span of time began, in which away of all
 	// requests would rather have left.
-	began int64
-	away  int
-	// spans are the present span and those before it, the present one first.
-	spans [2 * spillSpans]span
-}
-
-// span counts the requests of a span of time and those that left the region.
-type span struct{ left, all int }
-
-// sum adds up spans.
-func sum(spans []span) (t span) {
-	for _, x := range spans {
-		t.left += x.left
-		t.all += x.all
-	}
-	return t
+	began     int64
+	away, all int
 }
 
 // leaves tells whether a request with the given key runs in another region.
@@ -56,29 +45,11 @@
 	if now-s.began >= int64(spillTime) {
 		s.turn(now)
 	}
+	s.all++
 	if rather {
 		s.away++
 	}
-	leaves := s.bounded(spillPoint(key) < s.share)
-	s.spans[0].all++
-	if leaves {
-		s.spans[0].left++
-	}
-	return leaves
-}
-
-// bounded corrects a wish that would take the share of requests that leave too
-// far from that of the window before: keys in demand move many requests at once.
-func (s *spill) bounded(leaves bool) bool {
-	last, before := sum(s.spans[:spillSpans]), sum(s.spans[spillSpans:])
-	if before.all == 0 {
-		return leaves
-	}
-	share, all := float64(before.left)/float64(before.all), float64(last.all+1)
-	if leaves {
-		return float64(last.left) <= (share+spillMost)*all
-	}
-	return float64(last.left+1) < (share-spillMost)*all
+	return s.moves.bound(spillPoint(key) < s.share, now)
 }
 
 // start sets the first share: what the region's slots can't carry if all
@@ -93,13 +64,59 @@
 
 // turn ends a span of time.
 func (s *spill) turn(now int64) {
-	if all := s.spans[0].all; all > 0 {
-		wanted := float64(s.away) / float64(all)
+	if s.all > 0 {
+		wanted := float64(s.away) / float64(s.all)
 		s.share += min(max(wanted-s.share, -spillStep), spillStep)
 	}
-	s.began, s.away = now, 0
-	copy(s.spans[1:], s.spans[:])
-	s.spans[0] = span{}
+	s.began, s.away, s.all = now, 0, 0
+}
+
+// moves bounds the share of all requests of the instance that leave the region,
+// as they were decided: keys in demand move many requests at once.
+type moves struct {
+	mu sync.Mutex
+	// began is when the first of the spans began.
+	began int64
+	// spans are the present span and those before it, the present one first.
+	spans [2 * spillSpans]span
+}
+
+// span counts the requests of a span of time and those that left the region.
+type span struct{ left, all int }
+
+// bound corrects a decision that would take the share too far from that of the
+// window before.
+func (m *moves) bound(leaves bool, now int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now-m.began >= int64(spillTime) {
+		m.began = now
+		copy(m.spans[1:], m.spans[:])
+		m.spans[0] = span{}
+	}
+	last, before := sum(m.spans[:spillSpans]), sum(m.spans[spillSpans:])
+	if before.all > 0 {
+		share, all := float64(before.left)/float64(before.all), float64(last.all+1)
+		if leaves {
+			leaves = float64(last.left) <= (share+spillMost)*all
+		} else {
+			leaves = float64(last.left+1) < (share-spillMost)*all
+		}
+	}
+	m.spans[0].all++
+	if leaves {
+		m.spans[0].left++
+	}
+	return leaves
+}
+
+// sum adds up spans.
+func sum(spans []span) (t span) {
+	for _, x := range spans {
+		t.left += x.left
+		t.all += x.all
+	}
+	return t
 }
 
 // spillPoint maps a key to a place between 0 and 1.
--- a/core/dispatcher/spill_test.go
+++ b/core/dispatcher/spill_test.go
@@ -34,7 +34,7 @@
 func playMoves(t *testing.T, every, phase, end time.Duration, keys uint64) {
 	const window, most = 2 * time.Second, 0.15
 	is := is.New(t)
-	s, p := &spill{}, &Pool{home: 2, all: 6, regions: 3}
+	s, p := &spill{moves: &moves{}}, &Pool{home: 2, all: 6, regions: 3}
 	var shares []float64
 	left, all := 0, 0
 	count := uint64(0)
--- a/core/dispatcher/table.go
+++ b/core/dispatcher/table.go
@@ -66,6 +66,7 @@
 	upstreams map[incarnation]*Upstream
 	budgets   map[string]*limiter.Budget
 	spills    map[string]*spill
+	moves     *moves
 	works     map[string]*work
 	counters  map[string]*counter
 	usages    map[string]*usage
@@ -104,6 +105,7 @@
 	b.upstreams = map[incarnation]*Upstream{}
 	b.budgets = map[string]*limiter.Budget{}
 	b.spills = map[string]*spill{}
+	b.moves = &moves{}
 	b.works = map[string]*work{}
 	b.counters = map[string]*counter{}
 	b.usages = map[string]*usage{}
@@ -119,6 +121,9 @@
 		Retries: kept(b.budgets, s.Name),
 		spill:   kept(b.spills, s.Name),
 	}
+	if p.spill.moves == nil {
+		p.spill.moves = b.moves
+	}
 	if b.Bounds.RetryShare > 0 {
 		burst := b.Bounds.RetrySlack * budgetMargin / float64(max(1, peers))
 		p.Retries.Set(b.Bounds.RetryShare*budgetMargin, max(1, burst))
