--- a/core/steerer/events.go
+++ b/core/steerer/events.go
@@ -78,17 +78,25 @@
 // Tick reports the time.
 type Tick struct{ Now int64 }
 
+// Adjusted brings new bounds and the regions of failure domains.
+type Adjusted struct {
+	Now     int64
+	Bounds  Bounds
+	Regions map[string]string
+}
+
 // Left starts the planned stop of this instance.
 type Left struct{ Now int64 }
 
-func (Listed) steererEvent()  {}
-func (Changed) steererEvent() {}
-func (Fetched) steererEvent() {}
-func (Asked) steererEvent()   {}
-func (Lost) steererEvent()    {}
-func (Heard) steererEvent()   {}
-func (Tick) steererEvent()    {}
-func (Left) steererEvent()    {}
+func (Listed) steererEvent()   {}
+func (Changed) steererEvent()  {}
+func (Fetched) steererEvent()  {}
+func (Asked) steererEvent()    {}
+func (Lost) steererEvent()     {}
+func (Heard) steererEvent()    {}
+func (Tick) steererEvent()     {}
+func (Adjusted) steererEvent() {}
+func (Left) steererEvent()     {}
 
 // Effect is an output of Step.
 type Effect interface{ steererEffect() }
@@ -164,5 +172,8 @@
 	// Fronts lists the instances that callers may use, ordered by name.
 	Fronts []Instance
 	// Ready tells that this instance may take requests.
-	Ready bool
+	Ready  bool
+	Bounds Bounds
+	// Regions gives the region of each failure domain.
+	Regions map[string]string
 }
--- a/core/steerer/property_test.go
+++ b/core/steerer/property_test.go
@@ -48,7 +48,7 @@
 	for i := range n {
 		name := fmt.Sprintf("i%02d", i)
 		domain := []string{"a-1", "a-2", "b-1"}[i%3]
-		w.members = append(w.members, &member{state: New(other(name, domain), regions, false), reading: map[Kind]uint64{}, once: map[Kind]bool{}})
+		w.members = append(w.members, &member{state: New(other(name, domain), false), reading: map[Kind]uint64{}, once: map[Kind]bool{}})
 	}
 	return w
 }
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -33,6 +33,7 @@
 // State is what the instance believes. New makes one.
 type State struct {
 	Self    Instance
+	Bounds  Bounds
 	Regions map[string]string
 
 	config *Config
@@ -61,10 +62,10 @@
 	dirty     bool
 }
 
-// New returns the state of an instance that knows nothing yet. Regions gives
-// the region of each failure domain. If the whole system starts for the first
-// time, the instance leaves the others time to register.
-func New(self Instance, regions map[string]string, first bool) *State {
+// New returns the state of an instance that knows nothing yet. If the whole
+// system starts for the first time, the instance leaves the others time to
+// register.
+func New(self Instance, first bool) *State {
 	listAt := int64(0)
 	if first {
 		listAt = int64(gatherTime)
@@ -72,7 +73,6 @@
 	return &State{
 		listAt:    listAt,
 		Self:      self,
-		Regions:   regions,
 		upstreams: map[string]*upstream{},
 		evacuated: map[string]bool{},
 		restored:  map[string]int64{},
@@ -122,6 +122,10 @@
 	case Tick:
 		now = e.Now
 		out = s.tick(e.Now)
+	case Adjusted:
+		now = e.Now
+		s.Bounds, s.Regions, s.dirty = e.Bounds, e.Regions, true
+		out = []Effect{Note{What: "adjusted", Subject: s.Self.Name}}
 	case Left:
 		now = e.Now
 		s.leaving, s.dirty, s.next = true, true, 0
@@ -227,7 +231,7 @@
 }
 
 func (s *State) view(now int64) View {
-	v := View{Config: s.config, Ready: s.ready(), Peers: []Instance{s.Self}}
+	v := View{Config: s.config, Ready: s.ready(), Peers: []Instance{s.Self}, Bounds: s.Bounds, Regions: s.Regions}
 	for _, u := range s.upstreams {
 		if u.Draining || s.evacuated[u.Domain] {
 			continue
--- a/core/steerer/steerer_test.go
+++ b/core/steerer/steerer_test.go
@@ -120,6 +120,9 @@
 			Heard{Now: second(5), Beacon: Beacon{Name: "near", Ready: true}},
 			Left{Now: second(5.1)},
 		),
+		"bounds-change-while-running": append(started(server("u1")),
+			Adjusted{Now: second(1), Bounds: Bounds{RetryShare: 0.1, Stop: 4 * time.Second}, Regions: regions},
+		),
 	}
 }
 
@@ -228,7 +231,7 @@
 	for name, events := range all {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			s := New(self(), regions, false)
+			s := New(self(), false)
 			var out strings.Builder
 			last := Tick{Now: at(events[len(events)-1]) + second(0.1)}
 			for _, e := range append(events, last) {
@@ -266,6 +269,8 @@
 		return e.Now
 	case Tick:
 		return e.Now
+	case Adjusted:
+		return e.Now
 	case Left:
 		return e.Now
 	}
@@ -288,6 +293,8 @@
 		return fmt.Sprintf("%.1f heard %+v", float64(e.Now)/1e9, e.Beacon)
 	case Tick:
 		return fmt.Sprintf("%.1f tick", float64(e.Now)/1e9)
+	case Adjusted:
+		return fmt.Sprintf("%.1f adjusted %+v %v", float64(e.Now)/1e9, e.Bounds, e.Regions)
 	case Left:
 		return fmt.Sprintf("%.1f left", float64(e.Now)/1e9)
 	}
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -34,7 +34,7 @@
 // Directory answers callers that ask which instances to use, and health checks.
 type Directory interface {
 	// Handler returns the handler for look-ups and readiness.
-	Handler(view func() *steerer.View, bounds steerer.Bounds) fasthttp.RequestHandler
+	Handler(view func() *steerer.View) fasthttp.RequestHandler
 }
 
 // Clock is the monotonic clock of a process.
@@ -100,8 +100,8 @@
 	r := &Runner{
 		cfg:      cfg,
 		events:   make(chan steerer.Event, eventQueue),
-		state:    steerer.New(cfg.Self, cfg.Regions, cfg.First),
-		builder:  dispatcher.Builder{Self: cfg.Self, Bounds: cfg.Bounds, Regions: cfg.Regions},
+		state:    steerer.New(cfg.Self, cfg.First),
+		builder:  dispatcher.Builder{Self: cfg.Self},
 		registry: prometheus.NewRegistry(),
 		ring:     &recorder.Ring{},
 	}
@@ -189,7 +189,7 @@
 		_ = r.relayer.Serve(front)
 		return nil
 	})
-	handler := r.cfg.Directory.Handler(r.view, r.cfg.Bounds)
+	handler := r.cfg.Directory.Handler(r.view)
 	for _, address := range []string{r.cfg.Lookup, r.cfg.Ready} {
 		if address == "" {
 			continue
@@ -215,6 +215,11 @@
 	return front, nil
 }
 
+// Adjust puts new bounds and regions of failure domains into force.
+func (r *Runner) Adjust(bounds steerer.Bounds, regions map[string]string) {
+	r.events <- steerer.Adjusted{Now: r.now(), Bounds: bounds, Regions: regions}
+}
+
 // view returns the view in force.
 func (r *Runner) view() *steerer.View {
 	if t := r.tables.Load(); t != nil {
@@ -238,7 +243,7 @@
 	defer tick.Stop()
 	maintained := int64(0)
 	var effects []steerer.Effect
-	r.state, effects = steerer.Step(r.state, steerer.Tick{Now: r.now()})
+	r.state, effects = steerer.Step(r.state, steerer.Adjusted{Now: r.now(), Bounds: r.cfg.Bounds, Regions: r.cfg.Regions})
 	for {
 		for _, x := range effects {
 			r.execute(x)
@@ -262,6 +267,7 @@
 func (r *Runner) execute(x steerer.Effect) {
 	switch x := x.(type) {
 	case steerer.Publish:
+		r.builder.Bounds, r.builder.Regions = x.View.Bounds, x.View.Regions
 		r.tables.Store(r.builder.Build(x.View, r.now()))
 	case steerer.Send:
 		r.send(x)
@@ -306,10 +312,10 @@
 // that callers learn to use other instances; then idle connections and the
 // listener are closed, and requests in hand end.
 func (r *Runner) stop(front net.Listener) {
-	began := time.Now()
-	end := began.Add(r.cfg.Bounds.Stop - stopMargin)
+	began, limit := time.Now(), r.view().Bounds.Stop
+	end := began.Add(limit - stopMargin)
 	at := func(share float64) time.Time {
-		return began.Add(time.Duration(share * float64(r.cfg.Bounds.Stop)))
+		return began.Add(time.Duration(share * float64(limit)))
 	}
 	r.events <- steerer.Left{Now: r.now()}
 	r.relayer.Leave()
--- a/hornbeamd/runner/runner_test.go
+++ b/hornbeamd/runner/runner_test.go
@@ -116,7 +116,7 @@
 }
 func (plain) Unsign(*fasthttp.ResponseHeader) {}
 
-func (plain) Handler(view func() *steerer.View, _ steerer.Bounds) fasthttp.RequestHandler {
+func (plain) Handler(view func() *steerer.View) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		v := view()
 		fmt.Fprintf(ctx, "%t %d", v.Ready, len(v.Nearest("r", 64)))
