relayer: the head of a request must arrive within the configured time

Cause: the limit for the head of a request was read from the configuration and decided nothing; a constant of 10 s held. Tables for pipelining (bodies, chunks, own refusals) and for slow heads on first and later requests. Result: TestHeadTime fails without the bound (connection open after 9 s).

--- a/hornbeamd/relayer/fault_test.go
+++ b/hornbeamd/relayer/fault_test.go
@@ -326,6 +326,109 @@
 	}
 }
 
+// TestHeadTime sends the head of a first and of a later request slowly.
+func TestHeadTime(t *testing.T) {
+	const limit = 300 * time.Millisecond
+	for name, before := range map[string]string{"first": "", "later": "GET /once/x HTTP/1.1\r\nHost: h\r\nId: q1\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := startRig(t, startStub(t, "u1", good))
+			g.publish(func(v *steerer.View) { v.Config.Limits.HeadTime = limit })
+			c, err := net.Dial("tcp", g.address)
+			is.NoErr(err)
+			defer func() { _ = c.Close() }()
+			_ = c.SetReadDeadline(time.Now().Add(headTime - time.Second))
+			time.Sleep(limit + limit/2) // silence before a head counts as idle time
+			reader := bufio.NewReader(c)
+			if before != "" {
+				_, err = fmt.Fprint(c, before)
+				is.NoErr(err)
+				res, err := http.ReadResponse(reader, nil)
+				is.NoErr(err)
+				_, err = io.Copy(io.Discard, res.Body)
+				is.NoErr(err)
+			}
+			began := time.Now()
+			_, err = fmt.Fprint(c, "GET /once/x HTTP/1.1\r\nHost: h\r\n")
+			is.NoErr(err)
+			_, err = io.Copy(io.Discard, reader)
+			is.NoErr(err) // closed by the relayer, not by the own deadline
+			is.True(time.Since(began) >= limit)
+			is.Equal(g.runs(), min(1, len(before)))
+		})
+	}
+}
+
+// TestBodyMayTakeLongerThanItsHead sends a body slowly after its head.
+func TestBodyMayTakeLongerThanItsHead(t *testing.T) {
+	const limit = 100 * time.Millisecond
+	is := is.New(t)
+	g := startRig(t, startStub(t, "u1", good))
+	g.publish(func(v *steerer.View) { v.Config.Limits.HeadTime = limit })
+	body, w := io.Pipe()
+	go func() {
+		for range 4 {
+			_, _ = fmt.Fprint(w, "b")
+			time.Sleep(limit)
+		}
+		_ = w.Close()
+	}()
+	r, err := http.NewRequest(http.MethodPost, "http://"+g.address+"/once/x", body)
+	is.NoErr(err)
+	r.Host, r.ContentLength = "h", 4
+	r.Header.Set("Id", "q1")
+	res, err := http.DefaultTransport.(*http.Transport).Clone().RoundTrip(r)
+	is.NoErr(err)
+	defer func() { _ = res.Body.Close() }()
+	is.Equal(res.StatusCode, 200)
+}
+
+// TestPipelining writes several requests before the first answer is read. The
+// answers come in order, each to its request, and each runs once.
+func TestPipelining(t *testing.T) {
+	get := func(id string) string { return "GET /once/" + id + " HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n" }
+	post := func(id, head, body string) string {
+		return "POST /once/" + id + " HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n" + head + "\r\n\r\n" + body
+	}
+	for _, c := range []struct {
+		name, sent string
+		want       []string
+	}{
+		{"without bodies", get("q1") + get("q2") + get("q3"), []string{"u1 GET /once/q1 ", "u1 GET /once/q2 ", "u1 GET /once/q3 "}},
+		{"after a body", post("q1", "Content-Length: 3", "abc") + get("q2"), []string{"u1 POST /once/q1 abc", "u1 GET /once/q2 "}},
+		{"after chunks", post("q1", "Transfer-Encoding: chunked", "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n") + get("q2"), []string{"u1 POST /once/q1 abc", "u1 GET /once/q2 "}},
+		{"after a refusal of our own", strings.Replace(get("q1"), "/once/", "/other/", 1) + get("q2"), []string{"", "u1 GET /once/q2 "}},
+		{"after an empty body", post("q1", "Content-Length: 0", "") + get("q2"), []string{"u1 POST /once/q1 ", "u1 GET /once/q2 "}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			g := startRig(t, startStub(t, "u1", good))
+			conn, err := net.Dial("tcp", g.address)
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+			_, err = fmt.Fprint(conn, c.sent)
+			is.NoErr(err)
+			reader := bufio.NewReader(conn)
+			runs := 0
+			for _, want := range c.want {
+				res, err := http.ReadResponse(reader, nil)
+				is.NoErr(err)
+				body, err := io.ReadAll(res.Body)
+				is.NoErr(err)
+				if want == "" {
+					is.Equal(res.StatusCode, 404)
+					continue
+				}
+				runs++
+				is.Equal(res.StatusCode, 200)
+				is.Equal(string(body), want)
+			}
+			is.Equal(g.runs(), runs)
+		})
+	}
+}
+
 // TestUnreachableNeedsNoBudget sends requests on after connections were refused:
 // nothing has reached an upstream, so that nothing is repeated.
 func TestUnreachableNeedsNoBudget(t *testing.T) {
--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -93,9 +93,10 @@
 	bodySize = 64 << 20
 	// chunkSize is the size of the buffer for answers.
 	chunkSize = 8 << 10
-	// headTime bounds the arrival of a request's head, bodyTime that of its body,
-	// idleLimit the wait for the next
-	// one if the configuration sets no bound, writeTime the taking of an answer.
+	// headTime bounds the wait for a request on a new connection and the arrival
+	// of a head if the configuration sets no bound, bodyTime that of a body,
+	// idleLimit the wait for the next request if the configuration sets none,
+	// writeTime the taking of an answer.
 	headTime  = 10 * time.Second
 	bodyTime  = 30 * time.Second
 	idleLimit = 120 * time.Second
@@ -120,7 +121,7 @@
 		NoDefaultDate:                true,
 		NoDefaultContentType:         true,
 		CloseOnShutdown:              true,
-		ConnState:                    r.conns.note,
+		ConnState:                    r.note,
 		Logger:                       silent{},
 	}
 	r.conns.now = cfg.Now
@@ -145,7 +146,7 @@
 }
 
 // Serve answers requests on the connections that ln accepts.
-func (r *Relayer) Serve(ln net.Listener) error { return r.http.Serve(ln) }
+func (r *Relayer) Serve(ln net.Listener) error { return r.http.Serve(listener{ln}) }
 
 // Active is the number of connections on which a request is in hand. It counts
 // until the whole answer has been handed to the kernel.
@@ -174,6 +175,14 @@
 // CloseIdle closes the callers' connections on which no request is in hand.
 func (r *Relayer) CloseIdle() { r.conns.closeIdle(0) }
 
+// note takes over a change of a caller's connection.
+func (r *Relayer) note(c net.Conn, s fasthttp.ConnState) {
+	r.conns.note(c, s)
+	if cc, ok := c.(*conn); ok {
+		cc.expectHead(s == fasthttp.StateActive, r.limits().HeadTime)
+	}
+}
+
 func (r *Relayer) pool(u *dispatcher.Upstream) *pooler.Pool {
 	if p, ok := r.pools.Load(u); ok {
 		return p.(*pooler.Pool)
@@ -186,47 +195,3 @@
 type silent struct{}
 
 func (silent) Printf(string, ...any) {}
-
-// callers knows which of the callers' connections are in use, and since when the
-// others have been idle.
-type callers struct {
-	now  func() int64
-	mu   sync.Mutex
-	busy map[net.Conn]bool
-	idle map[net.Conn]int64
-}
-
-func (c *callers) note(conn net.Conn, s fasthttp.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.busy == nil {
-		c.busy, c.idle = map[net.Conn]bool{}, map[net.Conn]int64{}
-	}
-	delete(c.busy, conn)
-	delete(c.idle, conn)
-	switch s {
-	case fasthttp.StateActive:
-		c.busy[conn] = true
-	case fasthttp.StateIdle:
-		c.idle[conn] = c.now()
-	}
-}
-
-func (c *callers) active() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.busy)
-}
-
-// closeIdle closes the connections that have been idle for longer than limit.
-func (c *callers) closeIdle(limit time.Duration) {
-	now := c.now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for conn, since := range c.idle {
-		if now-since >= int64(limit) {
-			_ = conn.Close()
-			delete(c.idle, conn)
-		}
-	}
-}
