steerer: drop two settings that decide nothing

Cause: the window of the retry budget and the length of a cold start were read and decided nothing: the budget holds in any span of time, and registrations say how long an upstream stays cold.

--- a/core/dispatcher/policies_test.go
+++ b/core/dispatcher/policies_test.go
@@ -40,7 +40,7 @@
 func (p *steering) publish(m *model, now int64) {
 	v := steerer.View{Ready: true, Config: &steerer.Config{
 		Version:  1,
-		Services: []steerer.Service{{Name: "s", Conns: 300, ColdTime: 3 * time.Second, ColdRate: 15}},
+		Services: []steerer.Service{{Name: "s", Conns: 300, ColdRate: 15}},
 		Routes: []steerer.Route{{
 			Name: "r", Host: "h", Prefix: "/", Idempotent: true, Timeout: m.timeout, Aim: m.aim,
 			Attempts: 2, Sticky: true, Parts: []steerer.Part{{Service: "s", Weight: 1}},
--- a/core/steerer/types.go
+++ b/core/steerer/types.go
@@ -44,9 +44,8 @@
 	// Conns bounds the connections to one upstream, those of all instances
 	// together.
 	Conns int
-	// ColdTime is how long an upstream is cold after its start, ColdRate how many
-	// requests a second it takes meanwhile, those of all instances together.
-	ColdTime time.Duration
+	// ColdRate is how many requests a second an upstream takes while it is cold,
+	// those of all instances together.
 	ColdRate float64
 }
 
@@ -121,11 +120,10 @@
 
 // Bounds are the limits that the environment sets to all instances together.
 type Bounds struct {
-	// RetryShare of the requests for a service may be sent once more within
-	// RetryWindow, and RetrySlack beyond that.
-	RetryShare  float64
-	RetrySlack  float64
-	RetryWindow time.Duration
+	// RetryShare of the requests for a service may be sent once more in any span
+	// of time, and RetrySlack beyond that.
+	RetryShare float64
+	RetrySlack float64
 	// ColdSlack is how many requests within a second a cold upstream bears
 	// beyond its rate.
 	ColdSlack float64
--- a/hornbeamd/relayer/kit_test.go
+++ b/hornbeamd/relayer/kit_test.go
@@ -168,7 +168,7 @@
 	}
 	v := steerer.View{Ready: true, Config: &steerer.Config{
 		Version:  1,
-		Services: []steerer.Service{{Name: "s", Conns: 100, ColdTime: time.Second, ColdRate: 10}},
+		Services: []steerer.Service{{Name: "s", Conns: 100, ColdRate: 10}},
 		Routes:   []steerer.Route{route("safe", true), route("once", false)},
 	}}
 	for _, s := range g.stubs {
