platform: settings of our own in YAML, checks for deploy/, bounded metrics

Routes beyond the first 100 count as "other"; new metrics for store calls, changes, version, fronts and readiness.

--- a/core/loader/loader_test.go
+++ b/core/loader/loader_test.go
@@ -42,6 +42,23 @@
 	_, err = loader.ParseSettings("settings.yaml", read(t, "testdata", "bad-settings.yaml"))
 	is.True(errors.As(err, new(loader.Problems)))
 	golden(t, "bad-settings.golden", err.Error()+"\n")
+	_, err = loader.ParseTuning("tuning.yaml", read(t, "testdata", "bad-tuning.yaml"))
+	is.True(errors.As(err, new(loader.Problems)))
+	golden(t, "bad-tuning.golden", err.Error()+"\n")
+}
+
+// TestTuning reads a part of the settings; the rest keeps its values.
+func TestTuning(t *testing.T) {
+	is := is.New(t)
+	got, err := loader.ParseTuning("t", []byte("metrics: 0\nreuse: 5\n"))
+	is.NoErr(err)
+	want := loader.DefaultTuning()
+	want.Metrics, want.Reuse = 0, 5
+	is.Equal(got, want)
+	is.Equal(len(loader.DefaultTuning().Check()), 0)
+	is.True(loader.IsTuning([]byte("lines: 5\n")))
+	is.True(!loader.IsTuning([]byte("name: a\n")))
+	is.True(!loader.IsTuning([]byte("\t")))
 }
 
 func TestSyntax(t *testing.T) {
--- /dev/null
+++ b/core/loader/tuning.go
@@ -0,0 +1,83 @@
+package loader
+
+import (
+	"reflect"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Tuning are the settings of an instance that the platform it runs on does not
+// know. A key that is missing has its value of DefaultTuning.
+type Tuning struct {
+	// Metrics is the port for operators; 0 opens none.
+	Metrics int `yaml:"metrics"`
+	// Lines bounds the log lines a second for changes and failures, Details those
+	// for requests that went well.
+	Lines   int `yaml:"lines"`
+	Details int `yaml:"details"`
+	// Lookup is the time in seconds for which callers may keep the answer to a
+	// look-up, if the platform allows as much.
+	Lookup float64 `yaml:"lookup"`
+	// Reuse is how many seconds ago a connection to an upstream must have worked
+	// to carry a request, Proven the same for requests that must not run twice.
+	Reuse  float64 `yaml:"reuse"`
+	Proven float64 `yaml:"proven"`
+}
+
+// DefaultTuning returns the settings that hold without a file.
+func DefaultTuning() Tuning {
+	return Tuning{Metrics: 9464, Lines: 200, Details: 60, Lookup: 2, Reuse: 10, Proven: 4}
+}
+
+// ParseTuning reads the settings from YAML; name is the file's name in errors.
+// All problems are returned at once as Problems.
+func ParseTuning(name string, data []byte) (t Tuning, err error) {
+	t = DefaultTuning()
+	d := newDocument(name, data)
+	if d.root != nil {
+		d.decode(d.root, "", reflect.ValueOf(&t).Elem())
+		d.locate(t.Check())
+	}
+	return t, d.err()
+}
+
+// IsTuning tells whether a YAML file is meant as Tuning rather than as Settings:
+// it has a key that only Tuning has.
+func IsTuning(data []byte) bool {
+	var keys map[string]yaml.Node
+	if err := yaml.Unmarshal(data, &keys); err != nil {
+		return false
+	}
+	tuning := reflect.TypeFor[Tuning]()
+	for i := range tuning.NumField() {
+		if _, ok := keys[tuning.Field(i).Tag.Get("yaml")]; ok {
+			return true
+		}
+	}
+	return false
+}
+
+// Check returns all problems of the settings.
+func (t Tuning) Check() (p Problems) {
+	report := p.under("")
+	for _, f := range []struct {
+		key              string
+		value, low, high float64
+		unit             string
+	}{
+		{"metrics", float64(t.Metrics), 0, 65535, ""},
+		{"lines", float64(t.Lines), 1, 10000, " lines a second"},
+		{"details", float64(t.Details), 0, 10000, " lines a second"},
+		{"lookup", t.Lookup, 0.5, 60, " seconds"},
+		{"reuse", t.Reuse, 0, 3600, " seconds"},
+		{"proven", t.Proven, 0, 3600, " seconds"},
+	} {
+		if f.value < f.low || f.value > f.high {
+			report(f.key, "%g must be between %g and %g%s", f.value, f.low, f.high, f.unit)
+		}
+	}
+	if t.Proven > t.Reuse {
+		report("proven", "%g must not exceed reuse, which is %g", t.Proven, t.Reuse)
+	}
+	return p
+}
--- a/core/steerer/types.go
+++ b/core/steerer/types.go
@@ -146,7 +146,3 @@
 
 // Kinds lists all of them.
 var Kinds = []Kind{Configs, Upstreams, Evacuations, Instances}
-
-// LookupTime is how long callers may keep the answer to a look-up. It is short,
-// because they go on using an instance that has failed meanwhile.
-const LookupTime = 2 * time.Second
--- a/hornbeamd/journaler/journaler.go
+++ b/hornbeamd/journaler/journaler.go
@@ -17,10 +17,8 @@
 const (
 	// queueSize bounds the lines that wait for the output.
 	queueSize = 1024
-	// Lines a second, and lines at once, for changes and failures and for what
-	// went well.
-	mainRate, mainBurst     = 200, 400
-	detailRate, detailBurst = 60, 120
+	// burstTime is how much of a second's lines may come at once.
+	burstTime = 2 * time.Second
 	// reportTime is the time between two lines that tell the number of dropped
 	// lines.
 	reportTime = time.Second
@@ -32,21 +30,29 @@
 	dropped atomic.Uint64
 }
 
+// Bounds are the lines a second for changes and failures, and for what went
+// well.
+type Bounds struct{ Lines, Details int }
+
 // Open returns a journal that writes JSON lines to w, and a logger for it.
-func Open(w io.Writer) (*Journal, logr.Logger) {
+func Open(w io.Writer, b Bounds) (*Journal, logr.Logger) {
 	j := &Journal{lines: make(chan []byte, queueSize)}
 	inner := slog.NewJSONHandler(j, &slog.HandlerOptions{Level: slog.Level(-1)})
 	h := &handler{
 		Handler: inner,
 		journal: j,
-		main:    rate.NewLimiter(mainRate, mainBurst),
-		detail:  rate.NewLimiter(detailRate, detailBurst),
+		main:    limiter(b.Lines),
+		detail:  limiter(b.Details),
 	}
 	go j.drain(w)
 	go j.report(slog.New(inner))
 	return j, logr.FromSlogHandler(h)
 }
 
+func limiter(lines int) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(lines), lines*int(burstTime/time.Second))
+}
+
 // Dropped is the number of lines that were dropped.
 func (j *Journal) Dropped() uint64 { return j.dropped.Load() }
 
--- a/hornbeamd/journaler/journaler_test.go
+++ b/hornbeamd/journaler/journaler_test.go
@@ -15,7 +15,7 @@
 	is := is.New(t)
 	r, w := io.Pipe()
 	defer func() { is.NoErr(r.Close()) }()
-	j, log := Open(w)
+	j, log := Open(w, Bounds{Lines: 200, Details: 60})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -37,9 +37,9 @@
 	is := is.New(t)
 	r, w := io.Pipe()
 	defer func() { is.NoErr(r.Close()) }()
-	_, log := Open(w)
+	_, log := Open(w, Bounds{Lines: 200, Details: 60})
 	log = log.WithValues("instance", "i1").WithName("n")
-	for range 2 * detailBurst {
+	for range 2 * 120 {
 		log.V(1).Info("detail")
 	}
 	log.Info("failure")
@@ -60,5 +60,5 @@
 		is.Equal(line.Instance, "i1")
 	}
 	is.Equal(counts["failure"], 1)
-	is.True(counts["detail"] >= detailBurst && counts["detail"] < 2*detailBurst)
+	is.True(counts["detail"] >= 120 && counts["detail"] < 2*120)
 }
--- a/hornbeamd/relayer/exchange.go
+++ b/hornbeamd/relayer/exchange.go
@@ -25,10 +25,6 @@
 	checkTime = 100 * time.Millisecond
 	// maxStrays bounds the answers to earlier requests that are skipped.
 	maxStrays = 4
-	// provenTime is how recently a connection must have worked for a request
-	// that must not run twice, usedTime for any other.
-	provenTime = 4 * time.Second
-	usedTime   = 10 * time.Second
 	// leastLeft is the least time that an upstream is given.
 	leastLeft = time.Millisecond
 )
@@ -70,9 +66,9 @@
 	}()
 	c := x.call
 	now := x.relayer.cfg.Now()
-	since := now - int64(usedTime)
+	since := now - int64(x.relayer.cfg.Reuse)
 	if !c.route.Idempotent {
-		since = now - int64(provenTime)
+		since = now - int64(x.relayer.cfg.Proven)
 	}
 	if x.conn, x.fresh, err = x.pool.Get(since, now, c.deadline, x.target.Conns()); err != nil {
 		return err
--- a/hornbeamd/relayer/kit_test.go
+++ b/hornbeamd/relayer/kit_test.go
@@ -145,7 +145,7 @@
 	is := is.New(t)
 	g := &rig{began: time.Now(), stubs: stubs}
 	g.builder = dispatcher.Builder{Self: steerer.Instance{Name: "i", Domain: "a", Region: "r"}, Regions: map[string]string{"a": "r"}, Bounds: steerer.Bounds{ColdSlack: 5}}
-	g.relayer = New(Config{Tables: &g.tables, Dialect: plain{}, Metrics: noMetrics{}, Log: logr.Discard(), Now: g.now})
+	g.relayer = New(Config{Tables: &g.tables, Dialect: plain{}, Metrics: noMetrics{}, Log: logr.Discard(), Now: g.now, Reuse: 10 * time.Second, Proven: 4 * time.Second})
 	g.publish()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -74,6 +74,9 @@
 	Log     logr.Logger
 	// Now gives the time in nanoseconds on a monotonic clock.
 	Now func() int64
+	// Reuse is how recently a connection to an upstream must have worked to be
+	// used again, Proven the same for a request that must not run twice.
+	Reuse, Proven time.Duration
 }
 
 // Relayer serves callers. New makes one.
--- a/hornbeamd/runner/metrics.go
+++ b/hornbeamd/runner/metrics.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"hornbeamstream.example/core/granter"
 	"hornbeamstream.example/core/reporter"
+	"hornbeamstream.example/core/steerer"
+	"hornbeamstream.example/hornbeamd/watcher"
 )
 
 // metrics implements relayer.Metrics.
@@ -16,8 +19,22 @@
 	latency  *prometheus.HistogramVec
 	tried    *prometheus.CounterVec
 	dialed   *prometheus.CounterVec
+	changes  *prometheus.CounterVec
+	calls    *prometheus.CounterVec
+
+	mu sync.Mutex
+	// routes are those with labels of their own.
+	routes map[string]bool
 }
 
+const (
+	// maxRoutes bounds the routes with labels of their own: configurations bring
+	// new names for as long as the process runs.
+	maxRoutes = 100
+	// otherRoute is the label of the others.
+	otherRoute = "other"
+)
+
 func newMetrics(registry *prometheus.Registry, dropped func() uint64) *metrics {
 	m := &metrics{
 		answered: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -33,8 +50,15 @@
 		dialed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "horn_dials_total", Help: "Connections opened to upstreams.",
 		}, []string{"service"}),
+		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "horn_changes_total", Help: "Changes of what the instance believes.",
+		}, []string{"what"}),
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "horn_store_calls_total", Help: "Calls to the store by kind and result.",
+		}, []string{"call", "result"}),
+		routes: map[string]bool{},
 	}
-	registry.MustRegister(m.answered, m.latency, m.tried, m.dialed)
+	registry.MustRegister(m.answered, m.latency, m.tried, m.dialed, m.changes, m.calls)
 	if dropped != nil {
 		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "horn_log_lines_dropped_total", Help: "Log lines dropped because of the bound on their rate.",
@@ -43,8 +67,46 @@
 	return m
 }
 
+// watch registers gauges of the view in force.
+func (m *metrics) watch(registry *prometheus.Registry, view func() *steerer.View) {
+	for _, g := range []struct {
+		name, help string
+		value      func(*steerer.View) float64
+	}{
+		{"horn_config_version", "Version of the configuration in force.", func(v *steerer.View) float64 {
+			if v.Config == nil {
+				return 0
+			}
+			return float64(v.Config.Version)
+		}},
+		{"horn_fronts", "Instances that callers may use.", func(v *steerer.View) float64 { return float64(len(v.Fronts)) }},
+		{"horn_ready", "Whether the instance takes requests.", func(v *steerer.View) float64 {
+			if v.Ready {
+				return 1
+			}
+			return 0
+		}},
+	} {
+		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: g.name, Help: g.help}, func() float64 { return g.value(view()) }))
+	}
+}
+
+// routeLabel returns the label of a route.
+func (m *metrics) routeLabel(route string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.routes[route] {
+		if len(m.routes) >= maxRoutes {
+			return otherRoute
+		}
+		m.routes[route] = true
+	}
+	return route
+}
+
 // Answered implements relayer.Metrics.
 func (m *metrics) Answered(route, outcome string, took time.Duration) {
+	route = m.routeLabel(route)
 	m.answered.WithLabelValues(route, outcome).Inc()
 	m.latency.WithLabelValues(route).Observe(took.Seconds())
 }
@@ -55,6 +117,38 @@
 // Dialed implements relayer.Metrics.
 func (m *metrics) Dialed(service string) { m.dialed.WithLabelValues(service).Inc() }
 
+// countedStore counts the calls to a store.
+type countedStore struct {
+	Store
+	calls *prometheus.CounterVec
+}
+
+func (s countedStore) count(call string, err error) {
+	result := "answered"
+	if err != nil {
+		result = "failed"
+	}
+	s.calls.WithLabelValues(call, result).Inc()
+}
+
+// List implements watcher.Source.
+func (s countedStore) List(ctx context.Context, k steerer.Kind, after string, stale bool) (p watcher.Page, err error) {
+	defer func() { s.count("list", err) }()
+	return s.Store.List(ctx, k, after, stale)
+}
+
+// Watch implements watcher.Source.
+func (s countedStore) Watch(ctx context.Context, k steerer.Kind, revision uint64, until time.Time) (p watcher.Page, err error) {
+	defer func() { s.count("watch", err) }()
+	return s.Store.Watch(ctx, k, revision, until)
+}
+
+// Register implements Store.
+func (s countedStore) Register(ctx context.Context, i steerer.Instance) (err error) {
+	defer func() { s.count("register", err) }()
+	return s.Store.Register(ctx, i)
+}
+
 // status is the account of this instance for operators.
 func (r *Runner) status(context.Context) (reporter.Status, error) {
 	v := r.view()
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -60,6 +60,8 @@
 	Dialect              relayer.Dialect
 	Directory            Directory
 	Log                  logr.Logger
+	// Reuse and Proven are those of relayer.Config.
+	Reuse, Proven time.Duration
 	// Clock gives the time to all parts of the instance.
 	Clock Clock
 	// Dropped is the number of log lines that were dropped.
@@ -107,14 +109,17 @@
 	}
 	r.registry.MustRegister(collectors.NewGoCollector())
 	r.metrics = newMetrics(r.registry, cfg.Dropped)
+	r.metrics.watch(r.registry, r.view)
+	r.cfg.Store = countedStore{cfg.Store, r.metrics.calls}
 	r.relayer = relayer.New(relayer.Config{
 		Tables: &r.tables, Dialect: cfg.Dialect, Metrics: r.metrics, Log: cfg.Log, Now: r.now,
+		Reuse: cfg.Reuse, Proven: cfg.Proven,
 	})
 	r.relay = newRelay(r)
 	r.watchers = map[steerer.Kind]*watcher.Watcher{}
 	guard := &watcher.Guard{}
 	for _, k := range steerer.Kinds {
-		r.watchers[k] = &watcher.Watcher{Kind: k, Source: cfg.Store, Now: r.now, Guard: guard, Lead: k == steerer.Instances}
+		r.watchers[k] = &watcher.Watcher{Kind: k, Source: r.cfg.Store, Now: r.now, Guard: guard, Lead: k == steerer.Instances}
 	}
 	return r
 }
@@ -278,6 +283,7 @@
 	case steerer.Reply:
 		r.relay.reply(x)
 	case steerer.Note:
+		r.metrics.changes.WithLabelValues(x.What).Inc()
 		r.cfg.Log.Info(x.What, "subject", x.Subject, "version", x.Version, "cause", x.Cause)
 		r.record(x)
 	}
--- a/hornbeamd/runner/runner_test.go
+++ b/hornbeamd/runner/runner_test.go
@@ -139,7 +139,7 @@
 		Regions: map[string]string{"d": "r"},
 		Bounds:  steerer.Bounds{Stop: 2 * time.Second, ColdSlack: 5},
 		Lookup:  ip + ":8383", Admin: ip + ":9464",
-		Store: m, Dialect: plain{}, Directory: plain{}, Log: logr.Discard(), Clock: NewClock(),
+		Store: m, Dialect: plain{}, Directory: plain{}, Log: logr.Discard(), Reuse: 10 * time.Second, Proven: 4 * time.Second, Clock: NewClock(),
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	i := &instance{cfg: cfg, stop: stop, done: make(chan struct{})}
@@ -221,6 +221,9 @@
 		is.Equal(get(i.cfg.Self.Front, "/p/x?y"), "200 ran /p/x?y")
 	}
 	is.True(strings.Contains(get(first.cfg.Admin, "/metrics"), `horn_requests_total{outcome="answered",route="r"} 1`))
+	for _, line := range []string{`horn_config_version 1`, `horn_fronts 3`, `horn_ready 1`, `horn_store_calls_total{call="register",result="answered"} 1`, `horn_changes_total{what="configured"} 1`} {
+		is.True(strings.Contains(get(first.cfg.Admin, "/metrics"), line+"\n"))
+	}
 	is.True(strings.Contains(get(first.cfg.Admin, "/timeline"), `"kind":"configured"`))
 	is.True(strings.Contains(get(first.cfg.Admin, "/status"), `"version":1`))
 
--- a/hornbench/soaker/fleet.go
+++ b/hornbench/soaker/fleet.go
@@ -82,7 +82,7 @@
 
 // Start starts the process.
 func (i *Instance) Start() error {
-	cmd := exec.Command(i.binary, "--metrics", "0")
+	cmd := exec.Command(i.binary)
 	cmd.Env = append(os.Environ(), "HORNBEAMSTREAM_SETTINGS="+i.settings())
 	cmd.Stdout, cmd.Stderr = i.log, i.log
 	if err := cmd.Start(); err != nil {
--- a/hornctl/commands/check.go
+++ b/hornctl/commands/check.go
@@ -14,12 +14,13 @@
 func (p *program) checkCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "check",
-		Usage:     "check files with tickets or settings",
+		Usage:     "check YAML files with tickets or settings",
 		ArgsUsage: "FILE...",
 		Description: `Prints every problem as file:line: key: text. A ticket with base 0 is checked
 as the whole configuration. A ticket with a higher base is checked against the
 tickets before it on the command line, if they lead to its base, and object by
-object otherwise.`,
+object otherwise. The files of a platform in its own format are checked by
+hornplatform check.`,
 		Action: p.act(-1, p.check),
 	}
 }
@@ -59,6 +60,11 @@
 		k.ticket(name, data)
 		return
 	}
+	if loader.IsTuning(data) {
+		_, err := loader.ParseTuning(name, data)
+		k.add(err)
+		return
+	}
 	s, err := loader.ParseSettings(name, data)
 	k.add(err)
 	if err == nil {
--- a/hornctl/commands/commands_test.go
+++ b/hornctl/commands/commands_test.go
@@ -124,6 +124,8 @@
 		{"check " + kasa + "ticket.yaml " + kasa + "shift.yaml " + kasa + "settings/sofia-a-1.yaml", ExitOK},
 		{"check " + kasa + "ticket.yaml testdata/reference.yaml", ExitUsage},
 		{"check " + kasa + "settings/sofia-a-1.yaml " + kasa + "settings/sofia-a-1.yaml --json", ExitUsage},
+		{"check ../../deploy/hornplatform.yaml", ExitOK},
+		{"check testdata/tuning.yaml", ExitUsage},
 		{"check missing.yaml", ExitUsage},
 		{"check", ExitUsage},
 	})
