dispatcher: look at all upstreams of a service only when the first look fails

Cause: each decision listed and ordered all upstreams of the service, with an allocation beyond 128 of them, though the two or three that may know the key nearly always suffice. Change: one pass keeps the first two by rank of each group; the others are listed when the key's own upstreams have no room.

--- a/core/dispatcher/choose.go
+++ b/core/dispatcher/choose.go
@@ -145,23 +145,20 @@
 // Choose picks the upstream with the least expected time to an answer. The
 // caller must call Done on the decision's upstream after the exchange.
 func Choose(r *Request) Decision {
-	var buf [128]candidate
-	all := r.candidates(buf[:0])
-	if len(all) == 0 {
+	var buf [maxPreferred]candidate
+	preferred := r.preferred(buf[:0])
+	if len(preferred) == 0 {
 		return Decision{Reason: NoUpstream, Return: maxReturn / 4}
 	}
-	preferred, others := all, all[:0]
-	if r.Key != 0 {
-		preferred, others = r.prefer(all)
-	}
 	r.weigh(preferred, true)
 	away := r.Pool.spill.leaves(r.Pool, r.spillKey(), rather(preferred), r.Now)
 	best := r.best(preferred, away)
-	if preferred[best].wait <= r.patience() || len(others) == 0 {
+	if r.Key == 0 || preferred[best].wait <= r.patience() {
 		return r.enter(preferred[best], preferred, away)
 	}
 	// Elsewhere the key is unknown. A run that takes several times as long is
 	// worth it only in a slot that would be empty.
+	others := r.others(preferred)
 	r.weigh(others, false)
 	both := append(preferred, slices.DeleteFunc(others, func(c candidate) bool { return !c.free })...)
 	return r.enter(both[r.best(both, away)], both, away)
@@ -222,18 +219,17 @@
 	return d + time.Duration(float64(d/2)*spillPoint(r.Key^uint64(r.Now)))
 }
 
-// candidates lists the upstreams that may take the request. Rank orders them
-// for a key, alike on all instances.
-func (r *Request) candidates(found []candidate) []candidate {
-	for _, u := range r.Pool.Upstreams {
-		if u.Closed() || !r.allowed(u) || slices.Contains(r.Tried, u) {
-			continue
-		}
-		rank := (r.Key ^ u.seed) * hashMix
-		rank ^= rank >> 29
-		found = append(found, candidate{u: u, rank: rank * hashMix})
-	}
-	return found
+// usable tells whether the upstream may take the request.
+func (r *Request) usable(u *Upstream) bool {
+	return !u.Closed() && r.allowed(u) && !slices.Contains(r.Tried, u)
+}
+
+// candidate returns an upstream with its rank, which orders upstreams for a key
+// alike on all instances.
+func (r *Request) candidate(u *Upstream) candidate {
+	rank := (r.Key ^ u.seed) * hashMix
+	rank ^= rank >> 29
+	return candidate{u: u, rank: rank * hashMix}
 }
 
 // group is where an upstream lies from an instance's point of view.
@@ -266,26 +262,50 @@
 	return 1
 }
 
-// prefer moves the upstreams that may know the key to the front: the first ones
-// by rank of each group.
-func (r *Request) prefer(all []candidate) (preferred, others []candidate) {
-	n := 0
+// maxPreferred is the largest number of upstreams that may know a key.
+const maxPreferred = int(groups) + 1
+
+// preferred lists the usable upstreams that may know the key: the first ones by
+// rank of each group, in the order of the groups. Without a key all may take
+// the request.
+func (r *Request) preferred(found []candidate) []candidate {
+	if r.Key == 0 {
+		return r.others(found)
+	}
+	var first, second [groups]candidate
+	for _, u := range r.Pool.Upstreams {
+		if !r.usable(u) {
+			continue
+		}
+		c, g := r.candidate(u), r.group(u)
+		switch {
+		case first[g].u == nil || c.rank > first[g].rank:
+			first[g], second[g] = c, first[g]
+		case second[g].u == nil || c.rank > second[g].rank:
+			second[g] = c
+		}
+	}
 	for g := range groups {
-		for n0 := n; n < n0+r.replicas(g); n++ {
-			best := -1
-			for i := n; i < len(all); i++ {
-				if r.group(all[i].u) == g && (best < 0 || all[i].rank > all[best].rank) {
-					best = i
-				}
-			}
-			if best < 0 {
-				break
-			}
-			all[n], all[best] = all[best], all[n]
-			all[n].second = n > n0
+		if first[g].u != nil {
+			found = append(found, first[g])
+		}
+		if second[g].u != nil && r.replicas(g) > 1 {
+			second[g].second = true
+			found = append(found, second[g])
+		}
+	}
+	return found
+}
+
+// others lists the usable upstreams that are not among the given ones.
+func (r *Request) others(without []candidate) (found []candidate) {
+	found = make([]candidate, 0, len(r.Pool.Upstreams))
+	for _, u := range r.Pool.Upstreams {
+		if r.usable(u) && !slices.ContainsFunc(without, func(c candidate) bool { return c.u == u }) {
+			found = append(found, r.candidate(u))
 		}
 	}
-	return all[:n:n], all[n:]
+	return found
 }
 
 func (r *Request) allowed(u *Upstream) bool {
