relayer: drop the idle connections of an upstream that has gone silent

Cause: after a silent connection the others to the same upstream stayed in use, and each request that must not be repeated ran into its deadline there. Change: an exchange on a used connection that ends without an answer in time closes those that have not worked since it began.

--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -180,6 +180,10 @@
 	}
 	c.sends++
 	err := x.run()
+	if !x.fresh && (errors.Is(err, errSilent) || errors.Is(err, errLate)) {
+		// The others may have gone silent with it.
+		x.pool.Distrust(c.req.Now)
+	}
 	if c.next == nil {
 		c.arrive(x.sent)
 	} else {
--- a/hornbeamd/relayer/fault_test.go
+++ b/hornbeamd/relayer/fault_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -326,6 +327,47 @@
 	}
 }
 
+// TestSilentConnectionsAreDropped lets all open connections to an upstream go
+// silent at once, while new ones work. Only the first request that is sent on
+// one of them may be lost.
+func TestSilentConnectionsAreDropped(t *testing.T) {
+	is := is.New(t)
+	var silent atomic.Bool
+	var mu sync.Mutex
+	old := map[net.Conn]bool{}
+	arrived := make(chan struct{}, 3)
+	release := make(chan struct{})
+	g := startRig(t, startStub(t, "u1", func(s *upstreamStub, c net.Conn, r *http.Request, body string) {
+		mu.Lock()
+		if !silent.Load() {
+			old[c] = true
+		}
+		lost := silent.Load() && old[c]
+		mu.Unlock()
+		if lost {
+			return
+		}
+		if !silent.Load() {
+			arrived <- struct{}{}
+			<-release
+		}
+		good(s, c, r, body)
+	}))
+	var group sync.WaitGroup
+	for range 3 {
+		group.Go(func() { g.ask("GET", "/once/x", "") })
+	}
+	for range 3 {
+		<-arrived
+	}
+	close(release)
+	group.Wait()
+	silent.Store(true)
+	is.Equal(g.ask("GET", "/once/x", "").status, 504)
+	is.Equal(g.ask("GET", "/once/x", "").status, 200)
+	is.Equal(g.ask("GET", "/once/x", "").status, 200)
+}
+
 // TestHeadTime sends the head of a first and of a later request slowly.
 func TestHeadTime(t *testing.T) {
 	const limit = 300 * time.Millisecond
