relayer: a run that begins without the key is not broken off

Cause: a request that may be repeated was sent elsewhere after three times the time that it should take, reckoned for an upstream that knows the key. Change: the decision also tells the time of a run without the key; patience is 1.5 times that at least. The model gets a policy that knows the true state of all upstreams ("informed" in the golden files): it shows what is left. Result: TestRunWithoutTheKeyIsNotBrokenOff: one run instead of two.

--- a/core/dispatcher/choose.go
+++ b/core/dispatcher/choose.go
@@ -58,6 +58,9 @@
 	// Expected is the time that the answer should take, of which Wait is spent
 	// waiting for a slot.
 	Expected, Wait time.Duration
+	// Unknown is the time that the answer should take if the upstream does not
+	// know the request's key.
+	Unknown time.Duration
 	// Warm tells that the upstream should know the request's key.
 	Warm bool
 	// Load is the estimated number of requests at the upstream, Age that of
@@ -132,7 +135,9 @@
 	u          *Upstream
 	cost       float64
 	wait, took time.Duration
-	warm       bool
+	// unknown is the time that it takes if the key is not known.
+	unknown time.Duration
+	warm    bool
 	rank       uint64
 	load       float64
 	report     time.Duration
@@ -202,7 +207,7 @@
 		}
 		if c.u.admit(r.Now) {
 			c.u.enter(r.Now)
-			return Decision{Upstream: c.u, Expected: c.took, Wait: c.wait, Warm: c.warm, Load: c.load, Age: c.report}
+			return Decision{Upstream: c.u, Expected: c.took, Unknown: c.unknown, Wait: c.wait, Warm: c.warm, Load: c.load, Age: c.report}
 		}
 		found = slices.DeleteFunc(found, func(x candidate) bool { return x.u == c.u })
 		if len(found) == 0 {
@@ -343,6 +348,7 @@
 	wait := max(0, s.load+1-slots) / slots * work.mean() * slow
 	c.wait = time.Duration(wait)
 	c.took = u.Trip + time.Duration(wait+run*slow)
+	c.unknown = u.Trip + time.Duration(wait+work.cold()*slow)
 	c.cost = float64(c.took)
 	c.cost += failedCost * s.failing * float64(r.Route.Aim)
 	// Evens out the load among upstreams that are alike.
--- a/core/dispatcher/load_test.go
+++ b/core/dispatcher/load_test.go
@@ -131,6 +131,7 @@
 				fmt.Fprintf(&out, "%-14s %v\n", b.name, m.tally)
 				is.True(own.tally.share() >= m.tally.share()) // no simple policy earns more
 			}
+			fmt.Fprintf(&out, "%-14s %v\n", "informed", limit(s))
 			golden(t, strings.ReplaceAll(s.name, " ", "-"), out.String())
 		})
 	}
--- a/core/dispatcher/model_test.go
+++ b/core/dispatcher/model_test.go
@@ -47,7 +47,11 @@
 	index, region int
 	up            steerer.Upstream
 	running       int
-	queue         []*modelRequest
+	// coming counts requests on their way here, pending the keys that run, wait
+	// or come.
+	coming  int
+	pending map[uint64]int
+	queue   []*modelRequest
 	recent        []uint64
 	slow          float64
 	dead          bool
@@ -138,7 +142,7 @@
 		for range region.upstreams {
 			i := len(m.upstreams)
 			m.upstreams = append(m.upstreams, &modelUpstream{
-				index: i, region: r, slow: 1, perSecond: map[int64]int{},
+				index: i, region: r, slow: 1, perSecond: map[int64]int{}, pending: map[uint64]int{},
 				up: steerer.Upstream{ID: fmt.Sprintf("u%02d", i), Service: "s", Address: fmt.Sprint(i), Domain: domainName(r), Slots: s.slots},
 			})
 		}
@@ -206,6 +210,8 @@
 	q.upstream, q.sent = u, now
 	sends := q.sends + 1
 	q.sends = sends
+	u.coming++
+	u.pending[q.key]++
 	m.at(q.deadline, func(now int64) { m.expire(q, sends, now) })
 	m.at(now+m.way(q.region, u.region), func(now int64) { m.reach(q, now) })
 }
@@ -233,6 +239,7 @@
 // reach is the arrival at an upstream.
 func (m *model) reach(q *modelRequest, now int64) {
 	u := q.upstream
+	u.coming--
 	u.perSecond[now/1e9]++
 	switch {
 	case u.dead:
@@ -300,6 +307,7 @@
 // answer ends an exchange after the way back.
 func (m *model) answer(q *modelRequest, res Result, now int64) {
 	u := q.upstream
+	u.pending[q.key]--
 	l := Load{u.running, len(u.queue), m.slots}
 	sends := q.sends
 	m.at(now+m.way(u.region, q.region), func(now int64) {
--- a/core/dispatcher/policies_test.go
+++ b/core/dispatcher/policies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"hornbeamstream.example/core/steerer"
@@ -133,3 +134,55 @@
 	q.done = func(_ Result, l Load, _ time.Duration, _ int64) { p.load[a] = l.Running + l.Waiting }
 	return a, 0
 }
+
+// informed knows the true state of all upstreams at any time: who runs, waits
+// and comes, which keys they know and how slow they are. It sends a request
+// where it ends first; a run without the key counts by strict times its extra
+// work besides, since it takes a slot from others.
+type informed struct{ strict float64 }
+
+func (p *informed) choose(m *model, q *modelRequest, now int64) (int, time.Duration) {
+	best, at, ends := -1, math.Inf(1), 0.0
+	for i, u := range m.upstreams {
+		if u.dead || u == q.upstream {
+			continue
+		}
+		warm, cold := 0.3*float64(m.work)*u.slow, float64(m.work)*u.slow
+		work, extra := cold, cold-warm
+		if u.knows(q.key) || u.pending[q.key] > 0 {
+			work, extra = warm, 0
+		}
+		load := u.running + len(u.queue) + u.coming
+		if load >= 4*m.slots {
+			continue
+		}
+		usual := warm
+		if u.runs > 0 {
+			usual += (cold - warm) * float64(u.coldRun) / float64(u.runs)
+		}
+		way := 8e6
+		if u.region != q.region {
+			way = 46e6
+		}
+		end := way + float64(max(0, load+1-m.slots))/float64(m.slots)*usual + work
+		if cost := end + p.strict*extra; cost < at {
+			best, at, ends = i, cost, end
+		}
+	}
+	if best < 0 || ends > float64(q.deadline-now) {
+		return -1, minReturn
+	}
+	return best, 0
+}
+
+// limit is what the policy that knows everything earns, with the strictness that
+// suits the pattern best.
+func limit(s scenario) tally {
+	var best tally
+	for _, strict := range []float64{0, 0.5, 1, 2} {
+		if t := play(s, &informed{strict}, 1).tally; t.share() > best.share() {
+			best = t
+		}
+	}
+	return best
+}
--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -16,9 +16,10 @@
 	// refused included.
 	maxSends = 4
 	// patienceShare is the multiple of the expected time after which a request
-	// that may run again is sent to another upstream, but not before
-	// minPatience.
+	// that may run again is sent to another upstream, but not before unknownShare
+	// of the time that a run without the key takes, nor before minPatience.
 	patienceShare = 3
+	unknownShare  = 1.5
 	minPatience   = 250 * time.Millisecond
 	// answerMargin is the part of the caller's time that is kept for the way of
 	// the answer.
@@ -176,7 +177,7 @@
 	defer fasthttp.ReleaseResponse(x.answer)
 	x.patience = c.deadline
 	if c.route.Idempotent && c.runs+1 < c.route.Attempts && c.sends+1 < maxSends {
-		x.patience = c.req.Now + int64(max(patienceShare*d.Expected, minPatience))
+		x.patience = c.req.Now + int64(patience(d))
 	}
 	c.sends++
 	err := x.run()
@@ -215,6 +216,13 @@
 	return done
 }
 
+// patience is how long an upstream may stay silent before the request is sent to
+// another one. A run that the upstream begins without the key is not broken off:
+// it would be begun again elsewhere.
+func patience(d *dispatcher.Decision) time.Duration {
+	return max(patienceShare*d.Expected, time.Duration(unknownShare*float64(d.Unknown)), minPatience)
+}
+
 var results = [...]string{
 	dispatcher.Answered:    "answered",
 	dispatcher.Failed:      "failed",
--- a/hornbeamd/relayer/fault_test.go
+++ b/hornbeamd/relayer/fault_test.go
@@ -214,6 +214,26 @@
 	is.Equal(a.status, 200)
 }
 
+// TestRunWithoutTheKeyIsNotBrokenOff gives an upstream a key that it does not
+// know yet. Its run takes longer than usual and must not begin again elsewhere.
+func TestRunWithoutTheKeyIsNotBrokenOff(t *testing.T) {
+	is := is.New(t)
+	serve := func(s *upstreamStub, c net.Conn, r *http.Request, body string) {
+		time.Sleep(2300 * time.Millisecond)
+		good(s, c, r, body)
+	}
+	g := startRig(t, startStub(t, "u1", serve), startStub(t, "u2", serve))
+	g.publish(func(v *steerer.View) {
+		for i := range v.Config.Routes {
+			r := &v.Config.Routes[i]
+			// The usual work is 0.7 s with the key and 1.8 s without.
+			r.Aim, r.Timeout, r.Sticky = 2*time.Second, 10*time.Second, true
+		}
+	})
+	is.Equal(g.ask("GET", "/safe/x", "", "Key", "k").status, 200)
+	is.Equal(g.runs(), 1)
+}
+
 // TestCallerGone ends the exchange of a request that may be repeated when its
 // caller closes the connection, and lets others run on.
 func TestCallerGone(t *testing.T) {
