--- a/core/dispatcher/choose.go
+++ b/core/dispatcher/choose.go
@@ -138,9 +138,9 @@
 	// unknown is the time that it takes if the key is not known.
 	unknown time.Duration
 	warm    bool
-	rank       uint64
-	load       float64
-	report     time.Duration
+	rank    uint64
+	load    float64
+	report  time.Duration
 	// second tells that the upstream takes the key's requests only in empty slots.
 	second bool
 	// free tells that a slot seems to be free.
--- a/core/dispatcher/model_test.go
+++ b/core/dispatcher/model_test.go
@@ -49,9 +49,9 @@
 	running       int
 	// coming counts requests on their way here, pending the keys that run, wait
 	// or come.
-	coming  int
-	pending map[uint64]int
-	queue   []*modelRequest
+	coming        int
+	pending       map[uint64]int
+	queue         []*modelRequest
 	recent        []uint64
 	slow          float64
 	dead          bool
