dispatcher: learn how often an upstream knows the keys that it should know

Cause: a key whose requests all instances send to the same upstream counted as known there, also in the first seconds, after cold returns, and where it had been forgotten. Change: the share of such runs that were as fast as with the key is learned for each route; it sets the expected time, and decides whether a long run means a key that was not known or a slow upstream.

--- a/core/dispatcher/choose.go
+++ b/core/dispatcher/choose.go
@@ -61,8 +61,9 @@
 	// Unknown is the time that the answer should take if the upstream does not
 	// know the request's key.
 	Unknown time.Duration
-	// Warm tells that the upstream should know the request's key.
-	Warm bool
+	// Warm tells that the upstream should know the request's key, Known that this
+	// instance has sent it there lately.
+	Warm, Known bool
 	// Load is the estimated number of requests at the upstream, Age that of
 	// the upstream's own report that it rests on.
 	Load float64
@@ -137,7 +138,9 @@
 	wait, took time.Duration
 	// unknown is the time that it takes if the key is not known.
 	unknown time.Duration
-	warm    bool
+	// warm tells that the upstream should know the key, known that this instance
+	// has sent it there.
+	warm, known bool
 	rank    uint64
 	load    float64
 	report  time.Duration
@@ -207,7 +210,7 @@
 		}
 		if c.u.admit(r.Now) {
 			c.u.enter(r.Now)
-			return Decision{Upstream: c.u, Expected: c.took, Unknown: c.unknown, Wait: c.wait, Warm: c.warm, Load: c.load, Age: c.report}
+			return Decision{Upstream: c.u, Expected: c.took, Unknown: c.unknown, Wait: c.wait, Warm: c.warm, Known: c.known, Load: c.load, Age: c.report}
 		}
 		found = slices.DeleteFunc(found, func(x candidate) bool { return x.u == c.u })
 		if len(found) == 0 {
@@ -330,10 +333,14 @@
 	s := u.state(r.Now, r.Key)
 	work := r.Route.work
 	c.load, c.report = s.load, s.report
+	c.known = s.warm
 	c.warm = s.warm || shared && r.Key != 0
 	run := work.cold()
-	if c.warm {
+	switch {
+	case c.known:
 		run = work.warm()
+	case c.warm:
+		run = work.assumed()
 	}
 	if !shared && !s.warm {
 		// Requests of a key that do not find room gather on few upstreams.
--- a/core/dispatcher/learn.go
+++ b/core/dispatcher/learn.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 )
@@ -58,6 +59,11 @@
 	// lateShare is the multiple of the expected time from which on a missing
 	// answer counts as a failure.
 	lateShare = 2
+	// hitWeight is the number of samples over which hits are taken, usualHits the
+	// share above which a slow run on an upstream that should know the key is the
+	// upstream's fault.
+	hitWeight = 24
+	usualHits = 0.6
 	// workWeight is the weight of one sample in the usual time of a route.
 	workWeight = 32
 	// warmShare and coldShare of a route's aim are its work before any sample.
@@ -70,6 +76,43 @@
 	aim                  atomic.Int64
 	warmTime, coldTime   atomic.Int64
 	warmCount, coldCount atomic.Int64
+	// hits is the share of the requests whose key was only assumed to be known
+	// that were answered as fast as with a known one.
+	hits share
+}
+
+// share is a mean of samples between 0 and 1 that forgets old ones.
+type share struct{ bits atomic.Uint64 }
+
+func (s *share) value() float64 { return math.Float64frombits(s.bits.Load()) }
+
+func (s *share) add(sample, weight float64) {
+	old := s.value()
+	// A lost update among many is no harm.
+	s.bits.Store(math.Float64bits(old + (sample-old)/weight))
+}
+
+// assumed is the time of a run whose key other instances should have sent to
+// the upstream.
+func (w *work) assumed() float64 {
+	h := w.hits.value()
+	return h*w.warm() + (1-h)*w.cold()
+}
+
+// isWarm judges whether a run knew its key. What looks cold on an upstream that
+// should have known it is cold if that is usual at the time, as after a start,
+// and slow otherwise.
+func (w *work) isWarm(d *Decision, t float64) bool {
+	if d.Known || !d.Warm {
+		return d.Warm
+	}
+	fast := t < (w.warm()+w.cold())/2
+	if fast {
+		w.hits.add(1, hitWeight)
+	} else {
+		w.hits.add(0, hitWeight)
+	}
+	return fast || w.hits.value() > usualHits
 }
 
 func (w *work) warm() float64 {
@@ -95,27 +138,27 @@
 	return (warm*w.warm() + cold*w.cold()) / (warm + cold)
 }
 
-// sample returns the part of the duration that is work, with the usual value.
-func (w *work) sample(d *Decision, u *Upstream, took time.Duration) (t, usual float64) {
-	usual = w.cold()
-	if d.Warm {
-		usual = w.warm()
-	}
-	return max(float64(took-u.Trip-d.Wait), float64(took)/4), usual
+// sample returns the part of the duration that is work.
+func (w *work) sample(d *Decision, u *Upstream, took time.Duration) float64 {
+	return max(float64(took-u.Trip-d.Wait), float64(took)/4)
 }
 
-// relative returns how slow an exchange was relative to the usual time.
+// relative returns how slow an exchange without an answer was relative to the
+// usual time.
 func (w *work) relative(d *Decision, u *Upstream, took time.Duration) float64 {
-	t, usual := w.sample(d, u, took)
-	return t / usual
+	usual := w.cold()
+	if d.Known {
+		usual = w.warm()
+	}
+	return w.sample(d, u, took) / usual
 }
 
 // learn adds a sample and returns how slow it was relative to the usual time.
 func (w *work) learn(d *Decision, u *Upstream, took time.Duration) float64 {
-	t, usual := w.sample(d, u, took)
-	value, count := &w.coldTime, &w.coldCount
-	if d.Warm {
-		value, count = &w.warmTime, &w.warmCount
+	t := w.sample(d, u, took)
+	usual, value, count := w.cold(), &w.coldTime, &w.coldCount
+	if w.isWarm(d, t) {
+		usual, value, count = w.warm(), &w.warmTime, &w.warmCount
 	}
 	if count.Add(1) >= counterSize {
 		w.warmCount.Store(w.warmCount.Load()/2 + 1)
