--- a/core/dispatcher/choose.go
+++ b/core/dispatcher/choose.go
@@ -141,9 +141,9 @@
 	// warm tells that the upstream should know the key, known that this instance
 	// has sent it there.
 	warm, known bool
-	rank    uint64
-	load    float64
-	report  time.Duration
+	rank        uint64
+	load        float64
+	report      time.Duration
 	// second tells that the upstream takes the key's requests only in empty slots.
 	second bool
 	// free tells that a slot seems to be free.
