--- a/hornbench/soaker/faults.go
+++ b/hornbench/soaker/faults.go
@@ -63,11 +63,11 @@
 	{"upstream silent", false, linkFault(proxySilent)},
 	{"upstream deaf", false, linkFault(proxyDeaf)},
 	{"upstream resets", false, linkFault(proxyReset)},
-	{"upstream cuts answers", false, modeFault(upstreamCut)},
-	{"upstream answers twice", false, modeFault(upstreamTwice)},
-	{"upstream loses answers", false, modeFault(upstreamLost)},
-	{"upstream slow", false, modeFault(upstreamSlow)},
-	{"upstream fails", false, modeFault(upstreamFails)},
+	{"upstream cuts answers", false, upstreamFault(upstreamCut)},
+	{"upstream answers twice", false, upstreamFault(upstreamTwice)},
+	{"upstream loses answers", false, upstreamFault(upstreamLost)},
+	{"upstream slow", false, upstreamFault(upstreamSlow)},
+	{"upstream fails", false, upstreamFault(upstreamFails)},
 	{"upstream replaced", false, func(ctx context.Context, w *World, d time.Duration) {
 		u := w.takeUpstream()
 		if u == nil {
@@ -105,39 +105,30 @@
 	}},
 }
 
-func storeFault(m storeMode) func(context.Context, *World, time.Duration) {
+// modeFault puts something into a mode for the time of the fault.
+func modeFault[M any, T interface{ SetMode(M) }](pick func(*World) T, mode, usual M) func(context.Context, *World, time.Duration) {
 	return func(ctx context.Context, w *World, d time.Duration) {
-		w.store.SetMode(m)
+		x := pick(w)
+		x.SetMode(mode)
 		sleep(ctx, d)
-		w.store.SetMode(storeUp)
+		x.SetMode(usual)
 	}
 }
 
+func storeFault(m storeMode) func(context.Context, *World, time.Duration) {
+	return modeFault(func(w *World) *Store { return w.store }, m, storeUp)
+}
+
 func cutFault(m proxyMode) func(context.Context, *World, time.Duration) {
-	return func(ctx context.Context, w *World, d time.Duration) {
-		p := w.anInstance().proxy
-		p.SetMode(m)
-		sleep(ctx, d)
-		p.SetMode(proxyPass)
-	}
+	return modeFault(func(w *World) *Proxy { return w.anInstance().proxy }, m, proxyPass)
 }
 
 func linkFault(m proxyMode) func(context.Context, *World, time.Duration) {
-	return func(ctx context.Context, w *World, d time.Duration) {
-		p := w.anUpstream().proxy
-		p.SetMode(m)
-		sleep(ctx, d)
-		p.SetMode(proxyPass)
-	}
+	return modeFault(func(w *World) *Proxy { return w.anUpstream().proxy }, m, proxyPass)
 }
 
-func modeFault(m upstreamMode) func(context.Context, *World, time.Duration) {
-	return func(ctx context.Context, w *World, d time.Duration) {
-		u := w.anUpstream()
-		u.SetMode(m)
-		sleep(ctx, d)
-		u.SetMode(upstreamGood)
-	}
+func upstreamFault(m upstreamMode) func(context.Context, *World, time.Duration) {
+	return modeFault((*World).anUpstream, m, upstreamGood)
 }
 
 // number draws a number below n.
