steerer: a starting instance asks others when the store is silent for 0.3 s

Change: an instance that knows no other asks the first ready one that it hears from once the store has not answered for 0.3 s, or has failed.

--- a/core/steerer/source.go
+++ b/core/steerer/source.go
@@ -32,6 +32,9 @@
 	// lagTime is how long an instance that reads the store itself waits for its
 	// own call when another one knows more.
 	lagTime = 400 * time.Millisecond
+	// firstTime is how long a starting instance waits for the store before it asks
+	// others: some times what an answer usually takes.
+	firstTime = 300 * time.Millisecond
 	// historySize bounds the changes of a kind that are kept for others.
 	historySize = 1024
 )
@@ -275,10 +278,11 @@
 	return out
 }
 
-// askStranger asks an instance that is not known for all that it knows, if the
-// store is away and no instance is known at all.
+// askStranger asks an instance that is not known for all that it knows, if no
+// instance is known at all and the store does not answer.
 func (s *State) askStranger(e Heard) (out []Effect) {
-	if s.sources[Instances].known || !s.lost[Instances] || !e.Beacon.Ready || e.From == "" {
+	away := s.lost[Instances] || e.Now >= s.listAt+int64(firstTime)
+	if s.sources[Instances].known || !away || !e.Beacon.Ready || e.From == "" {
 		return nil
 	}
 	for _, k := range Kinds {
--- a/core/steerer/steerer_test.go
+++ b/core/steerer/steerer_test.go
@@ -96,7 +96,6 @@
 		"start-while-the-store-is-away": {
 			Tick{Now: second(0.1)},
 			Heard{Now: second(0.2), Beacon: Beacon{Name: "near", Ready: true}, From: "near:70"},
-			Lost{Now: second(0.3), Kind: Instances, Cause: "no answer in time"},
 			Heard{Now: second(0.4), Beacon: Beacon{Name: "far", Ready: false}, From: "far:70"},
 			Heard{Now: second(0.7), Beacon: Beacon{Name: "near", Ready: true}, From: "near:70"},
 			Heard{Now: second(0.9), Beacon: Beacon{Name: "far", Ready: true}, From: "far:70"},
@@ -109,6 +108,11 @@
 			Tick{Now: second(1.4)},
 			Heard{Now: second(1.7), Beacon: Beacon{Name: "near", Ready: true}, From: "near:70"},
 		},
+		"start-while-the-store-refuses": {
+			Tick{Now: second(0.1)},
+			Lost{Now: second(0.15), Kind: Instances, Cause: "status 503"},
+			Heard{Now: second(0.2), Beacon: Beacon{Name: "near", Ready: true}, From: "near:70"},
+		},
 		"instances-by-their-beacons": append(started(),
 			Heard{Now: second(1), Beacon: Beacon{Name: "near", Ready: true}},
 			Heard{Now: second(1), Beacon: Beacon{Name: "far", Ready: true}},
