--- a/core/dispatcher/load_test.go
+++ b/core/dispatcher/load_test.go
@@ -108,9 +108,15 @@
 		}
 		return 1
 	}
+	flap := today("two upstreams go down and up each second")
+	flap.change = func(m *model, now time.Duration) {
+		for _, i := range []int{1, 9} {
+			m.upstreams[i].dead = now > 10*time.Second && now < 24*time.Second && now/time.Second%2 == 0
+		}
+	}
 	small := today("upstreams remember a sixth of the keys")
 	small.remembers = 47
-	return []scenario{wave, start, heavy, burst, slow, many, crash, small, large, cold}
+	return []scenario{wave, start, heavy, burst, slow, many, crash, flap, small, large, cold}
 }
 
 // TestPatterns plays each pattern with the dispatcher and with simple policies.
