--- /dev/null
+++ b/hornbeamd/journaler/bench_test.go
@@ -0,0 +1,23 @@
+package journaler
+
+import (
+	"io"
+	"testing"
+)
+
+// BenchmarkLine logs one request: a line that is written, and one that is
+// dropped because of the bound.
+func BenchmarkLine(b *testing.B) {
+	for name, bounds := range map[string]Bounds{"written": {1 << 30, 1 << 30}, "dropped": {1, 0}} {
+		b.Run(name, func(b *testing.B) {
+			_, log := Open(io.Discard, bounds)
+			log = log.WithValues("instance", "i1")
+			b.ReportAllocs()
+			for b.Loop() {
+				log.V(1).Info("request", "outcome", "answered", "upstream", "i-0475993a12", "domain", "chc-b", "expected", 251,
+					"wait", 44, "load", 2.0, "report", 1720, "id", "a20299b0888749f6", "route", "r-x9izj89", "key", "1",
+					"version", 13, "status", 200, "sends", 1, "runs", 1, "took", int64(43))
+			}
+		})
+	}
+}
