--- a/core/steerer/events.go
+++ b/core/steerer/events.go
@@ -111,8 +111,7 @@
 }
 
 // Read makes the instance follow a kind in the store itself, from a revision
-// on, or stop doing so. Wait is how long one
-// call waits for a change.
+// on, or stop doing so. Wait is how long one call waits for a change.
 type Read struct {
 	Kind     Kind
 	On       bool
