--- a/core/loader/examples_test.go
+++ b/core/loader/examples_test.go
@@ -100,3 +100,12 @@
 	// drain.yaml:9: upstream/lookup-1.slots: must be above 0
 	// drain.yaml:10: upstream/lookup-1.conns: must be a whole number
 }
+
+func ExampleParseTuning() {
+	t, err := loader.ParseTuning("hornplatform.yaml", []byte("lines: 50\nlookup: 0.1\n"))
+	fmt.Println(t.Lines, t.Details)
+	fmt.Println(err)
+	// Output:
+	// 50 60
+	// hornplatform.yaml:2: lookup: 0.1 must be between 0.5 and 60 seconds
+}
