dispatcher: one running mean, and routes looked up by their prefixes

Cause: on reading the whole change again, the learned share of known keys was a copy of the usage of slots; whether another region would answer sooner was worked out with a map for each request; and a route was found by trying the prefixes of its host one after the other. Change: one type average serves both; the comparison takes two minima; routes of a host are a map, asked for each slash of the path from its end.

--- a/core/dispatcher/choose.go
+++ b/core/dispatcher/choose.go
@@ -174,16 +174,15 @@
 
 // rather tells whether another region would answer sooner.
 func rather(found []candidate) bool {
-	cost := map[bool]float64{}
+	home, remote := math.Inf(1), math.Inf(1)
 	for i := range found {
-		c := &found[i]
-		if old, ok := cost[c.u.remote()]; !ok || c.cost < old {
-			cost[c.u.remote()] = c.cost
+		if c := &found[i]; c.u.remote() {
+			remote = min(remote, c.cost)
+		} else {
+			home = min(home, c.cost)
 		}
 	}
-	home, near := cost[false]
-	remote, far := cost[true]
-	return far && (!near || remote < home)
+	return remote < home
 }
 
 // patience is the wait for which a request stays with the upstreams that know
@@ -351,7 +350,7 @@
 	if u.cold(r.Now) {
 		slow *= 2
 	}
-	c.free = s.load+1 <= slots && !s.down && (s.warm || u.usage.mean() < busyUsage)
+	c.free = s.load+1 <= slots && !s.down && (s.warm || u.usage.value() < busyUsage)
 	wait := max(0, s.load+1-slots) / slots * work.mean() * slow
 	c.wait = time.Duration(wait)
 	c.took = u.Trip + time.Duration(wait+run*slow)
--- a/core/dispatcher/learn.go
+++ b/core/dispatcher/learn.go
@@ -78,18 +78,20 @@
 	warmCount, coldCount atomic.Int64
 	// hits is the share of the requests whose key was only assumed to be known
 	// that were answered as fast as with a known one.
-	hits share
+	hits average
 }
 
-// share is a mean of samples between 0 and 1 that forgets old ones.
-type share struct{ bits atomic.Uint64 }
+// average is a mean of samples that forgets old ones. Its zero value is 0.
+type average struct{ bits atomic.Uint64 }
 
-func (s *share) value() float64 { return math.Float64frombits(s.bits.Load()) }
+func (a *average) value() float64 { return math.Float64frombits(a.bits.Load()) }
 
-func (s *share) add(sample, weight float64) {
-	old := s.value()
+// add adds a sample; weight is the number of samples over which the mean is
+// taken.
+func (a *average) add(sample, weight float64) {
+	old := a.value()
 	// A lost update among many is no harm.
-	s.bits.Store(math.Float64bits(old + (sample-old)/weight))
+	a.bits.Store(math.Float64bits(old + (sample-old)/weight))
 }
 
 // assumed is the time of a run whose key other instances should have sent to
--- a/core/dispatcher/table.go
+++ b/core/dispatcher/table.go
@@ -9,7 +9,6 @@
 package dispatcher
 
 import (
-	"cmp"
 	"slices"
 	"strings"
 
@@ -23,8 +22,9 @@
 // in it carry counters that outlive the snapshot.
 type Table struct {
 	// View is what the table was built from.
-	View  steerer.View
-	hosts map[string][]*Route
+	View steerer.View
+	// hosts has the routes of each host by their prefixes.
+	hosts map[string]map[string]*Route
 	pools map[string]*Pool
 }
 
@@ -69,7 +69,7 @@
 	moves     *moves
 	works     map[string]*work
 	counters  map[string]*counter
-	usages    map[string]*usage
+	usages    map[string]*average
 }
 
 type incarnation struct {
@@ -80,7 +80,7 @@
 // Build returns the table for a view. Now is the current time.
 func (b *Builder) Build(v steerer.View, now int64) *Table {
 	b.init()
-	t := &Table{View: v, hosts: map[string][]*Route{}, pools: map[string]*Pool{}}
+	t := &Table{View: v, hosts: map[string]map[string]*Route{}, pools: map[string]*Pool{}}
 	if v.Config == nil {
 		return t
 	}
@@ -90,10 +90,12 @@
 	b.place(t, now)
 	for i := range v.Config.Routes {
 		r := b.route(t, &v.Config.Routes[i])
-		t.hosts[r.Host] = append(t.hosts[r.Host], r)
-	}
-	for _, routes := range t.hosts {
-		slices.SortStableFunc(routes, func(x, y *Route) int { return cmp.Compare(len(y.Prefix), len(x.Prefix)) })
+		if t.hosts[r.Host] == nil {
+			t.hosts[r.Host] = map[string]*Route{}
+		}
+		if t.hosts[r.Host][r.Prefix] == nil {
+			t.hosts[r.Host][r.Prefix] = r
+		}
 	}
 	return t
 }
@@ -108,7 +110,7 @@
 	b.moves = &moves{}
 	b.works = map[string]*work{}
 	b.counters = map[string]*counter{}
-	b.usages = map[string]*usage{}
+	b.usages = map[string]*average{}
 }
 
 // budgetMargin is the part of the bounds on retries that is used. The rest is
@@ -266,14 +268,18 @@
 func (t *Table) Pool(name string) *Pool { return t.pools[name] }
 
 // Route returns the route with the longest prefix that begins the path, nil if
-// there is none. The host is in lower case and without a port.
+// there is none. Prefixes end with a slash. The host is in lower case and without
+// a port.
 func (t *Table) Route(host, path string) *Route {
-	for _, r := range t.hosts[host] {
-		if strings.HasPrefix(path, r.Prefix) {
+	routes := t.hosts[host]
+	for end := len(path); ; {
+		if end = strings.LastIndexByte(path[:end], '/'); end < 0 {
+			return nil
+		}
+		if r := routes[path[:end+1]]; r != nil {
 			return r
 		}
 	}
-	return nil
 }
 
 // Known tells whether a configuration is in force.
--- a/core/dispatcher/upstream.go
+++ b/core/dispatcher/upstream.go
@@ -49,8 +49,9 @@
 	// of the next one. A coldEvery of 0 gives none.
 	coldUntil, coldEvery, next atomic.Int64
 
-	// usage is that of the service's upstreams in the region.
-	usage *usage
+	// usage is the mean load of one slot of the service's upstreams in the region,
+	// as they report it.
+	usage *average
 
 	mu sync.Mutex
 	// others is the load by other instances at reported.
@@ -69,8 +70,8 @@
 	warm      keys
 }
 
-func newUpstream(u steerer.Upstream, region string, self steerer.Instance, g *usage) *Upstream {
-	live := &Upstream{Upstream: u, Region: region, Trip: remoteTrip, usage: g, slow: 1, seed: xxhash.Sum64String(u.ID)}
+func newUpstream(u steerer.Upstream, region string, self steerer.Instance, usage *average) *Upstream {
+	live := &Upstream{Upstream: u, Region: region, Trip: remoteTrip, usage: usage, slow: 1, seed: xxhash.Sum64String(u.ID)}
 	switch {
 	case u.Domain == self.Domain:
 		live.Trip = domainTrip
@@ -180,25 +181,14 @@
 // upstream is locked.
 func (u *Upstream) othersAt(now int64) float64 {
 	weight := reportFade(now - u.reported)
-	usual := max(0, u.usage.mean()*float64(u.Slots)-float64(u.inflight.Load()))
+	usual := max(0, u.usage.value()*float64(u.Slots)-float64(u.inflight.Load()))
 	return weight*u.others + (1-weight)*usual
 }
 
-// usage is the mean load of one slot of the upstreams of a service in a region,
-// as they report it.
-type usage struct{ bits atomic.Uint64 }
-
-// usageWeight is the number of reports over which usage is taken.
+// usageWeight is the number of reports over which the usage of a service's
+// upstreams is taken.
 const usageWeight = 24
 
-func (g *usage) mean() float64 { return math.Float64frombits(g.bits.Load()) }
-
-func (g *usage) add(load float64) {
-	old := g.mean()
-	// A lost update among many is no harm.
-	g.bits.Store(math.Float64bits(old + (load-old)/usageWeight))
-}
-
 // reportFade is the weight of a report of the given age.
 func reportFade(age int64) float64 {
 	if age <= int64(reportTime) {
@@ -226,7 +216,7 @@
 	defer u.mu.Unlock()
 	u.others = max(0, float64(l.Running+l.Waiting)-float64(u.inflight.Load()))
 	u.reported = now
-	u.usage.add(float64(l.Running+l.Waiting) / float64(max(1, l.Slots)))
+	u.usage.add(float64(l.Running+l.Waiting)/float64(max(1, l.Slots)), usageWeight)
 }
 
 // learn adds one sample to the speed and the failures.
