pooler: one way to drop idle connections

Cause: expiry and distrust were two loops over the idle connections that drop those which have not worked since some time. Change: both call dropBefore. Result: tests of pooler and relayer pass unchanged.

--- a/hornbeamd/pooler/pool.go
+++ b/hornbeamd/pooler/pool.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -99,12 +100,19 @@
 	if p.Idle != nil {
 		keep = min(keep, p.Idle.limit(now))
 	}
-	n := 0
-	for n < len(p.idle) && now-p.idle[n].Proven > int64(keep) {
-		p.drop(p.idle[n])
-		n++
-	}
-	p.idle = append(p.idle[:0], p.idle[n:]...)
+	p.dropBefore(now - int64(keep))
+}
+
+// dropBefore closes the idle connections that have not proven to work since the
+// given time. The pool is locked.
+func (p *Pool) dropBefore(since int64) {
+	p.idle = slices.DeleteFunc(p.idle, func(c *Conn) bool {
+		old := c.Proven < since
+		if old {
+			p.drop(c)
+		}
+		return old
+	})
 }
 
 // drop closes a connection. The pool is locked.
@@ -172,15 +180,7 @@
 func (p *Pool) Distrust(since int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	kept := p.idle[:0]
-	for _, c := range p.idle {
-		if c.Proven >= since {
-			kept = append(kept, c)
-			continue
-		}
-		p.drop(c)
-	}
-	p.idle = kept
+	p.dropBefore(since)
 }
 
 // Close closes the idle connections and, at their end, all others.
