--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -108,6 +108,11 @@
 			c.giveUp(outcome{word: "late", status: fasthttp.StatusGatewayTimeout})
 			return
 		}
+		if c.sends > 0 && c.gone() {
+			c.dropNext(c.req.Now)
+			c.leave()
+			return
+		}
 		if !c.pay() {
 			c.giveUp(outcome{word: string(dispatcher.Budget)})
 			return
@@ -264,8 +269,7 @@
 	}
 	switch {
 	case errors.Is(err, errGone):
-		c.fail(fasthttp.StatusBadGateway, c.last)
-		c.ctx.SetConnectionClose()
+		c.leave()
 		return true
 	case res == dispatcher.Answered:
 		c.pass(x)
@@ -292,8 +296,17 @@
 	return false
 }
 
-// gone tells whether the caller of a request that may run again has closed its
-// connection. Other requests go on, because they may have run.
+// leave ends a request whose caller has closed its connection.
+func (c *call) leave() {
+	c.last.word = results[dispatcher.Abandoned]
+	c.fail(fasthttp.StatusBadGateway, c.last)
+	c.ctx.SetConnectionClose()
+}
+
+// gone tells whether the caller has closed its connection.
 func (c *call) gone() bool {
-	return c.route.Idempotent && pooler.Closed(c.ctx.Conn())
+	if conn, ok := c.ctx.Conn().(*conn); ok {
+		return conn.closed()
+	}
+	return pooler.Closed(c.ctx.Conn())
 }
--- /dev/null
+++ b/hornbeamd/relayer/conn.go
@@ -0,0 +1,125 @@
+package relayer
+
+import (
+	"io"
+	"net"
+	"syscall"
+	"time"
+)
+
+const (
+	// aheadSize bounds the bytes of further requests that are read ahead in order
+	// to see whether the caller has closed its connection.
+	aheadSize = 32 << 10
+	// lingerTime bounds the wait for the caller's close, lingerSize the bytes that
+	// are dropped meanwhile.
+	lingerTime = time.Second
+	lingerSize = 256 << 10
+)
+
+// listener accepts connections of callers as conn.
+type listener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return c, err
+	}
+	raw, rawErr := tcp.SyscallConn()
+	if rawErr != nil {
+		_ = tcp.Close()
+		return nil, rawErr
+	}
+	return &conn{TCPConn: tcp, raw: raw}, err
+}
+
+// conn is a caller's connection. The head of a request must arrive in time; the
+// bound is that of the configuration in force, which the server does not know.
+// Only the goroutine that serves the connection uses it, except for Close.
+type conn struct {
+	*net.TCPConn
+	raw syscall.RawConn
+	// headEnd is when the head must have arrived; zero while none is expected.
+	headEnd time.Time
+	// ahead holds bytes that have been read ahead.
+	ahead []byte
+}
+
+// expectHead begins or ends the wait for the rest of a head.
+func (c *conn) expectHead(on bool, limit time.Duration) {
+	c.headEnd = time.Time{}
+	if on && limit > 0 && limit < headTime {
+		c.headEnd = time.Now().Add(limit)
+		// A connection that is closed already fails at the next read.
+		_ = c.TCPConn.SetReadDeadline(c.headEnd)
+	}
+}
+
+// SetReadDeadline implements net.Conn. The server's own bound for a head gives
+// way to a closer one; that for a body is later and ends the wait for the head.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	if !c.headEnd.IsZero() && time.Until(t) <= headTime {
+		t = c.headEnd
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	if len(c.ahead) > 0 {
+		n := copy(p, c.ahead)
+		c.ahead = c.ahead[n:]
+		return n, nil
+	}
+	return c.TCPConn.Read(p)
+}
+
+// closed tells whether the caller has closed the connection. Further requests
+// that it has sent before hide the close from a look at the next byte, so they
+// are read ahead.
+func (c *conn) closed() bool {
+	var buf [4 << 10]byte
+	for len(c.ahead) < aheadSize {
+		n, err := c.receive(buf[:], 0)
+		switch {
+		case err == syscall.EAGAIN:
+			return false
+		case err != nil || n == 0:
+			return true
+		}
+		c.ahead = append(c.ahead, buf[:n]...)
+	}
+	return false
+}
+
+// receive reads what has arrived without waiting.
+func (c *conn) receive(p []byte, flags int) (n int, err error) {
+	cerr := c.raw.Control(func(fd uintptr) {
+		n, _, err = syscall.Recvfrom(int(fd), p, flags|syscall.MSG_DONTWAIT)
+	})
+	if cerr != nil {
+		return 0, cerr
+	}
+	return n, err
+}
+
+// Close implements net.Conn. Unread bytes would turn the close into a reset,
+// which may take an answer away that the caller has not read yet. So the caller's
+// own close is waited for first.
+func (c *conn) Close() error {
+	var one [1]byte
+	if n, err := c.receive(one[:], syscall.MSG_PEEK); err != nil || n == 0 {
+		return c.TCPConn.Close()
+	}
+	if err := c.CloseWrite(); err != nil {
+		return c.TCPConn.Close()
+	}
+	_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTime))
+	go func() {
+		_, _ = io.CopyN(io.Discard, c.TCPConn, lingerSize)
+		_ = c.TCPConn.Close()
+	}()
+	return nil
+}
--- a/hornbeamd/relayer/exchange.go
+++ b/hornbeamd/relayer/exchange.go
@@ -78,6 +78,9 @@
 	}
 	if x.fresh {
 		x.relayer.cfg.Metrics.Dialed(c.pool.Name)
+		if c.gone() {
+			return errGone
+		}
 	}
 	if err = x.send(); err != nil {
 		return err
@@ -148,7 +151,8 @@
 			return errSilent
 		case now >= x.patience:
 			x.patience = now + int64(minPatience)
-		case x.call.gone():
+		case x.call.route.Idempotent && x.call.gone():
+			// Another request goes on, because it may have run.
 			return errGone
 		}
 	}
--- a/hornbeamd/relayer/fault_test.go
+++ b/hornbeamd/relayer/fault_test.go
@@ -263,6 +263,58 @@
 	}
 }
 
+// TestPipeliningCallerGone closes a connection on which a further request waits
+// unread behind the one that is with an upstream.
+func TestPipeliningCallerGone(t *testing.T) {
+	is := is.New(t)
+	began, ended := make(chan struct{}), make(chan error, 1)
+	g := startRig(t, startStub(t, "u1", func(s *upstreamStub, c net.Conn, r *http.Request, _ string) {
+		s.run(r)
+		close(began)
+		_ = c.SetReadDeadline(time.Now().Add(time.Second))
+		_, err := c.Read(make([]byte, 1))
+		ended <- err
+	}))
+	c, err := net.Dial("tcp", g.address)
+	is.NoErr(err)
+	_, err = fmt.Fprint(c, "GET /safe/x HTTP/1.1\r\nHost: h\r\nId: q1\r\n\r\n")
+	is.NoErr(err)
+	<-began
+	_, err = fmt.Fprint(c, "GET /safe/y HTTP/1.1\r\nHost: h\r\nId: q2\r\n\r\n")
+	is.NoErr(err)
+	is.NoErr(c.Close())
+	is.Equal(<-ended, io.EOF) // the exchange ends, nothing else is sent
+	is.Equal(g.runs(), 1)
+}
+
+// TestNoSendForACallerGone lets the caller leave while its request waits for
+// another exchange, after a refusal by the first upstream.
+func TestNoSendForACallerGone(t *testing.T) {
+	for _, kind := range []string{"safe", "once"} {
+		t.Run(kind, func(t *testing.T) {
+			is := is.New(t)
+			asked, left := make(chan struct{}, 8), make(chan struct{})
+			serve := func(s *upstreamStub, c net.Conn, r *http.Request, _ string) {
+				asked <- struct{}{}
+				<-left
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 503 X\r\nId: %s\r\nNotrun: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+			}
+			g := startRig(t, startStub(t, "u1", serve), startStub(t, "u2", serve))
+			c, err := net.Dial("tcp", g.address)
+			is.NoErr(err)
+			_, err = fmt.Fprintf(c, "GET /%s/x HTTP/1.1\r\nHost: h\r\nId: q1\r\n\r\n", kind)
+			is.NoErr(err)
+			<-asked
+			is.NoErr(c.Close())
+			close(left)
+			for g.relayer.Active() > 0 {
+				time.Sleep(time.Millisecond)
+			}
+			is.Equal(len(asked), 0) // no second upstream was asked
+		})
+	}
+}
+
 // TestLargeBodyRejectedEarly reads an answer that comes before the body has been
 // taken, and does not use the connection again.
 func TestLargeBodyRejectedEarly(t *testing.T) {
