--- a/hornbeamd/relayer/answer.go
+++ b/hornbeamd/relayer/answer.go
@@ -1,7 +1,6 @@
 package relayer
 
 import (
-	"bytes"
 	"errors"
 	"strconv"
 	"time"
@@ -73,7 +72,13 @@
 	if c.head {
 		out.SkipBody = true
 	} else {
-		out.SetBodyRaw(bytes.Clone(x.answer.Body()))
+		out.SetBodyRaw(x.body.data)
+		if caller, ok := c.ctx.Conn().(*conn); ok {
+			caller.hold(x.body.taken)
+		} else {
+			x.body.buffers.give(x.body.taken)
+		}
+		x.body = body{}
 	}
 	switch c.last.status {
 	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable, fasthttp.StatusRequestTimeout:
--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -60,6 +60,11 @@
 		defer ctx.Response.SetConnectionClose()
 	}
 	c := &call{ctx: ctx, began: r.cfg.Now(), dialect: r.cfg.Dialect, table: r.cfg.Tables.Load(), head: ctx.IsHead()}
+	defer func() {
+		if cause := recover(); cause != nil {
+			r.recovered(c, cause)
+		}
+	}()
 	in := r.cfg.Dialect.Read(&ctx.Request.Header)
 	c.id = in.ID
 	if caller, ok := ctx.Conn().(*conn); ok && !caller.begin() {
@@ -185,11 +190,20 @@
 func (r *Relayer) try(c *call, d *dispatcher.Decision) (done bool) {
 	x := &exchange{relayer: r, call: c, target: d.Upstream, pool: r.pool(d.Upstream), answer: fasthttp.AcquireResponse()}
 	defer fasthttp.ReleaseResponse(x.answer)
+	x.body.buffers = &r.buffers
 	x.patience = c.deadline
-	if c.route.Idempotent && c.runs+1 < c.route.Attempts && c.sends+1 < maxSends {
+	x.repeatable = c.route.Idempotent && c.runs+1 < c.route.Attempts && c.sends+1 < maxSends
+	if x.repeatable {
 		x.patience = c.req.Now + int64(patience(d))
 	}
 	c.sends++
+	released, settled := false, false
+	defer func() {
+		x.body.drop()
+		if !settled {
+			x.panicked(d, released)
+		}
+	}()
 	err := x.run()
 	if !x.fresh && (errors.Is(err, errSilent) || errors.Is(err, errLate)) {
 		// The others may have gone silent with it.
@@ -209,6 +223,7 @@
 	if x.verdict.ColdLeft > 0 && err == nil {
 		d.Upstream.Cool(now+int64(x.verdict.ColdLeft), now)
 	}
+	released = true
 	d.Done(&c.req, res, time.Duration(now-c.req.Now), now)
 	r.cfg.Metrics.Tried(c.pool.Name, results[res])
 	c.req.Tried = append(c.req.Tried, d.Upstream)
@@ -220,12 +235,34 @@
 		c.last.status = fasthttp.StatusGatewayTimeout
 	}
 	done = c.settle(x, res, err)
+	settled = true
 	if !done {
 		r.cfg.Log.Info("send", append(c.last.fields(), "id", string(c.id), "took", (now-c.req.Now)/int64(time.Millisecond))...)
 	}
 	return done
 }
 
+// panicked ends an exchange in which something unexpected has happened. It may
+// have run the request if anything was sent. Released tells that its place at the
+// upstream was given back.
+func (x *exchange) panicked(d *dispatcher.Decision, released bool) {
+	x.abort()
+	if x.sent {
+		x.call.runs++
+	}
+	if !released {
+		d.Done(&x.call.req, dispatcher.Abandoned, 0, x.relayer.cfg.Now())
+	}
+}
+
+// recovered answers a request in whose handling something unexpected has happened.
+func (r *Relayer) recovered(c *call, cause any) {
+	r.cfg.Guard.Note("request", cause)
+	c.kept = false
+	c.giveUp(outcome{word: "panic", retryAt: startingReturn})
+	r.cfg.Guard.Do("request", func() { r.finish(c) })
+}
+
 // patience is how long an upstream may stay silent before the request is sent to
 // another one. A run that the upstream begins without the key is not broken off:
 // it would be begun again elsewhere.
--- a/hornbeamd/relayer/conn.go
+++ b/hornbeamd/relayer/conn.go
@@ -51,6 +51,8 @@
 	// busy tells that a request is in hand, dropped that the connection was closed
 	// while it was idle.
 	busy, dropped bool
+	// held is the number of bytes of answers that are written here.
+	held int64
 }
 
 // begin takes a request in hand. It reports whether the connection is still
@@ -62,11 +64,20 @@
 	return c.busy
 }
 
-// end notes that no request is in hand.
-func (c *conn) end() {
+// hold notes that bytes of an answer are written here.
+func (c *conn) hold(bytes int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held += bytes
+}
+
+// end notes that no request is in hand. It returns what was held for its answer.
+func (c *conn) end() (held int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = false
+	held, c.held = c.held, 0
+	return held
 }
 
 // expectHead begins or ends the wait for the rest of a head.
--- a/hornbeamd/relayer/exchange.go
+++ b/hornbeamd/relayer/exchange.go
@@ -30,14 +30,18 @@
 	resetSlack = 30 * time.Millisecond
 	// leastLeft is the least time that an upstream is given.
 	leastLeft = time.Millisecond
+	// answerTime bounds the time from an answer's first byte to its last one if
+	// another upstream can be asked. Bytes may come without end.
+	answerTime = 5 * time.Second
 )
 
 var (
-	errGone   = errors.New("the caller has closed its connection")
-	errSilent = errors.New("no answer in the time that it should have taken")
-	errLate   = errors.New("no answer before the deadline")
-	errStray  = errors.New("the answer belongs to another request")
-	errSpoilt = errors.New("the answer is not signed")
+	errGone    = errors.New("the caller has closed its connection")
+	errSilent  = errors.New("no answer in the time that it should have taken")
+	errLate    = errors.New("no answer before the deadline")
+	errStalled = errors.New("the answer has begun and did not end in time")
+	errStray   = errors.New("the answer belongs to another request")
+	errSpoilt  = errors.New("the answer is not signed")
 )
 
 // exchange is one request and its answer on one connection.
@@ -55,7 +59,11 @@
 	sent    bool
 	wrote   chan error
 	answer  *fasthttp.Response
+	body    body
 	verdict Verdict
+	// repeatable tells that the request may be sent to another upstream after this
+	// exchange, even if it has run.
+	repeatable bool
 }
 
 // run sends the request and reads its answer. After an error the connection is
@@ -161,16 +169,26 @@
 // read reads the answer. It skips answers to earlier requests, which an
 // upstream may have sent twice.
 func (x *exchange) read() error {
-	left := time.Duration(x.call.deadline - x.relayer.cfg.Now())
-	_ = x.conn.SetReadDeadline(time.Now().Add(left))
+	now := x.relayer.cfg.Now()
+	end := x.call.deadline
+	if x.repeatable {
+		end = min(end, now+int64(answerTime))
+	}
+	_ = x.conn.SetReadDeadline(time.Now().Add(time.Duration(end - now)))
 	for range maxStrays {
-		x.answer.Reset()
-		x.answer.SkipBody = x.call.head
-		if err := x.answer.ReadLimitBody(x.conn.Reader, answerSize); err != nil {
+		err := x.readOne(end)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			err = errStalled
+			if x.relayer.cfg.Now() >= x.call.deadline {
+				err = errLate
+			}
+		}
+		if err != nil {
 			return err
 		}
 		x.verdict = x.relayer.cfg.Dialect.Judge(&x.answer.Header)
 		if id := x.verdict.ID; len(id) > 0 && !bytes.Equal(id, x.call.id) {
+			x.body.drop()
 			continue
 		}
 		return x.check()
@@ -178,6 +196,36 @@
 	return errStray
 }
 
+// readOne reads one answer, which must have arrived at the given time. From time
+// to time it looks whether the caller is still there.
+func (x *exchange) readOne(end int64) error {
+	x.answer.Reset()
+	x.answer.SkipBody = x.call.head
+	x.answer.StreamBody = true
+	if err := x.answer.ReadLimitBody(x.conn.Reader, 0); err != nil {
+		return err
+	}
+	if !x.answer.IsBodyStream() {
+		return nil
+	}
+	defer func() { _ = x.answer.CloseBodyStream() }()
+	next := x.relayer.cfg.Now() + int64(checkTime)
+	return x.body.read(x.answer.BodyStream(), x.answer.Header.ContentLength(), func() error {
+		now := x.relayer.cfg.Now()
+		switch {
+		case now >= end:
+			return os.ErrDeadlineExceeded
+		case now < next:
+			return nil
+		}
+		next = now + int64(checkTime)
+		if x.call.route.Idempotent && x.call.gone() {
+			return errGone
+		}
+		return nil
+	})
+}
+
 // check refuses answers that no upstream can have given to this request.
 func (x *exchange) check() error {
 	status := x.answer.StatusCode()
@@ -224,6 +272,7 @@
 }
 
 func (x *exchange) abort() {
+	x.body.drop()
 	if x.conn != nil {
 		x.pool.Discard(x.conn)
 		x.conn = nil
--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -14,6 +14,7 @@
 
 	"hornbeamstream.example/core/dispatcher"
 	"hornbeamstream.example/core/steerer"
+	"hornbeamstream.example/hornbeamd/guarder"
 	"hornbeamstream.example/hornbeamd/pooler"
 )
 
@@ -74,6 +75,11 @@
 	Log     logr.Logger
 	// Now gives the time in nanoseconds on a monotonic clock.
 	Now func() int64
+	// Guard takes panics.
+	Guard guarder.Guard
+	// Memory bounds the bytes of answers that are held at the same time, beside a
+	// small part of each. 0 sets the usual bound.
+	Memory int64
 	// Reuse is how recently a connection to an upstream must have worked to be
 	// used again, Proven the same for a request that must not run twice.
 	Reuse, Proven time.Duration
@@ -88,6 +94,7 @@
 
 	closing atomic.Bool
 	conns   callers
+	buffers buffers
 }
 
 const (
@@ -129,6 +136,10 @@
 		Logger:                       silent{},
 	}
 	r.conns.now = cfg.Now
+	r.buffers.limit = cfg.Memory
+	if r.buffers.limit <= 0 {
+		r.buffers.limit = buffersSize
+	}
 	return r
 }
 
@@ -186,8 +197,8 @@
 	if !ok {
 		return
 	}
-	if s == fasthttp.StateIdle {
-		cc.end()
+	if s == fasthttp.StateIdle || s == fasthttp.StateClosed {
+		r.buffers.give(cc.end())
 	}
 	cc.expectHead(s == fasthttp.StateActive, r.limits().HeadTime)
 }
