--- a/core/steerer/events.go
+++ b/core/steerer/events.go
@@ -85,6 +85,9 @@
 	Regions map[string]string
 }
 
+// Woken tells that the process was paused and runs again.
+type Woken struct{ Now int64 }
+
 // Left starts the planned stop of this instance.
 type Left struct{ Now int64 }
 
@@ -96,6 +99,7 @@
 func (Heard) steererEvent()    {}
 func (Tick) steererEvent()     {}
 func (Adjusted) steererEvent() {}
+func (Woken) steererEvent()    {}
 func (Left) steererEvent()     {}
 
 // Effect is an output of Step.
@@ -122,6 +126,8 @@
 	// Rare tells to leave long pauses between failed calls, because many other
 	// instances may do the same.
 	Rare bool
+	// Confirm asks the store at once whether there is anything new.
+	Confirm bool
 }
 
 // Fetch asks another instance for the changes of a kind; it ends with Fetched.
@@ -171,7 +177,10 @@
 	// Fronts lists the instances that callers may use, ordered by name.
 	Fronts []Instance
 	// Ready tells that this instance may take requests.
-	Ready  bool
+	Ready bool
+	// Stale tells that the view may be old, because the process has just started
+	// or was paused. No request may be sent by it.
+	Stale  bool
 	Bounds Bounds
 	// Regions gives the region of each failure domain.
 	Regions map[string]string
--- a/core/steerer/source.go
+++ b/core/steerer/source.go
@@ -37,6 +37,8 @@
 	firstTime = 300 * time.Millisecond
 	// historySize bounds the changes of a kind that are kept for others.
 	historySize = 1024
+	// sureTime is how long what may be old is not acted on if nobody confirms it.
+	sureTime = time.Second
 )
 
 // source is where an instance has its knowledge of a kind from.
@@ -54,6 +56,10 @@
 	wait   time.Duration
 	// proven is when the store last confirmed what is known here; 0 means never.
 	proven int64
+	// sure tells that what is known was confirmed since the start and since the
+	// last pause of the process; sureBy is when it counts as such anyway.
+	sure   bool
+	sureBy int64
 	// asked is when another instance was last asked; 0 means that no answer is
 	// awaited.
 	asked int64
@@ -120,10 +126,11 @@
 func (s *State) advance(now int64, n news) []Effect {
 	c, revision := s.sources[n.kind], n.revision
 	if !c.known {
-		c.known, s.dirty = true, true
+		c.known, c.sureBy, s.dirty = true, now+int64(sureTime), true
 	}
 	if n.confirmed {
 		c.proven = now
+		s.confirm(c)
 	}
 	if n.whole && c.once {
 		c.once, c.reading, c.listed = false, false, now
@@ -156,6 +163,44 @@
 	return nil
 }
 
+// confirm notes that what is known of a kind is not old.
+func (s *State) confirm(c *source) {
+	if !c.sure {
+		c.sure, s.dirty = true, true
+	}
+}
+
+// settle counts as confirmed what nobody has confirmed in time.
+func (s *State) settle(now int64) {
+	for _, c := range s.sources {
+		if c.known && !c.sure && now >= c.sureBy {
+			s.confirm(c)
+		}
+	}
+}
+
+// wake doubts all that is known, since the process was paused, and asks for what
+// has changed meanwhile.
+func (s *State) wake(now int64) (out []Effect) {
+	s.dirty = true
+	for _, k := range Kinds {
+		c := s.sources[k]
+		if !c.known {
+			continue
+		}
+		c.sure, c.sureBy = false, now+int64(sureTime)
+		if c.reading {
+			out = append(out, Read{Kind: k, On: true, Revision: c.revision, Wait: c.wait, Rare: !s.isReader(now), Confirm: true})
+		}
+	}
+	return append(out, Note{What: "paused", Subject: s.Self.Name, Cause: "the process did not run for a while"})
+}
+
+// stale tells whether what requests depend on may be old.
+func (s *State) stale() bool {
+	return !s.sources[Configs].sure || !s.sources[Upstreams].sure || !s.sources[Evacuations].sure
+}
+
 // outdated tells whether an answer of the store is older than what other
 // instances have told meanwhile.
 func (s *State) outdated(k Kind, revision uint64) bool {
@@ -298,6 +343,9 @@
 
 func (s *State) fetched(e Fetched) (out []Effect) {
 	c := s.sources[e.Kind]
+	if c == nil {
+		return nil
+	}
 	c.asked = 0
 	if e.Returned > s.returned[e.Kind] {
 		s.returned[e.Kind] = e.Returned
@@ -311,6 +359,7 @@
 		out = s.apply(e.Now, e.Kind, e.Objects)
 	}
 	lagged := c.reading && e.Revision > c.revision
+	s.confirm(c)
 	out = append(out, s.advance(e.Now, news{kind: e.Kind, objects: e.Objects, revision: e.Revision, whole: e.Whole})...)
 	if lagged {
 		// The answer to the own call was lost, or its connection is silent.
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -126,18 +126,28 @@
 		now = e.Now
 		s.Bounds, s.Regions, s.dirty = e.Bounds, e.Regions, true
 		out = []Effect{Note{What: "adjusted", Subject: s.Self.Name}}
+	case Woken:
+		now = e.Now
+		out = s.wake(e.Now)
 	case Left:
 		now = e.Now
 		s.leaving, s.dirty, s.next = true, true, 0
 		out = append(s.tick(e.Now), Note{What: "leaving", Subject: s.Self.Name})
 	}
-	if s.dirty && (now >= s.publishAt || s.leaving) {
+	if s.dirty && (now >= s.publishAt || s.leaving || isWoken(e)) {
 		s.dirty, s.publishAt = false, now+int64(publishTime)
 		out = append(out, Publish{s.view(now)})
 	}
 	return s, out
 }
 
+// isWoken tells whether an event must not wait for the next view: the one in force
+// is old.
+func isWoken(e Event) bool {
+	_, ok := e.(Woken)
+	return ok
+}
+
 func (s *State) lose(e Lost) []Effect {
 	if s.lost[e.Kind] {
 		return nil
@@ -163,6 +173,11 @@
 	was := p.alive(e.Now)
 	p.heard, p.ready = e.Now, e.Beacon.Ready
 	p.prove(e)
+	for k, q := range e.Beacon.Proofs {
+		if c := s.sources[k]; c != nil && c.known && q.Revision <= c.revision && q.Age < int64(sureTime/time.Millisecond) {
+			s.confirm(c)
+		}
+	}
 	switch now := p.alive(e.Now); {
 	case was && !now:
 		s.dirty = true
@@ -181,6 +196,7 @@
 func (p *peer) near(now int64) bool { return p.heard != 0 && now-p.heard < int64(p.silence) }
 
 func (s *State) tick(now int64) (out []Effect) {
+	s.settle(now)
 	for _, name := range slices.Sorted(maps.Keys(s.upstreams)) {
 		if u := s.upstreams[name]; u.goneAt != 0 && now >= u.goneAt {
 			delete(s.upstreams, name)
@@ -227,11 +243,11 @@
 
 // ready tells whether this instance can take requests.
 func (s *State) ready() bool {
-	return !s.leaving && s.config != nil && s.sources[Upstreams].known && s.sources[Evacuations].known
+	return !s.leaving && s.config != nil && s.sources[Upstreams].known && s.sources[Evacuations].known && !s.stale()
 }
 
 func (s *State) view(now int64) View {
-	v := View{Config: s.config, Ready: s.ready(), Peers: []Instance{s.Self}, Bounds: s.Bounds, Regions: s.Regions}
+	v := View{Config: s.config, Ready: s.ready(), Stale: s.stale(), Peers: []Instance{s.Self}, Bounds: s.Bounds, Regions: s.Regions}
 	for _, u := range s.upstreams {
 		if u.Draining || s.evacuated[u.Domain] {
 			continue
--- a/core/steerer/steerer_test.go
+++ b/core/steerer/steerer_test.go
@@ -67,6 +67,30 @@
 			Changed{Now: second(3), Kind: Configs, Objects: []Object{config(9), gone("main")}},
 			Listed{Now: second(4), Kind: Configs, Objects: []Object{config(7)}},
 		),
+		"stale-list-is-confirmed-before-use": {
+			Listed{Now: second(0.1), Kind: Configs, Objects: []Object{config(5)}, Revision: 50},
+			Listed{Now: second(0.1), Kind: Evacuations, Revision: 50},
+			Listed{Now: second(0.1), Kind: Upstreams, Objects: []Object{server("u1"), server("u2")}, Revision: 40, Stale: true},
+			Tick{Now: second(0.2)},
+			Changed{Now: second(0.3), Kind: Upstreams, Objects: []Object{gone("u1")}, Revision: 50},
+			Tick{Now: second(0.4)},
+		},
+		"stale-list-is-used-if-nobody-confirms-it": {
+			Listed{Now: second(0.1), Kind: Configs, Objects: []Object{config(5)}, Revision: 50},
+			Listed{Now: second(0.1), Kind: Evacuations, Revision: 50},
+			Listed{Now: second(0.1), Kind: Upstreams, Objects: []Object{server("u1")}, Revision: 40, Stale: true},
+			Lost{Now: second(0.5), Kind: Upstreams, Cause: "no answer"},
+			Tick{Now: second(1)},
+			Tick{Now: second(1.1)},
+		},
+		"paused-process-asks-before-it-acts": append(started(server("u1"), server("u2")),
+			Tick{Now: second(1)},
+			Woken{Now: second(6)},
+			Changed{Now: second(6.1), Kind: Upstreams, Objects: []Object{gone("u1")}},
+			Changed{Now: second(6.1), Kind: Configs},
+			Changed{Now: second(6.2), Kind: Evacuations},
+			Tick{Now: second(6.3)},
+		),
 		"draining-upstream-gets-nothing-new": append(started(server("u1"), server("u2")),
 			Changed{Now: second(1), Kind: Upstreams, Objects: []Object{server("u1", numbered(2), draining)}},
 			Changed{Now: second(2), Kind: Upstreams, Objects: []Object{gone("u1")}},
@@ -275,6 +299,8 @@
 		return e.Now
 	case Adjusted:
 		return e.Now
+	case Woken:
+		return e.Now
 	case Left:
 		return e.Now
 	}
@@ -295,6 +321,8 @@
 		return fmt.Sprintf("%.1f lost %s", float64(e.Now)/1e9, e.Kind)
 	case Heard:
 		return fmt.Sprintf("%.1f heard %+v", float64(e.Now)/1e9, e.Beacon)
+	case Woken:
+		return fmt.Sprintf("%.1f woken", float64(e.Now)/1e9)
 	case Tick:
 		return fmt.Sprintf("%.1f tick", float64(e.Now)/1e9)
 	case Adjusted:
@@ -389,3 +417,21 @@
 	fmt.Println(v.Nearest("a", 64), v.Nearest("c", 64))
 	// Output: [near:80] [near:80 far:80]
 }
+
+// TestClone steps a copy and finds the original as it was.
+func TestClone(t *testing.T) {
+	for name, events := range scripts() {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := New(self(), false)
+			for _, e := range events {
+				before, c := fmt.Sprintf("%+v", s.view(0)), s.Clone()
+				sources := fmt.Sprint(s.proofs(0), s.names(Upstreams), s.names(Instances), s.lost, s.returned)
+				Step(c, e)
+				is.Equal(fmt.Sprintf("%+v", s.view(0)), before)
+				is.Equal(fmt.Sprint(s.proofs(0), s.names(Upstreams), s.names(Instances), s.lost, s.returned), sources)
+				s, _ = Step(s, e)
+			}
+		})
+	}
+}
--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -27,6 +27,9 @@
 	// startingReturn is when to come back to an instance that knows no
 	// configuration yet.
 	startingReturn = 300 * time.Millisecond
+	// pauseTime is the age from which on a table is not used, since the process
+	// was paused.
+	pauseTime = 1500 * time.Millisecond
 )
 
 // call is one request of a caller.
@@ -72,8 +75,8 @@
 		r.finish(c)
 		return
 	}
-	if !c.table.Known() {
-		c.refuse(outcome{word: "starting", retryAt: startingReturn})
+	if word := r.unfit(c); word != "" {
+		c.refuse(outcome{word: word, retryAt: startingReturn})
 		r.finish(c)
 		return
 	}
@@ -93,6 +96,17 @@
 	r.finish(c)
 }
 
+// unfit says why the table must not be used, if so.
+func (r *Relayer) unfit(c *call) string {
+	switch {
+	case !c.table.Known():
+		return "starting"
+	case c.table.View.Stale, r.cfg.Alive != nil && c.began-r.cfg.Alive.Load() > int64(pauseTime):
+		return "stale"
+	}
+	return ""
+}
+
 // prepare works out what the decisions depend on.
 func (c *call) prepare(in Inbound) {
 	left := c.route.Timeout
--- a/hornbeamd/relayer/fault_test.go
+++ b/hornbeamd/relayer/fault_test.go
@@ -710,3 +710,22 @@
 	g.relayer.finish(c)
 	is.Equal(d.Upstream.Inflight(), 0)
 }
+
+// TestPausedProcess lets a process wake from a pause with an old table, and with
+// one that says that it is old. Nothing is sent by them.
+func TestPausedProcess(t *testing.T) {
+	is := is.New(t)
+	g := startRig(t, startStub(t, "u1", good))
+	alive := &atomic.Int64{}
+	g.relayer.cfg.Alive = alive
+	alive.Store(g.now() - int64(pauseTime) - 1)
+	a := g.ask("POST", "/once/x", "body")
+	is.Equal(a.status, 503)
+	is.True(a.header.Get("Retry-After") != "")
+	alive.Store(g.now() + int64(time.Hour))
+	g.publish(func(v *steerer.View) { v.Stale = true })
+	is.Equal(g.ask("POST", "/once/x", "body").status, 503)
+	is.Equal(g.runs(), 0)
+	g.publish()
+	is.Equal(g.ask("POST", "/once/x", "body").status, 200)
+}
--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -75,6 +75,9 @@
 	Log     logr.Logger
 	// Now gives the time in nanoseconds on a monotonic clock.
 	Now func() int64
+	// Alive is when the table was last known to be looked after; nil if nobody
+	// tells. After a pause of the process it is old.
+	Alive *atomic.Int64
 	// Guard takes panics.
 	Guard guarder.Guard
 	// Memory bounds the bytes of answers that are held at the same time, beside a
--- a/hornbeamd/runner/beacon.go
+++ b/hornbeamd/runner/beacon.go
@@ -31,12 +31,14 @@
 			// A refused beacon of our own is reported here.
 			continue
 		}
-		var b steerer.Beacon
-		if err := json.Unmarshal(buf[:n], &b); err != nil {
-			r.cfg.Log.V(1).Info("unreadable beacon", "cause", err.Error())
-			continue
-		}
-		emit(steerer.Heard{Now: r.now(), Beacon: b, From: from.String()})
+		r.guard.Do("beacon", func() {
+			var b steerer.Beacon
+			if err := json.Unmarshal(buf[:n], &b); err != nil {
+				r.cfg.Log.V(1).Info("unreadable beacon", "cause", err.Error())
+				return
+			}
+			emit(steerer.Heard{Now: r.now(), Beacon: b, From: from.String()})
+		})
 	}
 }
 
--- a/hornbeamd/runner/metrics.go
+++ b/hornbeamd/runner/metrics.go
@@ -21,6 +21,7 @@
 	dialed   *prometheus.CounterVec
 	changes  *prometheus.CounterVec
 	calls    *prometheus.CounterVec
+	panics   *prometheus.CounterVec
 
 	mu sync.Mutex
 	// routes are those with labels of their own.
@@ -56,9 +57,12 @@
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "horn_store_calls_total", Help: "Calls to the store by kind and result.",
 		}, []string{"call", "result"}),
+		panics: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "horn_panics_total", Help: "Work that has panicked, by its kind.",
+		}, []string{"what"}),
 		routes: map[string]bool{},
 	}
-	registry.MustRegister(m.answered, m.latency, m.tried, m.dialed, m.changes, m.calls)
+	registry.MustRegister(m.answered, m.latency, m.tried, m.dialed, m.changes, m.calls, m.panics)
 	if dropped != nil {
 		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "horn_log_lines_dropped_total", Help: "Log lines dropped because of the bound on their rate.",
--- a/hornbeamd/runner/relay.go
+++ b/hornbeamd/runner/relay.go
@@ -50,7 +50,9 @@
 	r := l.runner
 	ctx, cancel := context.WithTimeout(context.Background(), changesTime)
 	defer cancel()
-	e, err := l.ask(ctx, f)
+	var e steerer.Fetched
+	err := errors.New("panic")
+	r.guard.Do("fetch", func() { e, err = l.ask(ctx, f) })
 	if err != nil {
 		r.cfg.Log.V(1).Info("changes not fetched", "kind", f.Kind, "from", f.From.Name, "cause", err.Error())
 		e = steerer.Fetched{Kind: f.Kind}
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -20,6 +20,7 @@
 	"hornbeamstream.example/core/recorder"
 	"hornbeamstream.example/core/steerer"
 	"hornbeamstream.example/hornbeamd/exporter"
+	"hornbeamstream.example/hornbeamd/guarder"
 	"hornbeamstream.example/hornbeamd/relayer"
 	"hornbeamstream.example/hornbeamd/watcher"
 )
@@ -37,15 +38,6 @@
 	Handler(view func() *steerer.View) fasthttp.RequestHandler
 }
 
-// Clock is the monotonic clock of a process.
-type Clock struct{ began time.Time }
-
-// NewClock returns a clock that starts now.
-func NewClock() Clock { return Clock{began: time.Now()} }
-
-// Now is the time in nanoseconds since the start. It is never zero.
-func (c Clock) Now() int64 { return int64(time.Since(c.began)) + 1 }
-
 // Config has what an instance is made of.
 type Config struct {
 	Self    steerer.Instance
@@ -64,6 +56,8 @@
 	Reuse, Proven time.Duration
 	// Clock gives the time to all parts of the instance.
 	Clock Clock
+	// Memory bounds the bytes of answers in hand; 0 sets the usual bound.
+	Memory int64
 	// Dropped is the number of log lines that were dropped.
 	Dropped func() uint64
 }
@@ -71,6 +65,9 @@
 const (
 	// tickTime is the time between two ticks of the control goroutine.
 	tickTime = 100 * time.Millisecond
+	// pauseTime is the time without a tick from which on the process counts as
+	// paused.
+	pauseTime = 1500 * time.Millisecond
 	// eventQueue bounds the events that wait for the control goroutine.
 	eventQueue = 256
 	// stopShare is the part of the time for a planned stop after which no new
@@ -95,6 +92,9 @@
 	beacons  *net.UDPConn
 	watchers map[steerer.Kind]*watcher.Watcher
 	relay    *relay
+	guard    guarder.Guard
+	// alive is when the control goroutine last worked.
+	alive atomic.Int64
 }
 
 // New returns an instance that does not run yet.
@@ -111,9 +111,10 @@
 	r.metrics = newMetrics(r.registry, cfg.Dropped)
 	r.metrics.watch(r.registry, r.view)
 	r.cfg.Store = countedStore{cfg.Store, r.metrics.calls}
+	r.guard = guarder.Guard{Log: cfg.Log, Count: func(what string) { r.metrics.panics.WithLabelValues(what).Inc() }}
 	r.relayer = relayer.New(relayer.Config{
 		Tables: &r.tables, Dialect: cfg.Dialect, Metrics: r.metrics, Log: cfg.Log, Now: r.now,
-		Reuse: cfg.Reuse, Proven: cfg.Proven,
+		Reuse: cfg.Reuse, Proven: cfg.Proven, Guard: r.guard, Memory: cfg.Memory, Alive: &r.alive,
 	})
 	r.relay = newRelay(r)
 	r.watchers = map[steerer.Kind]*watcher.Watcher{}
@@ -150,7 +151,7 @@
 	group.Go(func() error { return r.register(failed) })
 	for _, w := range r.watchers {
 		w.Emit = r.emit(failed)
-		group.Go(func() error { return w.Run(failed) })
+		group.Go(func() error { return r.follow(failed, w) })
 	}
 	group.Go(func() error { return r.serveChanges(failed) })
 	group.Go(func() error {
@@ -172,6 +173,18 @@
 	return nil
 }
 
+// follow runs a watcher again if it has panicked.
+func (r *Runner) follow(ctx context.Context, w *watcher.Watcher) (err error) {
+	for ctx.Err() == nil {
+		if r.guard.Do("watch", func() { err = w.Run(ctx) }) {
+			return err
+		}
+		w.Reset()
+		time.Sleep(tickTime)
+	}
+	return nil
+}
+
 // listenTCP opens a listener that is closed when the context ends.
 func listenTCP(ctx context.Context, what, address string) (net.Listener, error) {
 	ln, err := net.Listen("tcp", address)
@@ -194,7 +207,12 @@
 		_ = r.relayer.Serve(front)
 		return nil
 	})
-	handler := r.cfg.Directory.Handler(r.view)
+	answer := r.cfg.Directory.Handler(r.view)
+	handler := func(ctx *fasthttp.RequestCtx) {
+		if !r.guard.Do("look-up", func() { answer(ctx) }) {
+			ctx.Error("unexpected error\n", fasthttp.StatusInternalServerError)
+		}
+	}
 	for _, address := range []string{r.cfg.Lookup, r.cfg.Ready} {
 		if address == "" {
 			continue
@@ -247,12 +265,10 @@
 	tick := time.NewTicker(tickTime)
 	defer tick.Stop()
 	maintained := int64(0)
-	var effects []steerer.Effect
-	r.state, effects = steerer.Step(r.state, steerer.Adjusted{Now: r.now(), Bounds: r.cfg.Bounds, Regions: r.cfg.Regions})
+	effects := r.step(steerer.Adjusted{Now: r.now(), Bounds: r.cfg.Bounds, Regions: r.cfg.Regions})
 	for {
-		for _, x := range effects {
-			r.execute(x)
-		}
+		r.executeAll(effects)
+		r.alive.Store(r.now())
 		var e steerer.Event
 		select {
 		case <-ctx.Done():
@@ -262,11 +278,34 @@
 			e = steerer.Tick{Now: r.now()}
 			if r.now()-maintained >= int64(time.Second) {
 				maintained = r.now()
-				r.relayer.Maintain()
+				r.guard.Do("maintenance", r.relayer.Maintain)
 			}
 		}
-		r.state, effects = steerer.Step(r.state, e)
+		if now := r.now(); now-r.alive.Load() >= int64(pauseTime) {
+			r.executeAll(r.step(steerer.Woken{Now: now}))
+		}
+		effects = r.step(e)
+	}
+}
+
+func (r *Runner) executeAll(effects []steerer.Effect) {
+	for _, x := range effects {
+		r.guard.Do("effect", func() { r.execute(x) })
+	}
+}
+
+// step takes an event into account. One that panics leaves the state as it was.
+func (r *Runner) step(e steerer.Event) (effects []steerer.Effect) {
+	before := r.state
+	if steerer.Large(e) {
+		// Only what others have written can be malformed; a copy for each tick and
+		// beacon would be a waste.
+		before = r.state.Clone()
+	}
+	if !r.guard.Do("event", func() { r.state, effects = steerer.Step(r.state, e) }) {
+		r.state = before
 	}
+	return effects
 }
 
 func (r *Runner) execute(x steerer.Effect) {
@@ -277,7 +316,7 @@
 	case steerer.Send:
 		r.send(x)
 	case steerer.Read:
-		r.watchers[x.Kind].Follow(watcher.Order{On: x.On, Revision: x.Revision, Wait: x.Wait, Once: x.Once, Rare: x.Rare})
+		r.watchers[x.Kind].Follow(watcher.Order{On: x.On, Revision: x.Revision, Wait: x.Wait, Once: x.Once, Rare: x.Rare, Confirm: x.Confirm})
 	case steerer.Fetch:
 		go r.relay.fetch(x)
 	case steerer.Reply:
--- a/hornbeamd/runner/runner_test.go
+++ b/hornbeamd/runner/runner_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/valyala/fasthttp"
 
 	"hornbeamstream.example/core/steerer"
@@ -240,3 +241,25 @@
 	await(t, again.cfg.Lookup, "/", "200 true 3")
 	is.Equal(get(again.cfg.Self.Front, "/p/x"), "200 ran /p/x")
 }
+
+// TestPanicsOfEvents sends an event at which the reducer panics. The instance
+// keeps what it knew and goes on.
+func TestPanicsOfEvents(t *testing.T) {
+	is := is.New(t)
+	r := New(Config{Self: steerer.Instance{Name: "i"}, Store: newMemory(), Directory: plain{}, Dialect: plain{}, Log: logr.Discard(), Clock: NewClock()})
+	r.step(steerer.Listed{Now: 1, Kind: steerer.Evacuations, Objects: []steerer.Object{{Name: "a-1"}}})
+	is.Equal(len(r.step(steerer.Listed{Now: 2, Kind: "unknown", Objects: []steerer.Object{{Name: "x"}}})), 0)
+	is.Equal(testutil.ToFloat64(r.metrics.panics.WithLabelValues("event")), 1.0)
+	r.step(steerer.Listed{Now: 3, Kind: steerer.Evacuations, Objects: []steerer.Object{{Name: "a-1"}}})
+	effects := r.step(steerer.Listed{Now: 4, Kind: steerer.Evacuations})
+	is.True(len(effects) > 0) // the domain is no longer evacuated, which was still known
+}
+
+// TestClockCountsOn reads the clock twice.
+func TestClockCountsOn(t *testing.T) {
+	is := is.New(t)
+	c := NewClock()
+	first := c.Now()
+	is.True(first > 0)
+	is.True(c.Now() >= first)
+}
--- a/hornbeamd/watcher/watcher.go
+++ b/hornbeamd/watcher/watcher.go
@@ -62,6 +62,9 @@
 	Once bool
 	// Rare makes the pauses after failed calls long.
 	Rare bool
+	// Confirm makes the next call answer at once, whether there is a change or
+	// not.
+	Confirm bool
 }
 
 // Watcher follows one kind while it is told to. Follow must be called before
@@ -115,6 +118,9 @@
 
 func (w *Watcher) init() { w.once.Do(func() { w.orders = make(chan Order, 1) }) }
 
+// Reset makes Run list all objects again.
+func (w *Watcher) Reset() { w.order.Revision = 0 }
+
 // Run follows the kind until the context ends.
 func (w *Watcher) Run(ctx context.Context) error {
 	w.init()
@@ -211,12 +217,17 @@
 	if w.order.Once {
 		w.order.On = false
 	}
+	// The next call tells how old a stale list was.
+	w.order.Confirm = stale
 	w.Emit(steerer.Listed{Now: w.Now(), Kind: w.Kind, Objects: all, Revision: revision, Stale: stale})
 	return revision, nil
 }
 
 func (w *Watcher) watch(ctx context.Context, revision uint64) (uint64, error) {
-	until := time.Now().Add(w.order.Wait)
+	until := time.Now()
+	if !w.order.Confirm {
+		until = until.Add(w.order.Wait)
+	}
 	call, cancel := w.call(ctx, until.Add(waitSlack))
 	defer cancel()
 	page, err := w.Source.Watch(call, w.Kind, revision, until)
@@ -227,6 +238,7 @@
 	if err != nil {
 		return revision, err
 	}
+	w.order.Confirm = false
 	w.Emit(steerer.Changed{Now: w.Now(), Kind: w.Kind, Objects: page.Objects, Revision: page.Revision})
 	if len(page.Objects) > 0 {
 		sleep(ctx, gatherTime)
