--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -44,6 +44,8 @@
 	began    int64
 	deadline int64
 	head     bool
+	// early tells that the request is relayed before its turn on the connection.
+	early bool
 	// runs counts the exchanges that may have run the request, arrivals those that
 	// may have reached an upstream, sends all.
 	runs, arrivals, sends int
@@ -58,11 +60,35 @@
 	last    outcome
 }
 
+// handle answers a request when its turn has come on its connection.
 func (r *Relayer) handle(ctx *fasthttp.RequestCtx) {
-	if r.closing.Load() {
-		defer ctx.Response.SetConnectionClose()
+	c, ok := ctx.Conn().(*conn)
+	defer func() {
+		// What was started already is answered first.
+		if r.closing.Load() && (!ok || len(c.started) == 0) {
+			ctx.Response.SetConnectionClose()
+		}
+	}()
+	if !ok {
+		r.serve(ctx, false)
+		return
 	}
-	c := &call{ctx: ctx, began: r.cfg.Now(), dialect: r.cfg.Dialect, table: r.cfg.Tables.Load(), head: ctx.IsHead()}
+	there := c.begin()
+	switch {
+	case !there:
+		ctx.Response.SetStatusCode(fasthttp.StatusBadGateway)
+		ctx.Response.SetConnectionClose()
+	case len(c.started) > 0:
+		r.finishStarted(ctx, c)
+	default:
+		r.startBehind(ctx)
+		r.serve(ctx, false)
+	}
+}
+
+// serve answers a request. Early tells that its turn has not come.
+func (r *Relayer) serve(ctx *fasthttp.RequestCtx, early bool) {
+	c := &call{ctx: ctx, early: early, began: r.cfg.Now(), dialect: r.cfg.Dialect, table: r.cfg.Tables.Load(), head: ctx.IsHead()}
 	defer func() {
 		if cause := recover(); cause != nil {
 			r.recovered(c, cause)
@@ -70,11 +96,6 @@
 	}()
 	in := r.cfg.Dialect.Read(&ctx.Request.Header)
 	c.id = in.ID
-	if caller, ok := ctx.Conn().(*conn); ok && !caller.begin() {
-		c.leave()
-		r.finish(c)
-		return
-	}
 	if word := r.unfit(c); word != "" {
 		c.refuse(outcome{word: word, retryAt: startingReturn})
 		r.finish(c)
@@ -364,8 +385,16 @@
 
 // gone tells whether the caller has closed its connection.
 func (c *call) gone() bool {
-	if conn, ok := c.ctx.Conn().(*conn); ok {
-		return conn.closed()
+	conn, ok := c.ctx.Conn().(*conn)
+	switch {
+	case ok && c.early:
+		// Only the goroutine of the request whose turn it is reads the connection.
+		return conn.left.Load()
+	case ok:
+		if conn.closed() {
+			conn.left.Store(true)
+		}
+		return conn.left.Load()
 	}
 	return pooler.Closed(c.ctx.Conn())
 }
--- a/hornbeamd/relayer/callers.go
+++ b/hornbeamd/relayer/callers.go
@@ -36,7 +36,13 @@
 func (c *callers) active() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.busy)
+	n := len(c.busy)
+	for k := range c.idle {
+		if caller, ok := k.(*conn); ok && caller.pending.Load() > 0 {
+			n++
+		}
+	}
+	return n
 }
 
 // closeIdle closes the connections that have been idle for longer than limit, but
--- a/hornbeamd/relayer/conn.go
+++ b/hornbeamd/relayer/conn.go
@@ -1,9 +1,11 @@
 package relayer
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -42,10 +44,20 @@
 type conn struct {
 	*net.TCPConn
 	raw syscall.RawConn
-	// headEnd is when the head must have arrived; zero while none is expected.
-	headEnd time.Time
-	// ahead holds bytes that have been read ahead.
-	ahead []byte
+	// headUntil is when the head must have arrived; zero while none is expected.
+	headUntil time.Time
+	// ahead holds bytes that have been read ahead, pending is their number. Begun
+	// is the number of those whose requests have been started.
+	ahead   []byte
+	begun   int
+	pending atomic.Int64
+	// headRead tells that the head of the next request has been handed out.
+	headRead bool
+	// started has the requests behind the one in hand that are relayed already, in
+	// their order.
+	started []*started
+	// left tells that the caller has closed the connection.
+	left atomic.Bool
 
 	mu sync.Mutex
 	// busy tells that a request is in hand, dropped that the connection was closed
@@ -58,6 +70,7 @@
 // begin takes a request in hand. It reports whether the connection is still
 // there: it may have been closed as idle after the request had been read.
 func (c *conn) begin() bool {
+	c.headRead = false
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = !c.dropped
@@ -82,31 +95,61 @@
 
 // expectHead begins or ends the wait for the rest of a head.
 func (c *conn) expectHead(on bool, limit time.Duration) {
-	c.headEnd = time.Time{}
+	c.headUntil = time.Time{}
 	if on && limit > 0 && limit < headTime {
-		c.headEnd = time.Now().Add(limit)
+		c.headUntil = time.Now().Add(limit)
 		// A connection that is closed already fails at the next read.
-		_ = c.TCPConn.SetReadDeadline(c.headEnd)
+		_ = c.TCPConn.SetReadDeadline(c.headUntil)
 	}
 }
 
 // SetReadDeadline implements net.Conn. The server's own bound for a head gives
 // way to a closer one; that for a body is later and ends the wait for the head.
 func (c *conn) SetReadDeadline(t time.Time) error {
-	if !c.headEnd.IsZero() && time.Until(t) <= headTime {
-		t = c.headEnd
+	if !c.headUntil.IsZero() && time.Until(t) <= headTime {
+		t = c.headUntil
 	}
 	return c.TCPConn.SetReadDeadline(t)
 }
 
-// Read implements net.Conn.
-func (c *conn) Read(p []byte) (int, error) {
+// headEnd ends the head of a request.
+var headEnd = []byte("\r\n\r\n")
+
+// Read implements net.Conn. It hands out one head at a time, as far as heads can be
+// told apart, so that requests behind it can be started before their turn.
+func (c *conn) Read(p []byte) (n int, err error) {
 	if len(c.ahead) > 0 {
-		n := copy(p, c.ahead)
+		n = c.first(p[:copy(p, c.ahead)])
 		c.ahead = c.ahead[n:]
+		c.begun = max(0, c.begun-n)
+		c.pending.Store(int64(len(c.ahead)))
 		return n, nil
 	}
-	return c.TCPConn.Read(p)
+	all, err := c.TCPConn.Read(p)
+	n = c.first(p[:all])
+	if n < all {
+		c.keep(p[n:all])
+	}
+	return n, err
+}
+
+// first returns the length of the part that is handed out.
+func (c *conn) first(p []byte) int {
+	if c.headRead {
+		return len(p)
+	}
+	i := bytes.Index(p, headEnd)
+	if i < 0 {
+		return len(p)
+	}
+	c.headRead = true
+	return i + len(headEnd)
+}
+
+// keep adds bytes that were read ahead.
+func (c *conn) keep(p []byte) {
+	c.ahead = append(c.ahead, p...)
+	c.pending.Store(int64(len(c.ahead)))
 }
 
 // closed tells whether the caller has closed the connection. Further requests
@@ -122,7 +165,7 @@
 		case err != nil || n == 0:
 			return true
 		}
-		c.ahead = append(c.ahead, buf[:n]...)
+		c.keep(buf[:n])
 	}
 	return false
 }
@@ -151,7 +194,7 @@
 func (c *conn) closeIdle() (done bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy || c.unread() {
+	if c.busy || c.pending.Load() > 0 || c.unread() {
 		return false
 	}
 	c.dropped = true
@@ -163,6 +206,7 @@
 // Unread bytes would turn the close into a reset, which may take an answer away
 // that the caller has not read yet. So the caller's own close is waited for first.
 func (c *conn) Close() error {
+	c.left.Store(true)
 	if !c.unread() || c.CloseWrite() != nil {
 		return c.TCPConn.Close()
 	}
--- a/hornbeamd/relayer/exchange.go
+++ b/hornbeamd/relayer/exchange.go
@@ -163,6 +163,7 @@
 			// Another request goes on, because it may have run.
 			return errGone
 		}
+		x.relayer.lookBehind(x.call)
 	}
 }
 
