--- a/core/dispatcher/choose.go
+++ b/core/dispatcher/choose.go
@@ -179,10 +179,10 @@
 	return r.enter(&f)
 }
 
-// home is the region where the request should run: that of the first upstream in
-// the order of a seated key, the own region otherwise.
+// home is the region where the request should run: that of its key's owner if it
+// has one, the own region otherwise.
 func (r *Request) home(preferred []candidate) string {
-	if r.seated() {
+	if r.owned() {
 		return preferred[0].u.Region
 	}
 	return r.Pool.region
@@ -192,7 +192,7 @@
 // share of requests that do so moves within a bound.
 func (r *Request) leaves(f *field, best int) bool {
 	rather := f.strays(best)
-	if r.seated() {
+	if r.owned() {
 		return r.Pool.spill.moves.bound(rather, r.Now)
 	}
 	return r.Pool.spill.leaves(r.Pool, r.spillKey(), rather, r.Now)
@@ -295,8 +295,8 @@
 	if r.Key == 0 {
 		return r.others(found)
 	}
-	if r.seated() {
-		return r.seats(found)
+	if r.owned() {
+		return r.owners(found)
 	}
 	var first, second [groups]candidate
 	for _, u := range r.Pool.Upstreams {
--- a/core/dispatcher/seat.go
+++ b/core/dispatcher/owner.go
@@ -2,18 +2,18 @@
 
 import "math"
 
-// A key is seated at one upstream of all regions, the same for all instances. A
-// run of a request whose key is not known there takes several times as long,
-// which costs more than the way to another region.
+// A key is owned by one upstream of all regions, the same for all instances: the
+// one that ranks first for it. A run at an upstream that does not know the key
+// takes several times as long, which costs more than the way to another region.
 
-// seated tells whether the request's key has a seat among all regions. Large
+// owned tells whether the request's key has an owner among all regions. Large
 // answers stay near instead, to spare the links between regions.
-func (r *Request) seated() bool { return r.Key != 0 && !r.Route.Bulk }
+func (r *Request) owned() bool { return r.Key != 0 && !r.Route.Bulk }
 
-// seats lists the upstreams that may know a seated key: the first two by rank of
+// owners lists the upstreams that may know an owned key: the first two by rank of
 // all regions, and the first one of the own region, which can be reached when
 // others are cut off.
-func (r *Request) seats(found []candidate) []candidate {
+func (r *Request) owners(found []candidate) []candidate {
 	var first, second, near candidate
 	for _, u := range r.Pool.Upstreams {
 		if !r.usable(u) {
--- a/core/dispatcher/seat_test.go
+++ b/core/dispatcher/owner_test.go
@@ -11,9 +11,9 @@
 	"hornbeamstream.example/core/steerer"
 )
 
-// seatTable is what an instance of region a knows of three regions with four
+// ownerTable is what an instance of region a knows of three regions with four
 // upstreams each.
-func seatTable(bulk bool) *Table {
+func ownerTable(bulk bool) *Table {
 	domains := map[string]string{"a-1": "a", "b-1": "b", "c-1": "c"}
 	v := steerer.View{Config: &steerer.Config{
 		Services: []steerer.Service{{Name: "s", Conns: 100}},
@@ -31,20 +31,20 @@
 	return b.Build(v, 1)
 }
 
-func seatRequest(t *Table, key uint64, now int64) *Request {
+func ownerRequest(t *Table, key uint64, now int64) *Request {
 	route := t.Route("h", "/x")
 	return &Request{Route: route, Pool: route.Parts[0].Pool, Key: key, Now: now, Deadline: now + int64(3*time.Second)}
 }
 
-// TestSeats spreads keys over the upstreams of all regions. Large answers stay
+// TestOwners spreads keys over the upstreams of all regions. Large answers stay
 // in the own region.
-func TestSeats(t *testing.T) {
+func TestOwners(t *testing.T) {
 	for bulk, remote := range map[bool]bool{false: true, true: false} {
 		is := is.New(t)
-		table := seatTable(bulk)
+		table := ownerTable(bulk)
 		runs := map[string]int{}
 		for key := range uint64(1200) {
-			r := seatRequest(table, (key+1)*hashMix, int64(time.Second))
+			r := ownerRequest(table, (key+1)*hashMix, int64(time.Second))
 			d := Choose(r)
 			d.Done(r, Answered, 50*time.Millisecond, int64(time.Second))
 			runs[d.Upstream.Region]++
@@ -55,13 +55,13 @@
 
 // TestStraysAreBounded fills the upstreams of one region, so that all its keys
 // would rather run elsewhere, and later those of the others somewhat, so that they
-// would rather run at their seats again, and other keys there too. The share of the requests
+// would rather run at their owners again, and other keys there too. The share of the requests
 // that run outside of their key's region moves by 0.15 at most from one window of
 // 2 s to the next.
 func TestStraysAreBounded(t *testing.T) {
 	const window, most, every = 2 * time.Second, 0.15, 5 * time.Millisecond
 	is := is.New(t)
-	table := seatTable(false)
+	table := ownerTable(false)
 	var shares []float64
 	strays, all, count := 0, 0, uint64(0)
 	for now := int64(1); now < int64(40*time.Second); now += int64(every) {
@@ -77,8 +77,8 @@
 			u.report(l, now)
 		}
 		count++
-		r := seatRequest(table, (count%97+1)*hashMix, now)
-		seat := r.seats(nil)[0].u.Region
+		r := ownerRequest(table, (count%97+1)*hashMix, now)
+		owner := r.owners(nil)[0].u.Region
 		d := Choose(r)
 		took := d.Upstream.Trip + 360*time.Millisecond
 		if d.Known {
@@ -86,7 +86,7 @@
 		}
 		d.Done(r, Answered, took, now)
 		all++
-		if d.Upstream.Region != seat {
+		if d.Upstream.Region != owner {
 			strays++
 		}
 		if now/int64(window) != (now+int64(every))/int64(window) {
@@ -107,13 +107,13 @@
 // an answer, all upstreams there are avoided, but for one request now and then.
 func TestCutWay(t *testing.T) {
 	is := is.New(t)
-	table := seatTable(false)
+	table := ownerTable(false)
 	key := uint64(0)
 	remote := func(now int64) (d Decision, r *Request) {
 		for {
 			key++
-			r = seatRequest(table, key*hashMix, now)
-			if r.seats(nil)[0].u.Region == "b" {
+			r = ownerRequest(table, key*hashMix, now)
+			if r.owners(nil)[0].u.Region == "b" {
 				return Choose(r), r
 			}
 		}
