--- a/core/steerer/events.go
+++ b/core/steerer/events.go
@@ -169,6 +169,8 @@
 type View struct {
 	// Config is nil until a configuration is known.
 	Config *Config
+	// Self is this instance.
+	Self Instance
 	// Upstreams lists the upstreams that may get new requests, ordered by ID.
 	Upstreams []Upstream
 	// Peers lists the instances that share the budgets, this one included,
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -247,7 +247,7 @@
 }
 
 func (s *State) view(now int64) View {
-	v := View{Config: s.config, Ready: s.ready(), Stale: s.stale(), Peers: []Instance{s.Self}, Bounds: s.Bounds, Regions: s.Regions}
+	v := View{Config: s.config, Ready: s.ready(), Stale: s.stale(), Self: s.Self, Peers: []Instance{s.Self}, Bounds: s.Bounds, Regions: s.Regions}
 	for _, u := range s.upstreams {
 		if u.Draining || s.evacuated[u.Domain] {
 			continue
@@ -273,19 +273,3 @@
 	slices.SortFunc(v.Fronts, byName)
 	return v
 }
-
-// Nearest returns the addresses of at most limit instances that a caller may
-// use: those of its region, and those of all regions if there are none.
-func (v *View) Nearest(region string, limit int) []string {
-	var near, all []string
-	for _, f := range v.Fronts {
-		all = append(all, f.Front)
-		if f.Region == region {
-			near = append(near, f.Front)
-		}
-	}
-	if len(near) == 0 {
-		near = all
-	}
-	return near[:min(len(near), limit)]
-}
--- a/core/steerer/steerer_test.go
+++ b/core/steerer/steerer_test.go
@@ -382,7 +382,7 @@
 		if v.Config != nil {
 			version = v.Config.Version
 		}
-		return fmt.Sprintf("publish version %d ready %t upstreams %q fronts %v peers %d nearest to a %v", version, v.Ready, ups, fronts, len(v.Peers), v.Nearest("a", 9))
+		return fmt.Sprintf("publish version %d ready %t upstreams %q fronts %v peers %d nearest to a %v", version, v.Ready, ups, fronts, len(v.Peers), v.Nearest("a", "", 9))
 	}
 	return fmt.Sprint(x)
 }
@@ -414,7 +414,7 @@
 
 func ExampleView_Nearest() {
 	v := View{Fronts: []Instance{other("near", "a-2"), other("far", "b-1")}}
-	fmt.Println(v.Nearest("a", 64), v.Nearest("c", 64))
+	fmt.Println(v.Nearest("a", "", 64), v.Nearest("c", "", 64))
 	// Output: [near:80] [near:80 far:80]
 }
 
--- a/hornbeamd/runner/runner_test.go
+++ b/hornbeamd/runner/runner_test.go
@@ -120,7 +120,7 @@
 func (plain) Handler(view func() *steerer.View) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		v := view()
-		fmt.Fprintf(ctx, "%t %d", v.Ready, len(v.Nearest("r", 64)))
+		fmt.Fprintf(ctx, "%t %d", v.Ready, len(v.Nearest("r", "", 64)))
 	}
 }
 
