--- a/core/dispatcher/choose.go
+++ b/core/dispatcher/choose.go
@@ -175,8 +175,8 @@
 		f.found = append(preferred, slices.DeleteFunc(others, func(c candidate) bool { return !c.free })...)
 		best = f.cheapest()
 	}
-	f.away = r.leaves(&f, best)
-	return r.enter(&f)
+	f.away = r.leaves(f, best)
+	return r.enter(f)
 }
 
 // home is the region where the request should run: that of its key's owner if it
@@ -190,7 +190,7 @@
 
 // leaves decides whether the request runs in another region than its home. The
 // share of requests that do so moves within a bound.
-func (r *Request) leaves(f *field, best int) bool {
+func (r *Request) leaves(f field, best int) bool {
 	rather := f.strays(best)
 	if r.owned() {
 		return r.Pool.spill.moves.bound(rather, r.Now)
@@ -215,7 +215,7 @@
 
 // enter takes a place at the best candidate, or at the next best one if it takes
 // no more requests at present.
-func (r *Request) enter(f *field) Decision {
+func (r *Request) enter(f field) Decision {
 	for {
 		c := f.found[f.best()]
 		if int64(c.took) > r.Deadline-r.Now {
--- a/core/dispatcher/owner.go
+++ b/core/dispatcher/owner.go
@@ -53,17 +53,17 @@
 }
 
 // strays tells whether a candidate is in another region than the request's home.
-func (f *field) strays(i int) bool { return f.found[i].u.Region != f.home }
+func (f field) strays(i int) bool { return f.found[i].u.Region != f.home }
 
 // cheapest returns the index of the candidate with the least cost.
-func (f *field) cheapest() int {
+func (f field) cheapest() int {
 	return f.least(func(int) float64 { return 0 })
 }
 
-// best returns the index of the cheapest candidate in the region where the
-// request should run. A bound on moves must not keep requests from the only room
+// best returns the index of the cheapest candidate where the request should run:
+// in its home or, if it should be away, anywhere else. A bound on moves must not keep requests from the only room
 // there is.
-func (f *field) best() int {
+func (f field) best() int {
 	return f.least(func(i int) float64 {
 		if f.strays(i) != f.away {
 			return float64(strayCost)
@@ -73,7 +73,7 @@
 }
 
 // least returns the index of the candidate with the least cost and extra cost.
-func (f *field) least(extra func(i int) float64) int {
+func (f field) least(extra func(i int) float64) int {
 	best, at := 0, math.Inf(1)
 	for i := range f.found {
 		if cost := f.found[i].cost + extra(i); cost < at {
--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -63,13 +63,21 @@
 // handle answers a request when its turn has come on its connection.
 func (r *Relayer) handle(ctx *fasthttp.RequestCtx) {
 	c, ok := ctx.Conn().(*conn)
-	defer func() {
-		// What was started already is answered first.
-		if r.closing.Load() && (!ok || len(c.started) == 0) {
-			ctx.Response.SetConnectionClose()
-		}
-	}()
-	if !ok {
+	if !r.cfg.Guard.Do("connection", func() { r.turn(ctx, c, ok) }) {
+		ctx.Response.Reset()
+		ctx.Response.SetStatusCode(fasthttp.StatusBadGateway)
+		ctx.Response.SetConnectionClose()
+	}
+	// What was started already is answered before the connection closes.
+	if r.closing.Load() && (!ok || len(c.started) == 0) {
+		ctx.Response.SetConnectionClose()
+	}
+}
+
+// turn answers the request whose turn it is on a connection. Ours tells that the
+// connection is a conn.
+func (r *Relayer) turn(ctx *fasthttp.RequestCtx, c *conn, ours bool) {
+	if !ours {
 		r.serve(ctx, false)
 		return
 	}
