--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -81,17 +81,17 @@
 		r.serve(ctx, false)
 		return
 	}
-	there := c.begin()
-	switch {
-	case !there:
+	if !c.begin() {
 		ctx.Response.SetStatusCode(fasthttp.StatusBadGateway)
 		ctx.Response.SetConnectionClose()
-	case len(c.started) > 0:
-		r.finishStarted(ctx, c)
-	default:
-		r.startBehind(ctx)
-		r.serve(ctx, false)
+		return
+	}
+	if s := c.next(&ctx.Request.Header); s != nil {
+		r.finishStarted(ctx, c, s)
+		return
 	}
+	r.startBehind(ctx)
+	r.serve(ctx, false)
 }
 
 // serve answers a request. Early tells that its turn has not come.
--- a/hornbeamd/relayer/conn.go
+++ b/hornbeamd/relayer/conn.go
@@ -1,7 +1,6 @@
 package relayer
 
 import (
-	"bytes"
 	"io"
 	"net"
 	"sync"
@@ -51,8 +50,10 @@
 	ahead   []byte
 	begun   int
 	pending atomic.Int64
-	// headRead tells that the head of the next request has been handed out.
-	headRead bool
+	// headRead tells that the head of the next request has been handed out. Loose
+	// tells that it is not known where heads begin.
+	headRead, loose bool
+	scanner         scanner
 	// started has the requests behind the one in hand that are relayed already, in
 	// their order.
 	started []*started
@@ -112,9 +113,6 @@
 	return c.TCPConn.SetReadDeadline(t)
 }
 
-// headEnd ends the head of a request.
-var headEnd = []byte("\r\n\r\n")
-
 // Read implements net.Conn. It hands out one head at a time, as far as heads can be
 // told apart, so that requests behind it can be started before their turn.
 func (c *conn) Read(p []byte) (n int, err error) {
@@ -133,17 +131,17 @@
 	return n, err
 }
 
-// first returns the length of the part that is handed out.
+// first returns the length of the part that is handed out. Heads may arrive in
+// pieces that end anywhere. What follows a head before its request is handled is
+// a body; where the next head begins is not known from then on.
 func (c *conn) first(p []byte) int {
 	if c.headRead {
+		c.loose = true
 		return len(p)
 	}
-	i := bytes.Index(p, headEnd)
-	if i < 0 {
-		return len(p)
-	}
-	c.headRead = true
-	return i + len(headEnd)
+	n, whole := c.scanner.scan(p)
+	c.headRead = whole
+	return n
 }
 
 // keep adds bytes that were read ahead.
--- a/hornbeamd/relayer/pipeline.go
+++ b/hornbeamd/relayer/pipeline.go
@@ -16,6 +16,27 @@
 // turn.
 const maxStarted = 8
 
+// scanner finds the ends of heads, which may come in pieces. A head ends with an
+// empty line; lines end with a line feed, as the codec reads them.
+type scanner struct{ empty bool }
+
+// scan returns the length of p up to the end of the head, or of all of it if the
+// head goes on.
+func (s *scanner) scan(p []byte) (n int, whole bool) {
+	for i, b := range p {
+		switch {
+		case b == '\n' && s.empty:
+			s.empty = false
+			return i + 1, true
+		case b == '\n':
+			s.empty = true
+		case b != '\r':
+			s.empty = false
+		}
+	}
+	return len(p), false
+}
+
 // started is a request that is relayed before its turn.
 type started struct {
 	ctx  *fasthttp.RequestCtx
@@ -29,13 +50,13 @@
 	if !ok || ctx.Request.ConnectionClose() {
 		return
 	}
-	for len(c.started) < maxStarted && !r.closing.Load() {
+	for len(c.started) < maxStarted && !c.loose && !r.closing.Load() {
 		rest := c.ahead[c.begun:]
-		end := bytes.Index(rest, headEnd)
-		if end < 0 {
+		n, whole := (&scanner{}).scan(rest)
+		if !whole {
 			return
 		}
-		head := rest[:end+len(headEnd)]
+		head := rest[:n]
 		s := r.parse(c, head)
 		if s == nil {
 			return
@@ -84,11 +105,32 @@
 	return s
 }
 
-// finishStarted answers with what was started before. Meanwhile it looks whether
-// the caller is still there, and for further requests.
-func (r *Relayer) finishStarted(ctx *fasthttp.RequestCtx, c *conn) {
+// next returns the started request that a request is, or nil. Started requests
+// that do not match are of no use: the codec has read heads otherwise.
+func (c *conn) next(h *fasthttp.RequestHeader) *started {
+	if len(c.started) == 0 {
+		return nil
+	}
 	s := c.started[0]
+	if !s.is(h) {
+		c.loose, c.started = true, nil
+		return nil
+	}
 	c.started = c.started[1:]
+	return s
+}
+
+// is tells whether a request is the started one, byte by byte.
+func (s *started) is(h *fasthttp.RequestHeader) bool {
+	own := &s.ctx.Request.Header
+	return bytes.Equal(own.Method(), h.Method()) &&
+		bytes.Equal(own.RequestURI(), h.RequestURI()) &&
+		bytes.Equal(own.RawHeaders(), h.RawHeaders())
+}
+
+// finishStarted answers with what was started before. Meanwhile it looks whether
+// the caller is still there, and for further requests.
+func (r *Relayer) finishStarted(ctx *fasthttp.RequestCtx, c *conn, s *started) {
 	look := time.NewTicker(checkTime)
 	defer look.Stop()
 	for {
--- a/hornbeamd/relayer/pipeline_test.go
+++ b/hornbeamd/relayer/pipeline_test.go
@@ -165,3 +165,54 @@
 	is.Equal(<-ended, io.EOF)
 	is.Equal(<-ended, io.EOF)
 }
+
+// TestPipelinedInPieces sends requests in pieces that do not end where the heads
+// do, and one behind them while the first is in hand. Each gets its own answer.
+func TestPipelinedInPieces(t *testing.T) {
+	get := func(path, id string) string {
+		return "GET " + path + " HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n"
+	}
+	first, second, third := get("/safe/first", "q0"), get("/safe/x", "q1"), get("/safe/y", "q2")
+	post := "POST /once/first HTTP/1.1\r\nHost: h\r\nId: q0\r\nContent-Length: 4\r\n\r\nbody"
+	pieces := map[string][]string{
+		"after a body":       {post + second, third},
+		"body in two pieces": {post[:len(post)-2], post[len(post)-2:] + second, third},
+	}
+	// Heads whose lines end in a line feed alone are read as well.
+	bare := func(text string) string { return strings.ReplaceAll(text, "\r", "") }
+	pieces["bare line feeds"] = []string{bare(first) + bare(second), third}
+	pieces["one bare head"] = []string{bare(first) + second, third}
+	pieces["bare head behind"] = []string{first + bare(second) + third}
+	for cut := 1; cut <= 4; cut++ {
+		pieces[fmt.Sprint("cut ", cut)] = []string{first[:len(first)-cut], first[len(first)-cut:] + second, third}
+	}
+	for i := 1; i < len(second); i += 7 {
+		pieces[fmt.Sprint("second cut at ", i)] = []string{first + second[:i], second[i:] + third[:i], third[i:]}
+	}
+	for name, parts := range pieces {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			release := make(chan struct{})
+			g := startRig(t, startStub(t, "u1", func(s *upstreamStub, c net.Conn, r *http.Request, body string) {
+				if strings.HasSuffix(r.URL.Path, "/first") {
+					<-release
+				}
+				good(s, c, r, body)
+			}))
+			p := g.pipe(t)
+			for _, part := range parts {
+				_, err := io.WriteString(p, part)
+				is.NoErr(err)
+				time.Sleep(2 * checkTime)
+			}
+			close(release)
+			for i := range 3 {
+				status, id, _ := p.answer(t)
+				is.Equal(status, 200)
+				is.Equal(id, fmt.Sprint("q", i))
+			}
+			is.Equal(g.runs(), 3)
+		})
+	}
+}
