dispatcher, relayer: upstreams that leave or ask for a pause are heard

Cause: a word of leaving in an answer and the Retry-After of a 503 were not read. An upstream that left without saying so to the store got requests until its registration ended, and one that asked for a pause got all that its load let through.

Change: a word of leaving closes the incarnation before the answer is passed on. A pause is kept by incarnation and instance, beyond an absence of the registration; a refusal names the end of the first pause if all pause. Both are looked at once more right before a request is written. What stands in a trailer, an interim answer, an answer to another request or one of another incarnation says nothing.

--- a/core/dispatcher/choose.go
+++ b/core/dispatcher/choose.go
@@ -18,6 +18,8 @@
 	Overload Reason = "overload"
 	// Budget means that the service's retry budget is used up.
 	Budget Reason = "retry budget"
+	// Paused means that all upstreams of the service have asked for a pause.
+	Paused Reason = "upstreams pause"
 )
 
 const (
@@ -159,7 +161,7 @@
 	var buf [maxPreferred]candidate
 	preferred := r.preferred(buf[:0])
 	if len(preferred) == 0 {
-		return Decision{Reason: NoUpstream, Return: maxReturn / 4}
+		return r.nobody()
 	}
 	if u := preferred[0].u; u.path.cut(r.Now) && u.path.probe(r.Now) {
 		r.probed = u
@@ -179,6 +181,17 @@
 	return r.enter(f)
 }
 
+// nobody is the decision if no upstream may take the request.
+func (r *Request) nobody() Decision {
+	until, ok := r.firstReturn()
+	if !ok {
+		return Decision{Reason: NoUpstream, Return: maxReturn / 4}
+	}
+	// Callers that are told the same time must not return together.
+	spread := time.Duration(float64(maxReturn/4) * spillPoint(r.Key^uint64(r.Now)))
+	return Decision{Reason: Paused, Return: time.Duration(until-r.Now) + spread}
+}
+
 // home is the region where the request should run: that of its key's owner if it
 // has one, the own region otherwise.
 func (r *Request) home(preferred []candidate) string {
@@ -244,7 +257,7 @@
 
 // usable tells whether the upstream may take the request.
 func (r *Request) usable(u *Upstream) bool {
-	return !u.Closed() && r.allowed(u) && !slices.Contains(r.Tried, u)
+	return !u.Closed() && !u.Paused(r.Now) && r.allowed(u) && !slices.Contains(r.Tried, u)
 }
 
 // candidate returns an upstream with its rank, which orders upstreams for a key
--- a/core/dispatcher/learn.go
+++ b/core/dispatcher/learn.go
@@ -30,6 +30,9 @@
 	// DialTimeout means that no connection could be opened in time: the upstream or
 	// the way to it is gone.
 	DialTimeout
+	// Deferred means that the upstream refused the request without running it and
+	// asked for a pause.
+	Deferred
 )
 
 // Done ends the exchange that a decision began. Took is its duration.
@@ -37,7 +40,7 @@
 	u := d.Upstream
 	u.inflight.Add(-1)
 	switch res {
-	case Answered, Failed, Shed, Unreachable:
+	case Answered, Failed, Shed, Unreachable, Deferred:
 		u.path.answer(now)
 	case DialTimeout:
 		u.path.timeout(now)
@@ -58,6 +61,8 @@
 	case Unreachable, DialTimeout:
 		u.unreachable(now)
 		u.learn(now, 0, true)
+	case Deferred:
+		// It has said itself until when it wants nothing.
 	case Abandoned:
 	}
 }
--- a/core/dispatcher/table.go
+++ b/core/dispatcher/table.go
@@ -9,6 +9,7 @@
 package dispatcher
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -73,6 +74,13 @@
 	counters  map[string]*counter
 	usages    map[string]*average
 	paths     map[string]*path
+	standings map[identity]*standing
+}
+
+// identity names an incarnation whatever its registration says else.
+type identity struct {
+	id   string
+	born int64
 }
 
 type incarnation struct {
@@ -115,6 +123,7 @@
 	b.counters = map[string]*counter{}
 	b.usages = map[string]*average{}
 	b.paths = map[string]*path{}
+	b.standings = map[identity]*standing{}
 }
 
 // budgetMargin is the part of the bounds on retries that is used. The rest is
@@ -139,7 +148,7 @@
 }
 
 // kept returns the entry of a map, which it makes at first use.
-func kept[T any](m map[string]*T, key string) *T {
+func kept[K comparable, T any](m map[K]*T, key K) *T {
 	if m[key] == nil {
 		m[key] = new(T)
 	}
@@ -161,8 +170,10 @@
 		if live == nil {
 			region := b.Regions[u.Domain]
 			live = newUpstream(u, region, b.Self, kept(b.usages, u.Service+" "+region), kept(b.paths, u.Domain))
+			live.standing = kept(b.standings, identity{u.ID, u.Born})
 			b.upstreams[key] = live
 		}
+		live.standing.absentSince = 0
 		live.update(u, b.coldRate(r, u, p), b.connShare(&t.View, p), now)
 		p.Upstreams = append(p.Upstreams, live)
 		p.all += live.Slots
@@ -173,9 +184,11 @@
 	for key, u := range b.upstreams {
 		if !present[key] {
 			u.closed.Store(true)
+			u.standing.absentSince = now
 			delete(b.upstreams, key)
 		}
 	}
+	maps.DeleteFunc(b.standings, func(_ identity, s *standing) bool { return s.idle(now) })
 	for _, p := range t.pools {
 		p.dropDoubtful()
 		p.regions = len(regions(b.Regions))
--- a/core/dispatcher/upstream.go
+++ b/core/dispatcher/upstream.go
@@ -40,7 +40,10 @@
 	Trip time.Duration
 	seed uint64
 
-	closed   atomic.Bool
+	closed atomic.Bool
+	// leaving tells that the upstream has said that it leaves.
+	leaving  atomic.Bool
+	standing *standing
 	doubtful atomic.Bool
 	inflight atomic.Int64
 	// conns is this instance's share of the upstream's connections.
@@ -73,7 +76,7 @@
 }
 
 func newUpstream(u steerer.Upstream, region string, self steerer.Instance, usage *average, way *path) *Upstream {
-	live := &Upstream{Upstream: u, Region: region, Trip: remoteTrip, usage: usage, path: way, slow: 1, seed: xxhash.Sum64String(u.ID)}
+	live := &Upstream{Upstream: u, Region: region, Trip: remoteTrip, usage: usage, path: way, standing: &standing{}, slow: 1, seed: xxhash.Sum64String(u.ID)}
 	switch {
 	case u.Domain == self.Domain:
 		live.Trip = domainTrip
@@ -110,7 +113,7 @@
 }
 
 // Closed tells that the upstream takes no new requests.
-func (u *Upstream) Closed() bool { return u.closed.Load() }
+func (u *Upstream) Closed() bool { return u.closed.Load() || u.leaving.Load() }
 
 // Conns is the number of connections that this instance may have open.
 func (u *Upstream) Conns() int { return int(u.conns.Load()) }
@@ -126,7 +129,7 @@
 // admit reports whether one more request may be sent; a cold upstream takes
 // few, at even intervals.
 func (u *Upstream) admit(now int64) bool {
-	if u.closed.Load() {
+	if u.Closed() || u.Paused(now) {
 		return false
 	}
 	if !u.cold(now) {
--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -322,12 +322,13 @@
 	dispatcher.Late:        "late",
 	dispatcher.Silent:      "silent",
 	dispatcher.DialTimeout: "dial timeout",
+	dispatcher.Deferred:    "deferred",
 }
 
 // result judges an exchange.
 func (x *exchange) result(err error) dispatcher.Result {
 	switch {
-	case errors.Is(err, errGone), errors.Is(err, pooler.ErrConns), errors.Is(err, pooler.ErrClosed):
+	case errors.Is(err, errGone), errors.Is(err, errWithdrawn), errors.Is(err, pooler.ErrConns), errors.Is(err, pooler.ErrClosed):
 		return dispatcher.Abandoned
 	case errors.Is(err, errSilent):
 		return dispatcher.Silent
@@ -341,6 +342,8 @@
 		return dispatcher.Failed
 	case x.answer.StatusCode() == fasthttp.StatusMisdirectedRequest:
 		return dispatcher.Unreachable
+	case x.verdict.NotRun && x.verdict.Pause > 0:
+		return dispatcher.Deferred
 	case x.verdict.NotRun:
 		return dispatcher.Shed
 	case x.answer.StatusCode() >= 500:
--- a/hornbeamd/relayer/exchange.go
+++ b/hornbeamd/relayer/exchange.go
@@ -42,6 +42,8 @@
 	errStalled = errors.New("the answer has begun and did not end in time")
 	errStray   = errors.New("the answer belongs to another request")
 	errSpoilt  = errors.New("the answer is not signed")
+	// errWithdrawn means that the upstream wants no more requests.
+	errWithdrawn = errors.New("the upstream has left or pauses since it was chosen")
 )
 
 // exchange is one request and its answer on one connection.
@@ -122,6 +124,10 @@
 	if left < leastLeft {
 		return errLate
 	}
+	// The request may have waited for a connection.
+	if x.target.Closed() || x.target.Paused(now) {
+		return errWithdrawn
+	}
 	wire := x.call.wire(x.target.ID, left)
 	if err := x.conn.SetWriteDeadline(time.Now().Add(left)); err != nil {
 		return err
@@ -187,12 +193,14 @@
 		if err != nil {
 			return err
 		}
-		x.verdict = x.relayer.cfg.Dialect.Judge(&x.answer.Header)
 		if id := x.verdict.ID; len(id) > 0 && !bytes.Equal(id, x.call.id) {
 			x.body.drop()
 			continue
 		}
-		return x.check()
+		if err = x.check(); err == nil {
+			x.obey()
+		}
+		return err
 	}
 	return errStray
 }
@@ -206,6 +214,8 @@
 	if err := x.answer.ReadLimitBody(x.conn.Reader, 0); err != nil {
 		return err
 	}
+	// Before the body, whose trailer would join the head.
+	x.verdict = x.relayer.cfg.Dialect.Judge(&x.answer.Header)
 	if !x.answer.IsBodyStream() {
 		return nil
 	}
@@ -227,6 +237,28 @@
 	})
 }
 
+// obey takes note of what the upstream asks for, before its answer is passed on.
+// What another incarnation at the address says is not its own.
+func (x *exchange) obey() {
+	cfg, status, service := &x.relayer.cfg, x.answer.StatusCode(), x.call.pool.Name
+	if status == fasthttp.StatusMisdirectedRequest {
+		return
+	}
+	if x.verdict.Leaving && x.target.Leave() {
+		cfg.Metrics.Asked(service, "left")
+		if cfg.Departed != nil {
+			cfg.Departed(x.target)
+		}
+	}
+	if x.verdict.Pause > 0 {
+		now := cfg.Now()
+		until := x.target.Pause(x.verdict.Pause, now)
+		cfg.Metrics.Asked(service, "pause")
+		cfg.Log.Info("paused by upstream", "upstream", x.target.ID, "id", string(x.call.id), "status", status,
+			"asked", x.verdict.Pause.Milliseconds(), "left", (until-now)/int64(time.Millisecond))
+	}
+}
+
 // check refuses answers that no upstream can have given to this request.
 func (x *exchange) check() error {
 	status := x.answer.StatusCode()
--- a/hornbeamd/relayer/kit_test.go
+++ b/hornbeamd/relayer/kit_test.go
@@ -39,7 +39,14 @@
 }
 
 func (plain) Judge(h *fasthttp.ResponseHeader) Verdict {
-	return Verdict{ID: h.Peek("Id"), NotRun: len(h.Peek("Notrun")) > 0, Signed: len(h.Peek("Sign")) > 0}
+	pause, err := strconv.Atoi(string(h.Peek("Pause")))
+	if err != nil {
+		pause = 0
+	}
+	return Verdict{
+		ID: h.Peek("Id"), NotRun: len(h.Peek("Notrun")) > 0, Signed: len(h.Peek("Sign")) > 0,
+		Leaving: len(h.Peek("Leaving")) > 0, Pause: time.Duration(pause) * time.Millisecond,
+	}
 }
 
 func (plain) Unsign(h *fasthttp.ResponseHeader) { h.Del("Sign") }
@@ -50,6 +57,7 @@
 func (noMetrics) Answered(string, string, time.Duration) {}
 func (noMetrics) Tried(string, string)                   {}
 func (noMetrics) Dialed(string)                          {}
+func (noMetrics) Asked(string, string)                   {}
 
 // upstreamStub is an upstream whose handler writes raw bytes, so that it can
 // break any rule of the protocol. It counts the requests that it has run.
--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -41,6 +41,10 @@
 	Load     dispatcher.Load
 	// ColdLeft is how long the upstream stays cold.
 	ColdLeft time.Duration
+	// Leaving tells that the upstream leaves. Pause is how long it wants no request
+	// of this instance; 0 if it does not say.
+	Leaving bool
+	Pause   time.Duration
 }
 
 // Dialect reads and writes the header fields of callers and upstreams.
@@ -65,6 +69,8 @@
 	Tried(service, result string)
 	// Dialed counts a new connection to an upstream.
 	Dialed(service string)
+	// Asked counts what an upstream has asked for: a pause or to be left.
+	Asked(service, what string)
 }
 
 // Config has the parts that a Relayer needs.
@@ -78,6 +84,9 @@
 	// Alive is when the table was last known to be looked after; nil if nobody
 	// tells. After a pause of the process it is old.
 	Alive *atomic.Int64
+	// Departed is told once of an upstream that has said that it leaves; nil if
+	// nobody wants to know.
+	Departed func(u *dispatcher.Upstream)
 	// Guard takes panics.
 	Guard guarder.Guard
 	// Memory bounds the bytes of answers that are held at the same time, beside a
--- a/hornbeamd/runner/metrics.go
+++ b/hornbeamd/runner/metrics.go
@@ -19,6 +19,7 @@
 	latency  *prometheus.HistogramVec
 	tried    *prometheus.CounterVec
 	dialed   *prometheus.CounterVec
+	asked    *prometheus.CounterVec
 	changes  *prometheus.CounterVec
 	calls    *prometheus.CounterVec
 	panics   *prometheus.CounterVec
@@ -51,6 +52,9 @@
 		dialed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "horn_dials_total", Help: "Connections opened to upstreams.",
 		}, []string{"service"}),
+		asked: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "horn_upstream_requests_total", Help: "What upstreams have asked for: a pause, or to be left.",
+		}, []string{"service", "what"}),
 		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "horn_changes_total", Help: "Changes of what the instance believes.",
 		}, []string{"what"}),
@@ -62,7 +66,7 @@
 		}, []string{"what"}),
 		routes: map[string]bool{},
 	}
-	registry.MustRegister(m.answered, m.latency, m.tried, m.dialed, m.changes, m.calls, m.panics)
+	registry.MustRegister(m.answered, m.latency, m.tried, m.dialed, m.asked, m.changes, m.calls, m.panics)
 	if dropped != nil {
 		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "horn_log_lines_dropped_total", Help: "Log lines dropped because of the bound on their rate.",
@@ -121,6 +125,9 @@
 // Dialed implements relayer.Metrics.
 func (m *metrics) Dialed(service string) { m.dialed.WithLabelValues(service).Inc() }
 
+// Asked implements relayer.Metrics.
+func (m *metrics) Asked(service, what string) { m.asked.WithLabelValues(service, what).Inc() }
+
 // countedStore counts the calls to a store.
 type countedStore struct {
 	Store
