--- a/core/connector/calls.go
+++ b/core/connector/calls.go
@@ -102,7 +102,7 @@
 	var written struct {
 		Version uint64 `json:"version"`
 	}
-	if err := json.Unmarshal(a.body, &written); err != nil || written.Version == 0 {
+	if err := json.Unmarshal(a.Body, &written); err != nil || written.Version == 0 {
 		return 0, fmt.Errorf("%w: the answer has no version", submitter.ErrUnknown)
 	}
 	return written.Version, nil
@@ -145,7 +145,7 @@
 func (c *Client) Remove(ctx context.Context, name string) (err error) {
 	defer annotate(&err, "remove %s", name)
 	a, err := c.write(ctx, Remove, fasthttp.MethodDelete, "/v1/instances/"+url.PathEscape(name), nil)
-	if a.status == fasthttp.StatusNotFound {
+	if a.Status == fasthttp.StatusNotFound {
 		return nil
 	}
 	return err
--- a/core/connector/connector.go
+++ b/core/connector/connector.go
@@ -38,6 +38,9 @@
 // Client is a connection to the platform. It implements submitter.Store. It
 // never repeats a call by itself.
 type Client struct {
+	// Field names a header field of answers that Call returns; empty for none.
+	Field string
+
 	base   string
 	host   *fasthttp.HostClient
 	counts [kinds]atomic.Uint64
@@ -92,22 +95,17 @@
 	return conn, nil
 }
 
-// Call sends one request to the platform and returns the status and the body of
-// its answer. Sent tells whether a failed call may have reached the platform.
-func (c *Client) Call(ctx context.Context, kind Kind, method, path string, body []byte) (status int, answer []byte, sent bool, err error) {
-	a, err := c.call(ctx, kind, method, path, body)
-	if err == nil {
-		return a.status, a.body, true, nil
-	}
-	failed := (*failure)(nil)
-	sent = errors.As(err, &failed) && failed.sent
-	return 0, nil, sent, err
+// Call sends one request to the platform and returns its answer.
+func (c *Client) Call(ctx context.Context, kind Kind, method, path string, body []byte) (Answer, error) {
+	return c.call(ctx, kind, method, path, body)
 }
 
-// answer is what came back for a call.
-type answer struct {
-	status int
-	body   []byte
+// Answer is what came back for a call.
+type Answer struct {
+	Status int
+	Body   []byte
+	// Field is the value of the header field that the client names.
+	Field string
 }
 
 // failure is the error of a call without an answer.
@@ -130,7 +128,7 @@
 func (f *failure) Unwrap() error { return f.cause }
 
 // call sends one request. Its error is a *failure.
-func (c *Client) call(ctx context.Context, kind Kind, method, path string, body []byte) (a answer, err error) {
+func (c *Client) call(ctx context.Context, kind Kind, method, path string, body []byte) (a Answer, err error) {
 	c.counts[kind].Add(1)
 	if err := ctx.Err(); err != nil {
 		return a, &failure{cause: err}
@@ -140,7 +138,7 @@
 		deadline = time.Now().Add(defaultTimeout)
 	}
 	type result struct {
-		answer
+		Answer
 		err error
 	}
 	// The client has no cancellation, so the exchange ends in its own goroutine,
@@ -152,18 +150,18 @@
 	}()
 	select {
 	case r := <-done:
-		return r.answer, r.err
+		return r.Answer, r.err
 	case <-ctx.Done():
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			// The exchange has the same deadline and knows whether it sent anything.
 			r := <-done
-			return r.answer, r.err
+			return r.Answer, r.err
 		}
 		return a, &failure{sent: true, cause: ctx.Err()}
 	}
 }
 
-func (c *Client) exchange(method, path string, body []byte, deadline time.Time) (a answer, err error) {
+func (c *Client) exchange(method, path string, body []byte, deadline time.Time) (a Answer, err error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -176,7 +174,11 @@
 	if err := c.host.DoDeadline(request, response, deadline); err != nil {
 		return a, c.failed(err)
 	}
-	return answer{response.StatusCode(), bytes.Clone(response.Body())}, nil
+	a = Answer{Status: response.StatusCode(), Body: bytes.Clone(response.Body())}
+	if c.Field != "" {
+		a.Field = string(response.Header.Peek(c.Field))
+	}
+	return a, nil
 }
 
 // failed also drops the idle connections, because a path that went silent keeps
@@ -194,12 +196,12 @@
 	switch {
 	case err != nil:
 		return fmt.Errorf("%w: %w", submitter.ErrUnavailable, err)
-	case a.status == fasthttp.StatusNotFound:
+	case a.Status == fasthttp.StatusNotFound:
 		return submitter.ErrAbsent
-	case a.status != fasthttp.StatusOK:
-		return fmt.Errorf("%w: status %d", submitter.ErrUnavailable, a.status)
+	case a.Status != fasthttp.StatusOK:
+		return fmt.Errorf("%w: status %d", submitter.ErrUnavailable, a.Status)
 	}
-	if err := json.Unmarshal(a.body, into); err != nil {
+	if err := json.Unmarshal(a.Body, into); err != nil {
 		return fmt.Errorf("%w: %v", submitter.ErrUnavailable, err)
 	}
 	return nil
@@ -207,7 +209,7 @@
 
 // write performs a call that changes something. A server error may have come
 // after the change.
-func (c *Client) write(ctx context.Context, kind Kind, method, path string, body []byte) (a answer, err error) {
+func (c *Client) write(ctx context.Context, kind Kind, method, path string, body []byte) (a Answer, err error) {
 	a, err = c.call(ctx, kind, method, path, body)
 	failed := (*failure)(nil)
 	switch {
@@ -215,14 +217,14 @@
 		return a, fmt.Errorf("%w: %w", submitter.ErrUnknown, err)
 	case err != nil:
 		return a, fmt.Errorf("%w: %w", submitter.ErrUnavailable, err)
-	case a.status == fasthttp.StatusConflict:
-		return a, conflict(a.body)
-	case a.status == fasthttp.StatusNotFound:
+	case a.Status == fasthttp.StatusConflict:
+		return a, conflict(a.Body)
+	case a.Status == fasthttp.StatusNotFound:
 		return a, submitter.ErrAbsent
-	case a.status >= 500:
-		return a, fmt.Errorf("%w: status %d", submitter.ErrUnknown, a.status)
-	case a.status >= 300:
-		return a, fmt.Errorf("%w: status %d", submitter.ErrUnavailable, a.status)
+	case a.Status >= 500:
+		return a, fmt.Errorf("%w: status %d", submitter.ErrUnknown, a.Status)
+	case a.Status >= 300:
+		return a, fmt.Errorf("%w: status %d", submitter.ErrUnavailable, a.Status)
 	}
 	return a, nil
 }
--- a/core/steerer/clone.go
+++ b/core/steerer/clone.go
@@ -30,7 +30,8 @@
 		x.history = slices.Clone(x.history)
 	}
 	c.lost = maps.Clone(s.lost)
-	c.returned = maps.Clone(s.returned)
+	c.answered = maps.Clone(s.answered)
+	c.departures = maps.Clone(s.departures)
 	return &c
 }
 
--- a/core/steerer/events.go
+++ b/core/steerer/events.go
@@ -20,8 +20,9 @@
 	Now     int64
 	Kind    Kind
 	Objects []Object
-	// Revision is the store's revision of the list. Stale tells that the list may
-	// be older than the store's answer.
+	// Era and Revision are those of the store for the list. An Era of 0 is not
+	// known. Stale tells that the list may be older than the store's answer.
+	Era      uint64
 	Revision uint64
 	Stale    bool
 }
@@ -31,7 +32,9 @@
 	Now     int64
 	Kind    Kind
 	Objects []Object
-	// Revision is the store's revision up to which the changes are complete.
+	// Era and Revision are those of the store up to which the changes are
+	// complete.
+	Era      uint64
 	Revision uint64
 }
 
@@ -43,6 +46,7 @@
 	Kind     Kind
 	From     string
 	Objects  []Object
+	Era      uint64
 	Revision uint64
 	Whole    bool
 	// Returned is when the store answered that instance again after it was away,
@@ -56,6 +60,7 @@
 	Now   int64
 	Call  uint64
 	Kind  Kind
+	Era   uint64
 	After uint64
 }
 
@@ -85,6 +90,12 @@
 	Regions map[string]string
 }
 
+// Departed tells that an upstream has said that it leaves.
+type Departed struct {
+	Now         int64
+	Incarnation Incarnation
+}
+
 // Woken tells that the process was paused and runs again.
 type Woken struct{ Now int64 }
 
@@ -99,6 +110,7 @@
 func (Heard) steererEvent()    {}
 func (Tick) steererEvent()     {}
 func (Adjusted) steererEvent() {}
+func (Departed) steererEvent() {}
 func (Woken) steererEvent()    {}
 func (Left) steererEvent()     {}
 
@@ -119,6 +131,7 @@
 type Read struct {
 	Kind     Kind
 	On       bool
+	Era      uint64
 	Revision uint64
 	Wait     time.Duration
 	// Once ends the reading after a list: others have the changes.
@@ -134,6 +147,7 @@
 type Fetch struct {
 	Kind  Kind
 	From  Instance
+	Era   uint64
 	After uint64
 }
 
@@ -141,12 +155,16 @@
 type Reply struct {
 	Call     uint64
 	Objects  []Object
+	Era      uint64
 	Revision uint64
 	Whole    bool
 	// Returned is the time since the store's return, 0 if that was long ago.
 	Returned time.Duration
 }
 
+// Register writes this instance's registration again.
+type Register struct{}
+
 // Note is a change of what the instance believes, for log and timeline.
 type Note struct {
 	// What names the change in one word, such as configured or drained.
@@ -158,12 +176,13 @@
 	Cause string
 }
 
-func (Publish) steererEffect() {}
-func (Send) steererEffect()    {}
-func (Read) steererEffect()    {}
-func (Fetch) steererEffect()   {}
-func (Reply) steererEffect()   {}
-func (Note) steererEffect()    {}
+func (Publish) steererEffect()  {}
+func (Send) steererEffect()     {}
+func (Read) steererEffect()     {}
+func (Fetch) steererEffect()    {}
+func (Reply) steererEffect()    {}
+func (Register) steererEffect() {}
+func (Note) steererEffect()     {}
 
 // View is what traffic needs to know. It is not changed once published.
 type View struct {
--- /dev/null
+++ b/core/steerer/mark.go
@@ -0,0 +1,24 @@
+package steerer
+
+// Mark is a point in the life of the store. A store that comes back from a copy
+// gives revisions out again, in a new era.
+type Mark struct {
+	Era, Revision uint64
+}
+
+// Before tells whether the mark is older than another one.
+func (m Mark) Before(other Mark) bool {
+	if m.Era != other.Era {
+		return m.Era < other.Era
+	}
+	return m.Revision < other.Revision
+}
+
+// mark is the point that somebody names. Who names no era means the one that is
+// known here.
+func (c *source) mark(era, revision uint64) Mark {
+	if era == 0 {
+		era = c.at.Era
+	}
+	return Mark{era, revision}
+}
--- a/core/steerer/objects.go
+++ b/core/steerer/objects.go
@@ -22,19 +22,27 @@
 	ready bool
 	// silence is how long it is used without a beacon.
 	silence time.Duration
+	// heldUntil is how long the instance counts although the store does not have
+	// it; 0 if it has it.
+	heldUntil int64
 	// proofs has what the instance has read from the store itself.
 	proofs map[Kind]proof
 }
 
-// list takes over all objects of a kind.
-func (s *State) list(now int64, k Kind, all []Object) []Effect {
+// list takes over all objects of a kind as of some point.
+func (s *State) list(now int64, k Kind, all []Object, at Mark) (out []Effect) {
 	present := map[string]bool{}
 	for _, o := range all {
 		present[o.Name] = true
 	}
-	out := s.apply(now, k, all)
+	if s.returned(k, at) {
+		out = append(s.turn(now, k, at), s.carry(now, k, present)...)
+		// From here on what is known belongs to the new era.
+		s.sources[k].at = at
+	}
+	out = append(out, s.apply(now, k, all)...)
 	for _, name := range s.names(k) {
-		if !present[name] {
+		if !present[name] && !s.held(name, k) {
 			out = append(out, s.change(now, k, Object{Name: name, Deleted: true})...)
 		}
 	}
@@ -64,19 +72,19 @@
 func (s *State) change(now int64, k Kind, o Object) []Effect {
 	switch k {
 	case Configs:
-		return s.configure(o)
+		return s.configure(now, o)
 	case Upstreams:
 		return s.register(now, o)
 	case Evacuations:
 		return s.evacuate(now, o)
 	case Instances:
-		return s.meet(o)
+		return s.meet(now, o)
 	}
 	return nil
 }
 
 // configure takes a configuration over if it is newer than the one in force.
-func (s *State) configure(o Object) []Effect {
+func (s *State) configure(now int64, o Object) []Effect {
 	c := o.Config
 	switch {
 	case o.Deleted || c == nil:
@@ -86,7 +94,7 @@
 	case s.config != nil && c.Version == s.config.Version:
 		return nil
 	}
-	s.config, s.configName, s.dirty = c, o.Name, true
+	s.config, s.configName, s.configuredAt, s.dirty = c, o.Name, now, true
 	return []Effect{Note{What: "configured", Subject: o.Name, Version: c.Version}}
 }
 
@@ -96,8 +104,17 @@
 		return s.expire(now, o.Name, old)
 	}
 	u := &upstream{Upstream: *o.Upstream}
-	if old != nil && u.older(old) {
+	switch {
+	case s.departed(&u.Upstream):
+		return []Effect{Note{What: "rejected", Subject: o.Name, Cause: "the registration of an incarnation that has left"}}
+	case old != nil && u.older(old):
 		return []Effect{Note{What: "rejected", Subject: o.Name, Cause: "an older registration than the known one"}}
+	case old != nil && u.same(old):
+		// What it says of the time that is left was true when it was written.
+		u.ColdUntil = old.ColdUntil
+	}
+	if d, ok := s.departures[o.Name]; ok && (!d.said || u.Born > d.born) {
+		delete(s.departures, o.Name)
 	}
 	s.upstreams[o.Name], s.dirty = u, true
 	switch {
@@ -121,24 +138,35 @@
 	return u.Sequence < other.Sequence
 }
 
+// same tells whether it is the registration that is known already.
+func (u *upstream) same(other *upstream) bool {
+	return u.Born == other.Born && u.Sequence == other.Sequence && u.Sequence != 0
+}
+
 // expire removes a registration. One that has expired while the store was away
 // is kept for a short time, in which its upstream may register again.
 func (s *State) expire(now int64, name string, u *upstream) []Effect {
 	if u == nil || u.goneAt != 0 {
 		return nil
 	}
-	back, ok := s.returned[Upstreams]
+	back, ok := s.answered[Upstreams]
 	if ok && now-back < int64(returnTime) && !u.Draining {
 		u.goneAt, u.Doubtful, s.dirty = back+int64(returnTime), true, true
 		return []Effect{Note{What: "expired", Subject: name, Cause: "while the store was away"}}
 	}
+	s.forget(now, u)
 	delete(s.upstreams, name)
 	s.dirty = true
 	return []Effect{Note{What: "removed", Subject: name}}
 }
 
 func (s *State) evacuate(now int64, o Object) []Effect {
-	if o.Deleted == !s.evacuated[o.Name] {
+	_, known := s.evacuated[o.Name]
+	if !o.Deleted {
+		// It is in the store, even if it was held.
+		s.evacuated[o.Name] = 0
+	}
+	if o.Deleted == !known {
 		return nil
 	}
 	s.dirty = true
@@ -147,14 +175,14 @@
 		s.restored[o.Name] = now + int64(restoredTime)
 		return []Effect{Note{What: "restored", Subject: o.Name}}
 	}
-	s.evacuated[o.Name] = true
 	return []Effect{Note{What: "evacuated", Subject: o.Name}}
 }
 
 // meet takes note of another instance. An instance that is gone from the store
 // no longer shares the budgets.
-func (s *State) meet(o Object) []Effect {
+func (s *State) meet(now int64, o Object) []Effect {
 	if o.Name == s.Self.Name {
+		s.meetSelf(now, o)
 		return nil
 	}
 	old := s.peers[o.Name]
@@ -167,6 +195,11 @@
 		return []Effect{Note{What: "parted", Subject: o.Name}}
 	}
 	if old != nil && old.Instance == *o.Instance {
+		old.heldUntil = 0
+		return nil
+	}
+	if c := s.sources[Instances]; old != nil && old.near(now) && c.turnedAt != 0 && now-c.turnedAt < int64(rejoinTime) {
+		// The copy may have the address of an earlier process.
 		return nil
 	}
 	p := &peer{Instance: *o.Instance, silence: silentTime}
@@ -177,3 +210,13 @@
 	s.next = 0
 	return []Effect{Note{What: "met", Subject: o.Name}}
 }
+
+// meetSelf registers this instance again if the store has lost what it had of it.
+func (s *State) meetSelf(now int64, o Object) {
+	switch {
+	case !o.Deleted && o.Instance != nil && *o.Instance == s.Self:
+		s.seen = true
+	case s.seen, s.sources[Instances].turnedAt == now:
+		s.announce(now)
+	}
+}
--- a/core/steerer/property_test.go
+++ b/core/steerer/property_test.go
@@ -13,15 +13,20 @@
 )
 
 // world is a store and many instances on a fake clock. Messages and calls may be
-// lost; instances may be paused or cut off from the store.
+// lost; instances may be paused or cut off from the store. The store may come back
+// from a copy.
 type world struct {
 	now      int64
+	era      uint64
 	revision uint64
 	config   uint64
 	objects  map[string]*Upstream
 	history  []stored
 	members  []*member
 	queue    []pending
+	// registered has the instances that the store knows.
+	registered map[string]bool
+	copied     *world
 }
 
 // stored is a change in the store.
@@ -34,8 +39,12 @@
 type member struct {
 	state   *State
 	view    View
-	reading map[Kind]uint64
+	reading map[Kind]Mark
 	once    map[Kind]bool
+	// last has the latest registration of each upstream that the instance has
+	// used, out those that it has stopped to use.
+	last map[string]uint64
+	out  map[string]bool
 	// paused members do nothing; those that are cut get no answer of the store.
 	paused, cut bool
 	version     uint64
@@ -44,11 +53,15 @@
 const worldTick = 100 * time.Millisecond
 
 func newWorld(n int) *world {
-	w := &world{now: 1, revision: 10, objects: map[string]*Upstream{}, config: 1}
+	w := &world{now: 1, era: 1, revision: 10, objects: map[string]*Upstream{}, config: 1, registered: map[string]bool{}}
 	for i := range n {
 		name := fmt.Sprintf("i%02d", i)
 		domain := []string{"a-1", "a-2", "b-1"}[i%3]
-		w.members = append(w.members, &member{state: New(other(name, domain), false), reading: map[Kind]uint64{}, once: map[Kind]bool{}})
+		w.members = append(w.members, &member{
+			state: New(other(name, domain), false), reading: map[Kind]Mark{}, once: map[Kind]bool{},
+			last: map[string]uint64{}, out: map[string]bool{},
+		})
+		w.registered[name] = true
 	}
 	return w
 }
@@ -60,6 +73,7 @@
 	switch {
 	case k == Configs:
 		w.config = o.Config.Version
+	case k == Instances:
 	case o.Deleted:
 		delete(w.objects, o.Name)
 	default:
@@ -77,7 +91,9 @@
 		}
 	case Instances:
 		for _, m := range w.members {
-			all = append(all, Object{Name: m.state.Self.Name, Instance: &m.state.Self})
+			if w.registered[m.state.Self.Name] {
+				all = append(all, Object{Name: m.state.Self.Name, Instance: &m.state.Self})
+			}
 		}
 	}
 	return all
@@ -125,7 +141,7 @@
 			delete(m.reading, x.Kind)
 			return
 		}
-		m.reading[x.Kind], m.once[x.Kind] = x.Revision, x.Once
+		m.reading[x.Kind], m.once[x.Kind] = Mark{x.Era, x.Revision}, x.Once
 	case Send:
 		for _, to := range w.members {
 			if slices.Contains(x.To, to.state.Self.Beacon) && !to.paused && !lost() {
@@ -134,6 +150,9 @@
 		}
 	case Fetch:
 		w.fetch(m, x, lost)
+	case Register:
+		w.registered[m.state.Self.Name] = true
+		w.change(Instances, Object{Name: m.state.Self.Name, Instance: &m.state.Self})
 	}
 }
 
@@ -143,9 +162,9 @@
 	to := w.find(x.From.Name)
 	if to != nil && !to.paused && !lost() {
 		var effects []Effect
-		to.state, effects = Step(to.state, Asked{Now: w.now, Call: 1, Kind: x.Kind, After: x.After})
+		to.state, effects = Step(to.state, Asked{Now: w.now, Call: 1, Kind: x.Kind, Era: x.Era, After: x.After})
 		r := effects[0].(Reply)
-		e.Objects, e.Revision, e.Whole = r.Objects, r.Revision, r.Whole
+		e.Objects, e.Era, e.Revision, e.Whole = r.Objects, r.Era, r.Revision, r.Whole
 	}
 	if !lost() || e.Revision == 0 {
 		w.step(m, e, lost)
@@ -168,19 +187,23 @@
 	}
 }
 
-func (w *world) answer(m *member, k Kind, revision uint64, lost func() bool) {
+func (w *world) answer(m *member, k Kind, read Mark, lost func() bool) {
+	revision := read.Revision
+	if read.Era != w.era || revision > w.revision {
+		revision = 0
+	}
 	if m.cut || lost() {
 		w.step(m, Lost{Now: w.now, Kind: k, Cause: "no answer in time"}, lost)
 		return
 	}
 	if _, on := m.reading[k]; on {
-		m.reading[k] = w.revision
+		m.reading[k] = Mark{w.era, w.revision}
 	}
 	if revision == 0 {
 		if m.once[k] {
 			delete(m.reading, k)
 		}
-		w.step(m, Listed{Now: w.now, Kind: k, Objects: w.list(k), Revision: w.revision}, lost)
+		w.step(m, Listed{Now: w.now, Kind: k, Objects: w.list(k), Era: w.era, Revision: w.revision}, lost)
 		return
 	}
 	var found []Object
@@ -189,7 +212,7 @@
 			found = append(found, h.object)
 		}
 	}
-	w.step(m, Changed{Now: w.now, Kind: k, Objects: found, Revision: w.revision}, lost)
+	w.step(m, Changed{Now: w.now, Kind: k, Objects: found, Era: w.era, Revision: w.revision}, lost)
 }
 
 // check compares what an instance knows with the store.
--- a/core/steerer/source.go
+++ b/core/steerer/source.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -45,8 +44,11 @@
 type source struct {
 	// known tells that the objects are known as of some revision.
 	known bool
-	// revision is that up to which all changes are known.
-	revision uint64
+	// at is the point up to which all changes are known.
+	at Mark
+	// turnedAt is when the store was last found to have come back from a copy; 0
+	// means never.
+	turnedAt int64
 	// reading tells that this instance reads the kind from the store itself.
 	reading bool
 	// once tells that reading ends with a list, listed when one came; 0 means
@@ -63,9 +65,9 @@
 	// asked is when another instance was last asked; 0 means that no answer is
 	// awaited.
 	asked int64
-	// wanted is the highest revision that another instance has proven, behind
-	// since when it is not known here; 0 means that it is.
-	wanted uint64
+	// wanted is the latest point that another instance has proven, behind since
+	// when it is not known here; 0 means that it is.
+	wanted Mark
 	behind int64
 	// history has the changes since base, oldest first.
 	history []change
@@ -80,8 +82,8 @@
 
 // proof is a Proof on the own clock.
 type proof struct {
-	revision uint64
-	at       int64
+	mark Mark
+	at   int64
 }
 
 func newSources() map[Kind]*source {
@@ -114,9 +116,9 @@
 
 // news is what has become known of a kind.
 type news struct {
-	kind     Kind
-	objects  []Object
-	revision uint64
+	kind    Kind
+	objects []Object
+	at      Mark
 	// whole tells that objects are all there are, confirmed that the store itself
 	// has said so just now.
 	whole, confirmed bool
@@ -124,7 +126,7 @@
 
 // advance notes that all changes up to a revision are known.
 func (s *State) advance(now int64, n news) []Effect {
-	c, revision := s.sources[n.kind], n.revision
+	c := s.sources[n.kind]
 	if !c.known {
 		c.known, c.sureBy, s.dirty = true, now+int64(sureTime), true
 	}
@@ -137,22 +139,22 @@
 	}
 	if n.whole {
 		// A list does not say which objects are gone.
-		c.base, c.history = revision, nil
+		c.base, c.history = n.at.Revision, nil
 	} else {
 		for _, o := range n.objects {
-			c.history = append(c.history, change{revision, o})
+			c.history = append(c.history, change{n.at.Revision, o})
 		}
 	}
 	if over := len(c.history) - historySize; over > 0 {
 		c.base = c.history[over-1].revision
 		c.history = append(c.history[:0], c.history[over:]...)
 	}
-	moved := revision > c.revision && (n.whole || len(n.objects) > 0)
-	if revision > c.revision {
+	moved := c.at.Before(n.at) && (n.whole || len(n.objects) > 0)
+	if c.at.Before(n.at) {
 		// While changes go on, an instance that follows them is never quite there.
-		c.revision, c.behind = revision, now
+		c.at, c.behind = n.at, now
 	}
-	if c.revision >= c.wanted {
+	if !c.at.Before(c.wanted) {
 		c.behind = 0
 	}
 	if !moved || !c.reading || len(s.peers) < fewInstances {
@@ -190,7 +192,7 @@
 		}
 		c.sure, c.sureBy = false, now+int64(sureTime)
 		if c.reading {
-			out = append(out, Read{Kind: k, On: true, Revision: c.revision, Wait: c.wait, Rare: !s.isReader(now), Confirm: true})
+			out = append(out, Read{Kind: k, On: true, Era: c.at.Era, Revision: c.at.Revision, Wait: c.wait, Rare: !s.isReader(now), Confirm: true})
 		}
 	}
 	return append(out, Note{What: "paused", Subject: s.Self.Name, Cause: "the process did not run for a while"})
@@ -203,9 +205,16 @@
 
 // outdated tells whether an answer of the store is older than what other
 // instances have told meanwhile.
-func (s *State) outdated(k Kind, revision uint64) bool {
+func (s *State) outdated(k Kind, at Mark) bool {
+	c := s.sources[k]
+	return c.known && at.Before(c.at)
+}
+
+// returned tells whether the store has come back from a copy since what is known
+// of a kind. Changes do not lead from one era to the next.
+func (s *State) returned(k Kind, at Mark) bool {
 	c := s.sources[k]
-	return c.known && revision < c.revision
+	return c.known && at.Era > c.at.Era
 }
 
 // assign decides which kinds this instance reads from the store itself.
@@ -222,7 +231,7 @@
 			continue
 		}
 		c.reading, c.wait, c.once = on, wait, on && !duty && !c.known
-		out = append(out, Read{Kind: k, On: on, Revision: c.revisionToRead(), Wait: wait, Once: c.once, Rare: !duty})
+		out = append(out, Read{Kind: k, On: on, Era: c.at.Era, Revision: c.revisionToRead(), Wait: wait, Once: c.once, Rare: !duty})
 	}
 	return out
 }
@@ -231,7 +240,7 @@
 	if !c.known {
 		return 0
 	}
-	return c.revision
+	return c.at.Revision
 }
 
 // isReader tells whether this instance is one of the readers: the first by rank
@@ -275,7 +284,7 @@
 		if p.proofs == nil {
 			p.proofs = map[Kind]proof{}
 		}
-		p.proofs[k] = proof{q.Revision, e.Now - q.Age*int64(time.Millisecond)}
+		p.proofs[k] = proof{Mark{q.Era, q.Revision}, e.Now - q.Age*int64(time.Millisecond)}
 	}
 }
 
@@ -289,7 +298,7 @@
 		if all == nil {
 			all = map[Kind]Proof{}
 		}
-		all[k] = Proof{Revision: c.revision, Age: (now - c.proven) / int64(time.Millisecond)}
+		all[k] = Proof{Era: c.at.Era, Revision: c.at.Revision, Age: (now - c.proven) / int64(time.Millisecond)}
 	}
 	return all
 }
@@ -300,14 +309,18 @@
 	for _, k := range Kinds {
 		c := s.sources[k]
 		q, ok := p.proofs[k]
+		proven := c.mark(q.mark.Era, q.mark.Revision)
 		switch {
-		case !ok || c.known && q.revision <= c.revision:
+		case !ok || c.known && !c.at.Before(proven):
 			continue
 		case !c.known && !s.lost[k]:
 			// A whole list is a burden for a reader; the store has more room.
 			continue
 		}
-		if c.wanted = max(c.wanted, q.revision); c.behind == 0 {
+		if c.wanted.Before(proven) {
+			c.wanted = proven
+		}
+		if c.behind == 0 {
 			c.behind = now
 		}
 		switch {
@@ -318,11 +331,29 @@
 			continue
 		}
 		c.asked = now
-		out = append(out, Fetch{Kind: k, From: p.Instance, After: c.revisionToRead()})
+		out = append(out, Fetch{Kind: k, From: p.Instance, Era: c.at.Era, After: c.revisionToRead()})
 	}
 	return out
 }
 
+// catchUp asks an instance whose configuration has been newer than the one in force
+// here for a while: the store may have lost it.
+func (s *State) catchUp(e Heard, p *peer) []Effect {
+	c := s.sources[Configs]
+	if s.config == nil || e.Beacon.Version <= s.config.Version {
+		return nil
+	}
+	switch {
+	case s.trailing <= s.configuredAt:
+		s.trailing = e.Now
+		return nil
+	case e.Now-s.trailing < int64(lagTime), c.asked != 0 && e.Now-c.asked < int64(fetchTime):
+		return nil
+	}
+	c.asked = e.Now
+	return []Effect{Fetch{Kind: Configs, From: p.Instance}}
+}
+
 // askStranger asks an instance that is not known for all that it knows, if no
 // instance is known at all and the store does not answer.
 func (s *State) askStranger(e Heard) (out []Effect) {
@@ -347,23 +378,31 @@
 		return nil
 	}
 	c.asked = 0
-	if e.Returned > s.returned[e.Kind] {
-		s.returned[e.Kind] = e.Returned
+	if e.Returned > s.answered[e.Kind] {
+		s.answered[e.Kind] = e.Returned
 	}
-	if e.Revision == 0 || c.known && e.Revision < c.revision {
+	at := c.mark(e.Era, e.Revision)
+	switch {
+	case e.Revision == 0, !e.Whole && s.returned(e.Kind, at):
+		return nil
+	case s.outdated(e.Kind, at) && e.Kind == Configs && e.Whole:
+		// A configuration is in force by its version, not by what the store has.
+		return s.apply(e.Now, e.Kind, e.Objects)
+	case s.outdated(e.Kind, at):
 		return nil
 	}
+	known := c.at
 	if e.Whole {
-		out = s.list(e.Now, e.Kind, e.Objects)
+		out = s.list(e.Now, e.Kind, e.Objects, at)
 	} else {
 		out = s.apply(e.Now, e.Kind, e.Objects)
 	}
-	lagged := c.reading && e.Revision > c.revision
+	lagged := c.reading && known.Before(at)
 	s.confirm(c)
-	out = append(out, s.advance(e.Now, news{kind: e.Kind, objects: e.Objects, revision: e.Revision, whole: e.Whole})...)
+	out = append(out, s.advance(e.Now, news{kind: e.Kind, objects: e.Objects, at: at, whole: e.Whole})...)
 	if lagged {
 		// The answer to the own call was lost, or its connection is silent.
-		out = append(out, Read{Kind: e.Kind, On: true, Revision: c.revision, Wait: c.wait, Rare: !s.isReader(e.Now)})
+		out = append(out, Read{Kind: e.Kind, On: true, Era: c.at.Era, Revision: c.at.Revision, Wait: c.wait, Rare: !s.isReader(e.Now)})
 	}
 	return out
 }
@@ -372,14 +411,15 @@
 func (s *State) reply(e Asked) Reply {
 	c := s.sources[e.Kind]
 	r := Reply{Call: e.Call}
-	if c == nil || !c.known {
+	if c == nil || !c.known || !c.sure {
+		// What may be old confirms nothing to others.
 		return r
 	}
-	r.Revision = c.revision
-	if back, ok := s.returned[e.Kind]; ok && e.Now-back < int64(returnTime) {
+	r.Era, r.Revision = c.at.Era, c.at.Revision
+	if back, ok := s.answered[e.Kind]; ok && e.Now-back < int64(returnTime) {
 		r.Returned = time.Duration(e.Now - back)
 	}
-	if e.After < c.base || e.After == 0 {
+	if e.After < c.base || e.After == 0 || c.mark(e.Era, 0).Era != c.at.Era {
 		r.Whole, r.Objects = true, s.objects(e.Kind)
 		return r
 	}
@@ -405,13 +445,17 @@
 			}
 		}
 	case Evacuations:
-		for domain := range maps.Keys(s.evacuated) {
-			all = append(all, Object{Name: domain})
+		for domain, until := range s.evacuated {
+			if until == 0 {
+				all = append(all, Object{Name: domain})
+			}
 		}
 	case Instances:
 		all = append(all, Object{Name: s.Self.Name, Instance: &s.Self})
 		for _, p := range s.peers {
-			all = append(all, Object{Name: p.Name, Instance: &p.Instance})
+			if p.heldUntil == 0 {
+				all = append(all, Object{Name: p.Name, Instance: &p.Instance})
+			}
 		}
 	}
 	slices.SortFunc(all, func(a, b Object) int { return cmp.Compare(a.Name, b.Name) })
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -40,7 +40,9 @@
 	// configName is the name of its object.
 	configName string
 	upstreams  map[string]*upstream
-	evacuated  map[string]bool
+	// evacuated has the domains that are evacuated, with the time until which the
+	// evacuation holds although the store does not have it; 0 if it has it.
+	evacuated map[string]int64
 	// restored holds the time at which the upstreams of a domain that was
 	// evacuated count as warm again.
 	restored map[string]int64
@@ -49,9 +51,20 @@
 	// listAt is when the instances are listed for the first time.
 	listAt int64
 	lost   map[Kind]bool
-	// returned is when the store answered again for a kind after it was lost.
-	returned map[Kind]int64
+	// answered is when the store answered again for a kind after it was lost.
+	answered map[Kind]int64
 	leaving  bool
+	// departures has the ends of upstreams by their IDs.
+	departures map[string]departure
+	// seen tells that the store had the registration of this instance.
+	seen bool
+	// holds tells that something is held that the store does not have.
+	holds bool
+	// announceAt is when this instance registers again; 0 means that it need not.
+	announceAt int64
+	// trailing is since when another instance has a newer configuration, unless
+	// one came into force here since: configuredAt is when the last one did.
+	trailing, configuredAt int64
 	// next is when the next beacons are sent, rounds how often they were.
 	next   int64
 	rounds int
@@ -71,15 +84,16 @@
 		listAt = int64(gatherTime)
 	}
 	return &State{
-		listAt:    listAt,
-		Self:      self,
-		upstreams: map[string]*upstream{},
-		evacuated: map[string]bool{},
-		restored:  map[string]int64{},
-		peers:     map[string]*peer{},
-		sources:   newSources(),
-		lost:      map[Kind]bool{},
-		returned:  map[Kind]int64{},
+		listAt:     listAt,
+		Self:       self,
+		upstreams:  map[string]*upstream{},
+		evacuated:  map[string]int64{},
+		departures: map[string]departure{},
+		restored:   map[string]int64{},
+		peers:      map[string]*peer{},
+		sources:    newSources(),
+		lost:       map[Kind]bool{},
+		answered:   map[Kind]int64{},
 	}
 }
 
@@ -91,22 +105,24 @@
 	case Listed:
 		now = e.Now
 		out = s.regain(e.Now, e.Kind)
-		if s.outdated(e.Kind, e.Revision) {
+		at := s.sources[e.Kind].mark(e.Era, e.Revision)
+		if s.outdated(e.Kind, at) {
 			break
 		}
-		out = append(out, s.list(e.Now, e.Kind, e.Objects)...)
-		out = append(out, s.advance(e.Now, news{e.Kind, e.Objects, e.Revision, true, !e.Stale})...)
+		out = append(out, s.list(e.Now, e.Kind, e.Objects, at)...)
+		out = append(out, s.advance(e.Now, news{e.Kind, e.Objects, at, true, !e.Stale})...)
 		if e.Kind == Instances {
 			out = append(out, s.assign(e.Now)...)
 		}
 	case Changed:
 		now = e.Now
 		out = s.regain(e.Now, e.Kind)
-		if s.outdated(e.Kind, e.Revision) {
+		at := s.sources[e.Kind].mark(e.Era, e.Revision)
+		if s.outdated(e.Kind, at) || s.returned(e.Kind, at) {
 			break
 		}
 		out = append(out, s.apply(e.Now, e.Kind, e.Objects)...)
-		out = append(out, s.advance(e.Now, news{e.Kind, e.Objects, e.Revision, false, true})...)
+		out = append(out, s.advance(e.Now, news{e.Kind, e.Objects, at, false, true})...)
 	case Fetched:
 		now = e.Now
 		out = s.fetched(e)
@@ -126,6 +142,9 @@
 		now = e.Now
 		s.Bounds, s.Regions, s.dirty = e.Bounds, e.Regions, true
 		out = []Effect{Note{What: "adjusted", Subject: s.Self.Name}}
+	case Departed:
+		now = e.Now
+		out = s.depart(e.Now, e.Incarnation, "it has said so")
 	case Woken:
 		now = e.Now
 		out = s.wake(e.Now)
@@ -161,7 +180,7 @@
 		return nil
 	}
 	s.lost[k] = false
-	s.returned[k] = now
+	s.answered[k] = now
 	return []Effect{Note{What: "regained", Subject: string(k)}}
 }
 
@@ -174,7 +193,7 @@
 	p.heard, p.ready = e.Now, e.Beacon.Ready
 	p.prove(e)
 	for k, q := range e.Beacon.Proofs {
-		if c := s.sources[k]; c != nil && c.known && q.Revision <= c.revision && q.Age < int64(sureTime/time.Millisecond) {
+		if c := s.sources[k]; c != nil && c.known && !c.at.Before(c.mark(q.Era, q.Revision)) && q.Age < int64(sureTime/time.Millisecond) {
 			s.confirm(c)
 		}
 	}
@@ -186,6 +205,10 @@
 		s.dirty = true
 		out = append(out, Note{What: "found", Subject: p.Name})
 	}
+	for _, i := range e.Beacon.Left {
+		out = append(out, s.depart(e.Now, i, "another instance says so")...)
+	}
+	out = append(out, s.catchUp(e, p)...)
 	return append(out, s.fetchFrom(e.Now, p)...)
 }
 
@@ -199,6 +222,7 @@
 	s.settle(now)
 	for _, name := range slices.Sorted(maps.Keys(s.upstreams)) {
 		if u := s.upstreams[name]; u.goneAt != 0 && now >= u.goneAt {
+			s.forget(now, u)
 			delete(s.upstreams, name)
 			s.dirty = true
 			out = append(out, Note{What: "removed", Subject: name, Cause: "not back after the store's return"})
@@ -215,6 +239,8 @@
 			delete(s.restored, domain)
 		}
 	}
+	out = append(out, s.release(now)...)
+	out = append(out, s.announced(now)...)
 	out = append(out, s.assign(now)...)
 	if now >= s.next {
 		s.next, s.sent = now+int64(beaconTime), now
@@ -227,11 +253,11 @@
 // beacon goes to the instances of the region, and less often to the others
 // unless they need it to know what this instance has read.
 func (s *State) beacon(now int64) Send {
-	b := Beacon{Name: s.Self.Name, Ready: s.ready(), Proofs: s.proofs(now)}
+	b := Beacon{Name: s.Self.Name, Ready: s.ready(), Proofs: s.proofs(now), Left: s.hints(now)}
 	if s.config != nil {
 		b.Version = s.config.Version
 	}
-	everywhere := s.leaving || len(b.Proofs) > 0 || s.rounds%remoteRounds == 0
+	everywhere := s.leaving || len(b.Proofs) > 0 || len(b.Left) > 0 || s.rounds%remoteRounds == 0
 	to := make([]string, 0, len(s.peers))
 	for _, name := range slices.Sorted(maps.Keys(s.peers)) {
 		if p := s.peers[name]; everywhere || p.Region == s.Self.Region {
@@ -249,7 +275,7 @@
 func (s *State) view(now int64) View {
 	v := View{Config: s.config, Ready: s.ready(), Stale: s.stale(), Self: s.Self, Peers: []Instance{s.Self}, Bounds: s.Bounds, Regions: s.Regions}
 	for _, u := range s.upstreams {
-		if u.Draining || s.evacuated[u.Domain] {
+		if _, evacuated := s.evacuated[u.Domain]; u.Draining || evacuated || s.departed(&u.Upstream) {
 			continue
 		}
 		w := u.Upstream
--- a/core/steerer/steerer_test.go
+++ b/core/steerer/steerer_test.go
@@ -171,7 +171,8 @@
 	for i := range 20 {
 		b := Beacon{Name: fmt.Sprintf("i%02d", i), Ready: true}
 		if i < 2 {
-			b.Proofs = map[Kind]Proof{Configs: {60, 10}, Upstreams: {60, 10}, Evacuations: {60, 10}, Instances: {60, 10}}
+			at60 := Proof{Revision: 60, Age: 10}
+			b.Proofs = map[Kind]Proof{Configs: at60, Upstreams: at60, Evacuations: at60, Instances: at60}
 		}
 		events = append(events, Heard{Now: second(0.2), Beacon: b})
 	}
@@ -184,7 +185,7 @@
 
 // proving is a beacon of a reader.
 func proving(at float64, revision uint64, age int64) Event {
-	return Heard{Now: second(at), Beacon: Beacon{Name: "i00", Ready: true, Proofs: map[Kind]Proof{Upstreams: {revision, age}}}}
+	return Heard{Now: second(at), Beacon: Beacon{Name: "i00", Ready: true, Proofs: map[Kind]Proof{Upstreams: {Revision: revision, Age: age}}}}
 }
 
 // relayScripts have the parts of a system in which few instances read the store.
@@ -199,8 +200,8 @@
 		),
 		"lost-answer-of-the-store-is-made-up-for-by-others": append(started(server("u1"), server("u2")),
 			Tick{Now: second(0.3)},
-			Heard{Now: second(1), Beacon: Beacon{Name: "near", Ready: true, Proofs: map[Kind]Proof{Upstreams: {7, 9000}}}},
-			Heard{Now: second(1.5), Beacon: Beacon{Name: "near", Ready: true, Proofs: map[Kind]Proof{Upstreams: {7, 9500}}}},
+			Heard{Now: second(1), Beacon: Beacon{Name: "near", Ready: true, Proofs: map[Kind]Proof{Upstreams: {Revision: 7, Age: 9000}}}},
+			Heard{Now: second(1.5), Beacon: Beacon{Name: "near", Ready: true, Proofs: map[Kind]Proof{Upstreams: {Revision: 7, Age: 9500}}}},
 			Fetched{Now: second(1.6), Kind: Upstreams, From: "near", Revision: 7, Objects: []Object{gone("u1")}},
 			Changed{Now: second(1.7), Kind: Upstreams, Revision: 5, Objects: []Object{server("u1")}},
 			Changed{Now: second(1.8), Kind: Upstreams, Revision: 9, Objects: []Object{server("u3")}},
@@ -256,6 +257,7 @@
 func TestScripts(t *testing.T) {
 	all := scripts()
 	maps.Copy(all, relayScripts())
+	maps.Copy(all, eraScripts())
 	for name, events := range all {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -301,6 +303,8 @@
 		return e.Now
 	case Woken:
 		return e.Now
+	case Departed:
+		return e.Now
 	case Left:
 		return e.Now
 	}
@@ -310,19 +314,21 @@
 func describe(e Event) string {
 	switch e := e.(type) {
 	case Listed:
-		return fmt.Sprintf("%.1f listed %s: %s", float64(e.Now)/1e9, e.Kind, objects(e.Objects))
+		return fmt.Sprintf("%.1f listed %s%s: %s", float64(e.Now)/1e9, e.Kind, era(e.Era), objects(e.Objects))
 	case Changed:
-		return fmt.Sprintf("%.1f changed %s: %s", float64(e.Now)/1e9, e.Kind, objects(e.Objects))
+		return fmt.Sprintf("%.1f changed %s%s: %s", float64(e.Now)/1e9, e.Kind, era(e.Era), objects(e.Objects))
 	case Fetched:
-		return fmt.Sprintf("%.1f fetched %s from %s, revision %d whole %t: %s", float64(e.Now)/1e9, e.Kind, e.From, e.Revision, e.Whole, objects(e.Objects))
+		return fmt.Sprintf("%.1f fetched %s from %s%s, revision %d whole %t: %s", float64(e.Now)/1e9, e.Kind, e.From, era(e.Era), e.Revision, e.Whole, objects(e.Objects))
 	case Asked:
-		return fmt.Sprintf("%.1f asked %d for %s after %d", float64(e.Now)/1e9, e.Call, e.Kind, e.After)
+		return fmt.Sprintf("%.1f asked %d for %s%s after %d", float64(e.Now)/1e9, e.Call, e.Kind, era(e.Era), e.After)
 	case Lost:
 		return fmt.Sprintf("%.1f lost %s", float64(e.Now)/1e9, e.Kind)
 	case Heard:
-		return fmt.Sprintf("%.1f heard %+v", float64(e.Now)/1e9, e.Beacon)
+		return fmt.Sprintf("%.1f heard %s", float64(e.Now)/1e9, beacon(e.Beacon))
 	case Woken:
 		return fmt.Sprintf("%.1f woken", float64(e.Now)/1e9)
+	case Departed:
+		return fmt.Sprintf("%.1f departed %s born %d", float64(e.Now)/1e9, e.Incarnation.ID, e.Incarnation.Born)
 	case Tick:
 		return fmt.Sprintf("%.1f tick", float64(e.Now)/1e9)
 	case Adjusted:
@@ -350,18 +356,44 @@
 	return strings.Join(parts, ", ")
 }
 
+// era names an era of the store if there is one.
+func era(n uint64) string {
+	if n == 0 {
+		return ""
+	}
+	return fmt.Sprint(" in era ", n)
+}
+
+// beacon describes a beacon; what is rarely there is named only if it is.
+func beacon(b Beacon) string {
+	proofs := map[Kind]string{}
+	for k, p := range b.Proofs {
+		proofs[k] = fmt.Sprintf("{Revision:%d Age:%d}", p.Revision, p.Age)
+		if p.Era != 0 {
+			proofs[k] = fmt.Sprintf("{Era:%d Revision:%d Age:%d}", p.Era, p.Revision, p.Age)
+		}
+	}
+	text := fmt.Sprintf("Name:%s Ready:%t Version:%d Proofs:%v", b.Name, b.Ready, b.Version, proofs)
+	if len(b.Left) > 0 {
+		text += fmt.Sprintf(" Left:%v", b.Left)
+	}
+	return "{" + text + "}"
+}
+
 func effect(x Effect) string {
 	switch x := x.(type) {
 	case Note:
 		return fmt.Sprintf("note %s %s version %d %s", x.What, x.Subject, x.Version, x.Cause)
 	case Send:
-		return fmt.Sprintf("send %+v to %v", x.Beacon, x.To)
+		return fmt.Sprintf("send %s to %v", beacon(x.Beacon), x.To)
 	case Read:
-		return fmt.Sprintf("read %s %t from %d, wait %v, once %t, rare %t", x.Kind, x.On, x.Revision, x.Wait, x.Once, x.Rare)
+		return fmt.Sprintf("read %s %t%s from %d, wait %v, once %t, rare %t", x.Kind, x.On, era(x.Era), x.Revision, x.Wait, x.Once, x.Rare)
 	case Fetch:
-		return fmt.Sprintf("fetch %s from %s after %d", x.Kind, x.From.Name, x.After)
+		return fmt.Sprintf("fetch %s from %s%s after %d", x.Kind, x.From.Name, era(x.Era), x.After)
 	case Reply:
-		return fmt.Sprintf("reply to %d: revision %d whole %t returned %v: %s", x.Call, x.Revision, x.Whole, x.Returned, objects(x.Objects))
+		return fmt.Sprintf("reply to %d:%s revision %d whole %t returned %v: %s", x.Call, era(x.Era), x.Revision, x.Whole, x.Returned, objects(x.Objects))
+	case Register:
+		return "register"
 	case Publish:
 		v := x.View
 		var ups, fronts []string
@@ -420,16 +452,18 @@
 
 // TestClone steps a copy and finds the original as it was.
 func TestClone(t *testing.T) {
-	for name, events := range scripts() {
+	all := scripts()
+	maps.Copy(all, eraScripts())
+	for name, events := range all {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s := New(self(), false)
 			for _, e := range events {
 				before, c := fmt.Sprintf("%+v", s.view(0)), s.Clone()
-				sources := fmt.Sprint(s.proofs(0), s.names(Upstreams), s.names(Instances), s.lost, s.returned)
+				sources := fmt.Sprint(s.proofs(0), s.names(Upstreams), s.names(Instances), s.lost, s.answered, s.departures)
 				Step(c, e)
 				is.Equal(fmt.Sprintf("%+v", s.view(0)), before)
-				is.Equal(fmt.Sprint(s.proofs(0), s.names(Upstreams), s.names(Instances), s.lost, s.returned), sources)
+				is.Equal(fmt.Sprint(s.proofs(0), s.names(Upstreams), s.names(Instances), s.lost, s.answered, s.departures), sources)
 				s, _ = Step(s, e)
 			}
 		})
--- a/core/steerer/types.go
+++ b/core/steerer/types.go
@@ -108,11 +108,16 @@
 	// Proofs tells, for each kind that the instance reads from the store itself,
 	// how fresh its knowledge is.
 	Proofs map[Kind]Proof `json:"p,omitempty"`
+	// Left names upstreams that have said lately that they leave.
+	Left []Incarnation `json:"l,omitempty"`
 }
 
 // Proof says that an instance knew all changes of a kind up to a revision.
 type Proof struct {
 	Revision uint64 `json:"r"`
+	// Era is the store's era that the revision belongs to; 0 if the sender knows
+	// none.
+	Era uint64 `json:"e,omitempty"`
 	// Age is the time since the store confirmed that, in milliseconds, as of the
 	// sending of the beacon.
 	Age int64 `json:"a"`
--- a/hornbeamd/runner/relay.go
+++ b/hornbeamd/runner/relay.go
@@ -63,11 +63,11 @@
 
 func (l *relay) ask(ctx context.Context, f steerer.Fetch) (e steerer.Fetched, err error) {
 	client := hornpbconnect.NewRelayClient(l.client, "http://"+f.From.Beacon)
-	res, err := client.Changes(ctx, connect.NewRequest(&hornpb.ChangesRequest{Kind: string(f.Kind), After: f.After}))
+	res, err := client.Changes(ctx, connect.NewRequest(&hornpb.ChangesRequest{Kind: string(f.Kind), Era: f.Era, After: f.After}))
 	if err != nil {
 		return e, err
 	}
-	e = steerer.Fetched{Kind: f.Kind, Revision: res.Msg.GetRevision(), Whole: res.Msg.GetWhole()}
+	e = steerer.Fetched{Kind: f.Kind, Era: res.Msg.GetEra(), Revision: res.Msg.GetRevision(), Whole: res.Msg.GetWhole()}
 	now := l.runner.now()
 	if ms := res.Msg.GetReturnedMs(); ms > 0 {
 		e.Returned = max(1, now-int64(ms)*int64(time.Millisecond))
@@ -95,7 +95,7 @@
 	l.calls[call] = answer
 	l.mu.Unlock()
 	defer l.forget(call)
-	asked := steerer.Asked{Now: l.runner.now(), Call: call, Kind: steerer.Kind(q.Msg.GetKind()), After: q.Msg.GetAfter()}
+	asked := steerer.Asked{Now: l.runner.now(), Call: call, Kind: steerer.Kind(q.Msg.GetKind()), Era: q.Msg.GetEra(), After: q.Msg.GetAfter()}
 	select {
 	case l.runner.events <- asked:
 	case <-ctx.Done():
@@ -125,7 +125,7 @@
 }
 
 func (l *relay) encode(r steerer.Reply) (*connect.Response[hornpb.ChangesResponse], error) {
-	msg := &hornpb.ChangesResponse{Revision: r.Revision, Whole: r.Whole, ReturnedMs: uint32(r.Returned.Milliseconds())}
+	msg := &hornpb.ChangesResponse{Era: r.Era, Revision: r.Revision, Whole: r.Whole, ReturnedMs: uint32(r.Returned.Milliseconds())}
 	now := l.runner.now()
 	for _, o := range r.Objects {
 		if o.Upstream != nil {
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -93,6 +93,8 @@
 	watchers map[steerer.Kind]*watcher.Watcher
 	relay    *relay
 	guard    guarder.Guard
+	// again asks for another registration.
+	again chan struct{}
 	// alive is when the control goroutine last worked.
 	alive atomic.Int64
 }
@@ -106,6 +108,7 @@
 		builder:  dispatcher.Builder{Self: cfg.Self},
 		registry: prometheus.NewRegistry(),
 		ring:     &recorder.Ring{},
+		again:    make(chan struct{}, 1),
 	}
 	r.registry.MustRegister(collectors.NewGoCollector())
 	r.metrics = newMetrics(r.registry, cfg.Dropped)
@@ -114,7 +117,8 @@
 	r.guard = guarder.Guard{Log: cfg.Log, Count: func(what string) { r.metrics.panics.WithLabelValues(what).Inc() }}
 	r.relayer = relayer.New(relayer.Config{
 		Tables: &r.tables, Dialect: cfg.Dialect, Metrics: r.metrics, Log: cfg.Log, Now: r.now,
-		Reuse: cfg.Reuse, Proven: cfg.Proven, Guard: r.guard, Memory: cfg.Memory, Alive: &r.alive,
+		Departed: r.departed,
+		Reuse:    cfg.Reuse, Proven: cfg.Proven, Guard: r.guard, Memory: cfg.Memory, Alive: &r.alive,
 	})
 	r.relay = newRelay(r)
 	r.watchers = map[steerer.Kind]*watcher.Watcher{}
@@ -316,11 +320,17 @@
 	case steerer.Send:
 		r.send(x)
 	case steerer.Read:
-		r.watchers[x.Kind].Follow(watcher.Order{On: x.On, Revision: x.Revision, Wait: x.Wait, Once: x.Once, Rare: x.Rare, Confirm: x.Confirm})
+		r.watchers[x.Kind].Follow(watcher.Order{On: x.On, Era: x.Era, Revision: x.Revision, Wait: x.Wait, Once: x.Once, Rare: x.Rare, Confirm: x.Confirm})
 	case steerer.Fetch:
 		go r.relay.fetch(x)
 	case steerer.Reply:
 		r.relay.reply(x)
+	case steerer.Register:
+		select {
+		case r.again <- struct{}{}:
+		default:
+			// A registration is about to be written.
+		}
 	case steerer.Note:
 		r.metrics.changes.WithLabelValues(x.What).Inc()
 		r.cfg.Log.Info(x.What, "subject", x.Subject, "version", x.Version, "cause", x.Cause)
@@ -328,6 +338,17 @@
 	}
 }
 
+// departed hands on that an upstream has said that it leaves. Traffic must not wait
+// for the control goroutine.
+func (r *Runner) departed(u *dispatcher.Upstream) {
+	e := steerer.Departed{Now: r.now(), Incarnation: steerer.Incarnation{ID: u.ID, Born: u.Born}}
+	select {
+	case r.events <- e:
+	default:
+		go func() { r.events <- e }()
+	}
+}
+
 // record writes a change to the timeline.
 func (r *Runner) record(n steerer.Note) {
 	wall := time.Now()
@@ -337,7 +358,8 @@
 	})
 }
 
-// register announces this instance in the store until that has succeeded.
+// register announces this instance in the store until that has succeeded, and
+// again when it is told to.
 func (r *Runner) register(ctx context.Context) error {
 	const callTime, pause = 1500 * time.Millisecond, 500 * time.Millisecond
 	for ctx.Err() == nil {
@@ -345,7 +367,12 @@
 		err := r.cfg.Store.Register(call, r.cfg.Self)
 		cancel()
 		if err == nil {
-			return nil
+			select {
+			case <-r.again:
+				continue
+			case <-ctx.Done():
+				return nil
+			}
 		}
 		r.cfg.Log.Info("not registered", "cause", err.Error())
 		time.Sleep(pause)
--- a/hornbeamd/watcher/watcher.go
+++ b/hornbeamd/watcher/watcher.go
@@ -17,12 +17,21 @@
 // ErrHistory means that the store no longer has the changes since a revision.
 var ErrHistory = errors.New("the history since this revision is gone")
 
+// errEra means that the store has come back from a copy, so that revisions no
+// longer mean what they did.
+var errEra = errors.New("the store has come back from a copy")
+
+// errOld means that an answer is of an earlier era than the one that is known.
+var errOld = errors.New("the answer is of an earlier era of the store")
+
 // Page is a part of a list, or what has changed since a revision.
 type Page struct {
 	Objects []steerer.Object
 	// After names the object after which the list goes on; empty at its end.
 	After string
-	// Revision is the store's revision that the page belongs to.
+	// Era and Revision are those of the store that the page belongs to. An Era of
+	// 0 is not known.
+	Era      uint64
 	Revision uint64
 }
 
@@ -56,6 +65,8 @@
 	On bool
 	// Revision is that from which on changes are wanted; 0 lists all objects.
 	Revision uint64
+	// Era is the store's era that the revision belongs to; 0 if it is not known.
+	Era uint64
 	// Wait is how long a call waits for a change.
 	Wait time.Duration
 	// Once ends the order with a list.
@@ -83,7 +94,9 @@
 	once   sync.Once
 	orders chan Order
 	order  Order
-	mu     sync.Mutex
+	// era is the latest era of the store that is known here.
+	era uint64
+	mu  sync.Mutex
 	// end ends the call that is waiting.
 	end context.CancelFunc
 }
@@ -144,10 +157,13 @@
 			continue
 		case ctx.Err() != nil:
 			return nil
-		case errors.Is(err, ErrHistory):
+		case errors.Is(err, ErrHistory), errors.Is(err, errEra):
 			revision, stale = 0, false
 			continue
 		}
+		if errors.Is(err, errOld) {
+			stale = false
+		}
 		w.Guard.lost.Store(true)
 		w.Emit(steerer.Lost{Now: w.Now(), Kind: w.Kind, Cause: err.Error()})
 		pause = w.pause(ctx, pause)
@@ -173,7 +189,12 @@
 				return false
 			}
 		}
-		*revision = max(*revision, w.order.Revision)
+		if w.order.Era > w.era {
+			w.era, *revision = w.order.Era, 0
+		}
+		if w.order.Era == w.era || w.order.Era == 0 {
+			*revision = max(*revision, w.order.Revision)
+		}
 	}
 }
 
@@ -205,6 +226,13 @@
 		if err != nil {
 			return 0, err
 		}
+		switch err := w.turn(page); {
+		case errors.Is(err, errOld) && stale:
+			// The next list is not stale.
+			return 0, errEra
+		case errors.Is(err, errOld), err != nil && after != "":
+			return 0, err
+		}
 		if after == "" {
 			// Changes that are made between two pages come again with the watch.
 			revision = page.Revision
@@ -219,7 +247,7 @@
 	}
 	// The next call tells how old a stale list was.
 	w.order.Confirm = stale
-	w.Emit(steerer.Listed{Now: w.Now(), Kind: w.Kind, Objects: all, Revision: revision, Stale: stale})
+	w.Emit(steerer.Listed{Now: w.Now(), Kind: w.Kind, Objects: all, Era: w.era, Revision: revision, Stale: stale})
 	return revision, nil
 }
 
@@ -239,13 +267,29 @@
 		return revision, err
 	}
 	w.order.Confirm = false
-	w.Emit(steerer.Changed{Now: w.Now(), Kind: w.Kind, Objects: page.Objects, Revision: page.Revision})
+	if err := w.turn(page); err != nil {
+		return 0, err
+	}
+	w.Emit(steerer.Changed{Now: w.Now(), Kind: w.Kind, Objects: page.Objects, Era: w.era, Revision: page.Revision})
 	if len(page.Objects) > 0 {
 		sleep(ctx, gatherTime)
 	}
 	return max(revision, page.Revision), nil
 }
 
+// turn takes note of a page's era. The error is errEra if it is a new one, errOld if
+// a later one is known.
+func (w *Watcher) turn(p Page) error {
+	switch {
+	case p.Era == 0 || p.Era == w.era:
+		return nil
+	case p.Era < w.era:
+		return errOld
+	}
+	w.era = p.Era
+	return errEra
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/hornbeamd/watcher/watcher_test.go
+++ b/hornbeamd/watcher/watcher_test.go
@@ -57,6 +57,10 @@
 
 var errDown = errors.New("down")
 
+func page(era, revision uint64, after string, all []steerer.Object) Page {
+	return Page{Objects: all, After: after, Era: era, Revision: revision}
+}
+
 // TestWatcher plays answers of a store and checks calls and events.
 func TestWatcher(t *testing.T) {
 	tests := []struct {
@@ -69,32 +73,56 @@
 		{
 			"lists all pages and watches from the first one's revision",
 			Order{On: true, Wait: time.Second},
-			[]answer{{Page{objects("a"), "a", 5}, nil}, {Page{objects("b"), "", 7}, nil}, {Page{objects("c"), "", 9}, nil}},
+			[]answer{{page(0, 5, "a", objects("a")), nil}, {page(0, 7, "", objects("b")), nil}, {page(0, 9, "", objects("c")), nil}},
 			"[list  stale list a stale watch 5 watch 9]",
 			"[listed a b at 5 changed c at 9]",
 		},
 		{
 			"starts from a known revision",
 			Order{On: true, Revision: 4, Wait: time.Second},
-			[]answer{{Page{nil, "", 6}, nil}},
+			[]answer{{page(0, 6, "", nil), nil}},
 			"[watch 4 watch 6]", "[changed at 6]",
 		},
 		{
 			"goes on after failures without losing its place",
 			Order{On: true, Revision: 4, Wait: time.Second},
-			[]answer{{Page{}, errDown}, {Page{}, errDown}, {Page{objects("a"), "", 6}, nil}},
+			[]answer{{Page{}, errDown}, {Page{}, errDown}, {page(0, 6, "", objects("a")), nil}},
 			"[watch 4 watch 4 watch 4 watch 6]", "[lost lost changed a at 6]",
 		},
 		{
 			"lists again when the history is gone",
 			Order{On: true, Revision: 4, Wait: time.Second},
-			[]answer{{Page{}, ErrHistory}, {Page{objects("a"), "", 8}, nil}},
+			[]answer{{Page{}, ErrHistory}, {page(0, 8, "", objects("a")), nil}},
 			"[watch 4 list watch 8]", "[listed a at 8]",
 		},
+		{
+			"lists again when the store has come back from a copy",
+			Order{On: true, Revision: 9, Era: 1, Wait: time.Second},
+			[]answer{{page(1, 9, "", nil), nil}, {page(2, 9, "", objects("b")), nil}, {page(2, 7, "", objects("a")), nil}},
+			"[watch 9 watch 9 list watch 7]", "[changed at 9 listed a at 7 in era 2]",
+		},
+		{
+			"begins a list again when the store comes back between two pages",
+			Order{On: true, Wait: time.Second},
+			[]answer{{page(1, 9, "a", objects("a")), nil}, {page(2, 5, "", objects("b")), nil}, {page(2, 6, "", objects("c")), nil}},
+			"[list  stale list a stale list watch 6]", "[listed c at 6 in era 2]",
+		},
+		{
+			"does not take a stale list of an earlier era",
+			Order{On: true, Era: 2, Wait: time.Second},
+			[]answer{{page(1, 9, "", objects("a")), nil}, {page(2, 6, "", objects("b")), nil}},
+			"[list  stale list watch 6]", "[listed b at 6 in era 2]",
+		},
+		{
+			"does not go on from a revision of an earlier era",
+			Order{On: true, Revision: 9, Era: 2, Wait: time.Second},
+			[]answer{{page(1, 9, "", nil), nil}, {page(2, 6, "", objects("b")), nil}},
+			"[watch 9 list watch 6]", "[lost listed b at 6 in era 2]",
+		},
 		{
 			"lists once",
 			Order{On: true, Wait: time.Second, Once: true},
-			[]answer{{Page{objects("a"), "", 5}, nil}},
+			[]answer{{page(0, 5, "", objects("a")), nil}},
 			"[list  stale]", "[listed a at 5]",
 		},
 		{"does nothing without an order", Order{}, nil, "[]", "[]"},
@@ -127,19 +155,23 @@
 func describe(e steerer.Event) string {
 	text := ""
 	var all []steerer.Object
-	revision := uint64(0)
+	era, revision := uint64(0), uint64(0)
 	switch e := e.(type) {
 	case steerer.Listed:
-		text, all, revision = "listed", e.Objects, e.Revision
+		text, all, era, revision = "listed", e.Objects, e.Era, e.Revision
 	case steerer.Changed:
-		text, all, revision = "changed", e.Objects, e.Revision
+		text, all, era, revision = "changed", e.Objects, e.Era, e.Revision
 	case steerer.Lost:
 		return "lost"
 	}
 	for _, o := range all {
 		text += " " + o.Name
 	}
-	return fmt.Sprint(text, " at ", revision)
+	text = fmt.Sprint(text, " at ", revision)
+	if era > 1 {
+		text += fmt.Sprint(" in era ", era)
+	}
+	return text
 }
 
 // TestFollowEndsACall takes a new order while a call waits under the old one.
