--- a/hornbench/soaker/faults.go
+++ b/hornbench/soaker/faults.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -99,9 +100,95 @@
 	}},
 	{"domain evacuated", false, func(ctx context.Context, w *World, d time.Duration) {
 		domain := domainNames[w.number(len(domainNames))]
-		w.note(w.store.Put("evacuations", domain, struct{}{}))
-		sleep(ctx, d)
-		w.store.Delete("evacuations", domain)
+		w.evacuate(domain)
+		sleep(ctx, 2*d)
+		w.takeBack(domain)
+	}},
+}
+
+// returnFault lets the store come back from a copy that is some time old. It does
+// not suspend the bounds of what instances have already seen.
+func returnFault(ctx context.Context, w *World, d time.Duration) {
+	if !w.returning.TryLock() {
+		return
+	}
+	defer w.returning.Unlock()
+	w.store.Save()
+	sleep(ctx, d)
+	w.store.SetMode(storeBusy)
+	sleep(ctx, time.Duration(w.number(400))*time.Millisecond)
+	w.store.Restore()
+	w.store.SetMode(storeUp)
+	sleep(ctx, time.Duration(w.number(1000))*time.Millisecond)
+	w.rewrite()
+}
+
+// rewrite writes again what the operator has written; the upstreams do so
+// themselves. Registrations of upstreams that are gone expire.
+func (w *World) rewrite() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_ = w.store.Put("config", "main", w.config)
+	for _, domain := range domainNames {
+		if w.evacuated[domain] {
+			_ = w.store.Put("evacuations", domain, struct{}{})
+		} else {
+			w.store.Delete("evacuations", domain)
+		}
+	}
+	alive := map[string]bool{}
+	for _, u := range w.all {
+		alive[u.ID] = !u.stopped()
+	}
+	for _, id := range w.store.Names("servers") {
+		if !alive[id] {
+			w.store.Delete("servers", id)
+		}
+	}
+}
+
+// evacuate and takeBack are the operator's.
+func (w *World) evacuate(domain string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.evacuated[domain] {
+		return
+	}
+	w.evacuated[domain] = true
+	_ = w.store.Put("evacuations", domain, struct{}{})
+	w.evacuations = append(w.evacuations, evacuation{domain, span{from: time.Now()}})
+}
+
+func (w *World) takeBack(domain string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.evacuated[domain] = false
+	w.store.Delete("evacuations", domain)
+	for i := range w.evacuations {
+		if e := &w.evacuations[i]; e.domain == domain && e.to.IsZero() {
+			e.to = time.Now()
+		}
+	}
+}
+
+// laterFaults join the others if the soak has them.
+var laterFaults = []fault{
+	{"store returns from a copy", false, returnFault},
+	{"upstream leaves by its answers", false, func(ctx context.Context, w *World, d time.Duration) {
+		u := w.takeUpstream()
+		if u == nil {
+			return
+		}
+		w.note(w.addUpstream(u.Service, u.Domain))
+		u.SetMode(upstreamLeaves)
+		sleep(ctx, max(d, 5*time.Second))
+		u.Stop(false)
+	}},
+	{"upstream pauses", false, func(ctx context.Context, w *World, d time.Duration) {
+		u := w.anUpstream()
+		u.PauseUntil(time.Now().Add(2 * d))
+		sleep(ctx, 2*d)
+		u.SetMode(upstreamGood)
 	}},
 }
 
@@ -175,8 +262,12 @@
 func (w *World) disturb(ctx context.Context) {
 	var group sync.WaitGroup
 	var signals sync.Mutex
+	all := faults
+	if w.options.Later {
+		all = slices.Concat(faults, laterFaults, laterFaults)
+	}
 	for time.Now().Before(w.options.Until) && ctx.Err() == nil {
-		f := faults[w.number(len(faults))]
+		f := all[w.number(len(all))]
 		d := 300*time.Millisecond + time.Duration(w.number(3000))*time.Millisecond
 		group.Go(func() {
 			if f.name[:8] == "instance" {
--- a/hornbench/soaker/fleet.go
+++ b/hornbench/soaker/fleet.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -36,6 +37,8 @@
 	stopping bool
 	// slowest is the longest planned stop so far.
 	slowest time.Duration
+	// disturbed has the times of pauses, kills and stops.
+	disturbed []span
 }
 
 // newInstance writes the settings of an instance whose calls to the store pass
@@ -107,8 +110,23 @@
 	_ = i.process.Signal(s)
 }
 
+// disturb notes a time in which the process did not run as usual.
+func (i *Instance) disturb(from time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.disturbed = append(i.disturbed, span{from, time.Now()})
+}
+
+// undisturbed tells whether the process ran as usual in a span of time.
+func (i *Instance) undisturbed(from, to time.Time) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return !slices.ContainsFunc(i.disturbed, func(s span) bool { return from.Before(s.to) && s.from.Before(to) })
+}
+
 // Pause stops the process for some time.
 func (i *Instance) Pause(d time.Duration) {
+	defer i.disturb(time.Now())
 	i.signal(syscall.SIGSTOP)
 	time.Sleep(d)
 	i.signal(syscall.SIGCONT)
@@ -116,12 +134,14 @@
 
 // Kill ends the process at once and waits for its end.
 func (i *Instance) Kill() {
+	defer i.disturb(time.Now())
 	i.signal(os.Kill)
 	i.wait()
 }
 
 // Terminate ends the process by a planned stop.
 func (i *Instance) Terminate() {
+	defer i.disturb(time.Now())
 	began := time.Now()
 	i.mu.Lock()
 	i.stopping = true
--- a/hornbench/soaker/report.go
+++ b/hornbench/soaker/report.go
@@ -79,6 +79,8 @@
 		r.Violations = append(r.Violations, fmt.Sprintf("recovery: %d of %d requests served after the last fault", served, asked))
 	}
 	r.Violations = append(r.Violations, w.drains()...)
+	r.Violations = append(r.Violations, w.answersHeard(all)...)
+	r.Violations = append(r.Violations, w.evacuationsKept()...)
 	for _, i := range w.instances {
 		r.SlowestStop = max(r.SlowestStop, i.slowest)
 	}
@@ -139,6 +141,111 @@
 	return "route: it ran at " + run.Service + ", which no configuration in force names"
 }
 
+const (
+	// pauseSlack is the time for requests under way when an upstream asks for a
+	// pause, pauseMost how many it bears after that.
+	pauseSlack = 500 * time.Millisecond
+	pauseMost  = 2
+	// evacTime is how long a domain may get requests after its evacuation.
+	evacTime = 5 * time.Second
+)
+
+// answersHeard checks that each instance leaves upstreams that have told it so, and
+// gives those that have asked it for a pause some rest.
+func (w *World) answersHeard(all []Sent) (broken []string) {
+	sent := map[string]*Sent{}
+	for i := range all {
+		sent[all[i].ID] = &all[i]
+	}
+	fronts := map[string]*Instance{}
+	for _, i := range w.instances {
+		fronts[i.Front()] = i
+	}
+	for _, u := range w.all {
+		u.mu.Lock()
+		broken = append(broken, u.leftAlone(sent, fronts)...)
+		broken = append(broken, u.rested(sent, fronts)...)
+		u.mu.Unlock()
+	}
+	return broken
+}
+
+// leftAlone checks the instances that have passed on an answer which says that the
+// upstream leaves. The upstream is locked.
+func (u *Upstream) leftAlone(sent map[string]*Sent, fronts map[string]*Instance) (broken []string) {
+	told := map[string]time.Time{}
+	for id := range u.said {
+		s := sent[id]
+		if s == nil || s.Status != http.StatusOK {
+			continue
+		}
+		if first, ok := told[s.Instance]; !ok || s.End.Before(first) {
+			told[s.Instance] = s.End
+		}
+	}
+	for _, a := range u.arrivals {
+		s := sent[a.id]
+		if s == nil {
+			continue
+		}
+		first, ok := told[s.Instance]
+		if ok && s.Start.After(first.Add(drainTime)) && fronts[s.Instance].undisturbed(first, s.Start) {
+			broken = append(broken, fmt.Sprintf("%s: reached %s from %s %.1f s after an answer had said that it leaves", a.id, u.ID, s.Instance, a.at.Sub(first).Seconds()))
+		}
+	}
+	return broken
+}
+
+// rested checks the instances that have been asked for a pause. The upstream is
+// locked.
+func (u *Upstream) rested(sent map[string]*Sent, fronts map[string]*Instance) (broken []string) {
+	for id, p := range u.asked {
+		s := sent[id]
+		if s == nil {
+			continue
+		}
+		n := 0
+		for _, a := range u.arrivals {
+			if o := sent[a.id]; o != nil && o.Instance == s.Instance && a.at.After(p.from.Add(pauseSlack)) && a.at.Before(p.until) {
+				n++
+			}
+		}
+		if n > pauseMost && fronts[s.Instance].undisturbed(p.from, p.until) {
+			broken = append(broken, fmt.Sprintf("%s: %d requests reached %s from %s in a pause of %.1f s", id, n, u.ID, s.Instance, p.until.Sub(p.from).Seconds()))
+		}
+	}
+	return broken
+}
+
+// evacuationsKept checks that evacuated domains get nothing, also while the store
+// does not have their evacuation.
+func (w *World) evacuationsKept() (broken []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	domain := map[string]string{}
+	for _, u := range w.all {
+		domain[u.ID] = u.Domain
+	}
+	w.ledger.mu.Lock()
+	defer w.ledger.mu.Unlock()
+	for _, e := range w.evacuations {
+		end := e.to
+		if end.IsZero() {
+			end = time.Now()
+		}
+		for id, runs := range w.ledger.runs {
+			for _, run := range runs {
+				// A run may begin after a wait in the upstream's queue.
+				late := run.At.After(e.from.Add(evacTime+callerTime)) && run.At.Before(end)
+				if late && domain[run.Upstream] == e.domain && w.calm(e.from, run.At) {
+					broken = append(broken, fmt.Sprintf("%s: ran at %s %.1f s after %s was evacuated", id, run.Upstream, run.At.Sub(e.from).Seconds(), e.domain))
+				}
+			}
+		}
+	}
+	return broken
+}
+
 // drains checks that leaving upstreams got nothing new.
 func (w *World) drains() (broken []string) {
 	w.ledger.mu.Lock()
--- a/hornbench/soaker/soak.go
+++ b/hornbench/soaker/soak.go
@@ -22,6 +22,9 @@
 	// Instances and Upstreams (for each of two services) are spread over the
 	// failure domains.
 	Instances, Upstreams, Callers int
+	// Later adds a store that comes back from a copy, and upstreams that say that
+	// they leave or ask for a pause.
+	Later bool
 	// Dir takes the logs of the instances. It is made if it is missing.
 	Dir string
 }
@@ -60,11 +63,20 @@
 	// left has the upstreams that have told that they leave.
 	left    []*Upstream
 	version uint64
+	// config is the newest configuration, evacuated has the domains that the
+	// operator has evacuated and evacuations when that was.
+	config      any
+	evacuated   map[string]bool
+	evacuations []evacuation
+	// all has all upstreams that ever were.
+	all []*Upstream
 	// moves has the times at which the routes moved to a service.
 	moves []move
 	// disturbed has the spans of time in which time bounds do not hold.
 	disturbed []span
 	faults    []string
+	// returning is held while the store comes back from a copy.
+	returning sync.Mutex
 	began     time.Time
 	next      int
 }
@@ -75,6 +87,12 @@
 	service string
 }
 
+// evacuation is a time in which a domain was evacuated.
+type evacuation struct {
+	domain string
+	span
+}
+
 type span struct{ from, to time.Time }
 
 // Soak runs one seed and returns its report.
@@ -89,7 +107,7 @@
 	}
 	w := &World{
 		options: o, random: rand.New(rand.NewPCG(o.Seed, 7)), store: NewStore(),
-		ledger: &Ledger{}, journal: &Journal{}, began: time.Now(),
+		ledger: &Ledger{}, journal: &Journal{}, began: time.Now(), evacuated: map[string]bool{},
 	}
 	defer w.close()
 	if err = w.start(ctx); err != nil {
@@ -162,7 +180,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.upstreams = append(w.upstreams, u)
+	w.upstreams, w.all = append(w.upstreams, u), append(w.all, u)
 	return nil
 }
 
@@ -179,8 +197,7 @@
 	for _, s := range services {
 		rows = append(rows, []any{s, "/healthz", 200, 1.0, 20.0})
 	}
-	// The values are of types that always have a JSON form.
-	_ = w.store.Put("config", "main", map[string]any{
+	w.config = map[string]any{
 		"version": fmt.Sprintf("r%d", w.version),
 		"routes": map[string]any{
 			"columns": []string{"name", "host", "pathPrefix", "kind", "timeoutMs", "latencyTargetMs", "priority", "service", "attempts", "sticky", "homeRegions", "trafficSplit"},
@@ -188,7 +205,9 @@
 		},
 		"services": map[string]any{"columns": []string{"name", "healthPath", "maxConns", "coldStartS", "coldPerS"}, "rows": rows},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 5000},
-	})
+	}
+	// The values are of types that always have a JSON form.
+	_ = w.store.Put("config", "main", w.config)
 	w.moves = append(w.moves, move{time.Now(), service})
 }
 
--- a/hornbench/soaker/soak_test.go
+++ b/hornbench/soaker/soak_test.go
@@ -25,6 +25,7 @@
 	length  time.Duration
 }{
 	{4242, Options{Instances: 4, Upstreams: 3, Callers: 8}, 6 * time.Second},
+	{510, Options{Instances: 4, Upstreams: 4, Callers: 12, Later: true}, 8 * time.Second},
 	// The answer to a watch was lost, and nothing showed that for 26 s.
 	{136, Options{Instances: 5, Upstreams: 4, Callers: 16}, 12 * time.Second},
 }
--- a/hornbench/soaker/store.go
+++ b/hornbench/soaker/store.go
@@ -5,7 +5,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -42,6 +44,15 @@
 	wake     chan struct{}
 	mode     storeMode
 	calls    int
+	// era counts the returns from a copy.
+	era  int
+	copy *copied
+}
+
+// copied is what the store can come back with.
+type copied struct {
+	objects  map[string]map[string]object
+	revision uint64
 }
 
 // storeMode says how the store treats calls of instances.
@@ -62,7 +73,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{objects: map[string]map[string]object{}, revision: 1, base: 1, wake: make(chan struct{}), mode: storeUp}
+	return &Store{objects: map[string]map[string]object{}, revision: 1, base: 1, wake: make(chan struct{}), mode: storeUp, era: 1}
 }
 
 // SetMode changes how calls of instances are treated.
@@ -80,6 +91,40 @@
 	s.signal()
 }
 
+// Save copies what the store has.
+func (s *Store) Save() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copy = &copied{cloneObjects(s.objects), s.revision}
+}
+
+// Restore takes the store back to its copy, as if nothing had been written since.
+// Revisions are given out again.
+func (s *Store) Restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects, s.revision = cloneObjects(s.copy.objects), s.copy.revision
+	s.history = slices.DeleteFunc(s.history, func(c change) bool { return c.object.Metadata.Revision > s.revision })
+	s.base = min(s.base, s.revision)
+	s.era++
+	s.signal()
+}
+
+func cloneObjects(all map[string]map[string]object) map[string]map[string]object {
+	c := map[string]map[string]object{}
+	for kind, objects := range all {
+		c[kind] = maps.Clone(objects)
+	}
+	return c
+}
+
+// Names lists the objects of a kind.
+func (s *Store) Names(kind string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.objects[kind]))
+}
+
 // Put writes an object as the operator or an upstream does, unaffected by the
 // mode.
 func (s *Store) Put(kind, name string, spec any) error {
@@ -134,6 +179,13 @@
 	s.wake = make(chan struct{})
 }
 
+// Era counts the returns from a copy.
+func (s *Store) Era() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // Calls is the number of calls so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -145,8 +197,9 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
-	mode := s.mode
+	mode, era := s.mode, s.era
 	s.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.Itoa(era))
 	switch mode {
 	case storeBusy:
 		http.Error(w, "busy", http.StatusServiceUnavailable)
@@ -156,6 +209,7 @@
 	}
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/-/objects/"), "/")
 	status, body := s.serve(r, kind, name)
+	w.Header().Set("Store-Era", strconv.Itoa(s.Era()))
 	if mode == storeLost && r.Method != http.MethodGet {
 		panic(http.ErrAbortHandler)
 	}
@@ -245,7 +299,7 @@
 func (s *Store) since(kind string, from uint64) (events []map[string]any, revision uint64, wake chan struct{}, gone bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if from < s.base {
+	if from < s.base || from > s.revision {
 		return nil, 0, nil, true
 	}
 	for _, c := range s.history {
--- a/hornbench/soaker/upstream.go
+++ b/hornbench/soaker/upstream.go
@@ -67,6 +67,10 @@
 	upstreamSlow upstreamMode = "slow"
 	// upstreamFails answers with a failure of its own.
 	upstreamFails upstreamMode = "fails"
+	// upstreamLeaves says in all answers that it leaves, upstreamPauses refuses
+	// requests and asks for a pause.
+	upstreamLeaves upstreamMode = "leaves"
+	upstreamPauses upstreamMode = "pauses"
 )
 
 // Upstream is a stand-in for a server of one service, behind a proxy whose
@@ -92,6 +96,22 @@
 	left   time.Time
 	beats  uint64
 	ending chan struct{}
+	// pauseUntil is the end of the pause that it asks for.
+	pauseUntil time.Time
+	// said has the requests whose answers said that it leaves, asked those that
+	// were refused with a pause, arrivals all.
+	said     map[string]bool
+	asked    map[string]pause
+	arrivals []arrival
+}
+
+// pause is a time in which an upstream wants nothing from an instance.
+type pause struct{ from, until time.Time }
+
+// arrival is a request that has reached an upstream.
+type arrival struct {
+	id string
+	at time.Time
 }
 
 // startUpstream starts an upstream that registers itself until Stop.
@@ -104,6 +124,7 @@
 	u = &Upstream{
 		ID: id, Service: service, Domain: domain, Slots: slots, store: s, ledger: l, mode: upstreamGood,
 		born: time.Now().UnixMilli(), free: make(chan struct{}, slots), ending: make(chan struct{}),
+		said: map[string]bool{}, asked: map[string]pause{},
 	}
 	if u.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return nil, err
@@ -156,6 +177,32 @@
 	u.mode = m
 }
 
+// PauseUntil makes the upstream refuse requests until then.
+func (u *Upstream) PauseUntil(t time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.mode, u.pauseUntil = upstreamPauses, t
+}
+
+// speak writes what the upstream says of itself into an answer's head. It reports
+// whether the request is refused with a pause.
+func (u *Upstream) speak(w http.ResponseWriter, id string) (refused bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := time.Now()
+	switch {
+	case u.mode == upstreamLeaves:
+		w.Header().Set("Server-Leaving", "1")
+		u.said[id] = true
+	case u.mode == upstreamPauses && now.Before(u.pauseUntil):
+		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set("Retry-After", strconv.FormatFloat(u.pauseUntil.Sub(now).Seconds(), 'f', 3, 64))
+		u.asked[id] = pause{now, u.pauseUntil}
+		return true
+	}
+	return false
+}
+
 // Drain tells the store that the upstream leaves.
 func (u *Upstream) Drain() {
 	u.mu.Lock()
@@ -178,6 +225,16 @@
 	}
 }
 
+// stopped tells whether the upstream has ended.
+func (u *Upstream) stopped() bool {
+	select {
+	case <-u.ending:
+		return true
+	default:
+		return false
+	}
+}
+
 // Left is when the upstream told the store that it leaves.
 func (u *Upstream) Left() time.Time {
 	u.mu.Lock()
@@ -198,6 +255,13 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	u.mu.Lock()
+	u.arrivals = append(u.arrivals, arrival{id, time.Now()})
+	u.mu.Unlock()
+	if u.speak(w, id) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
