soaker: a pause is audited only if its answer could reach the instance

Change: links note the times in which they were disturbed; a refusal in such a time asks for nothing. Tests of the new audits and of the store's return.

--- a/hornbench/soaker/proxy.go
+++ b/hornbench/soaker/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -34,6 +35,8 @@
 	mu    sync.Mutex
 	mode  proxyMode
 	conns map[*link]bool
+	// disturbed has the times in which not all passed as it came.
+	disturbed []span
 }
 
 // link is a connection through the proxy.
@@ -60,7 +63,13 @@
 func (p *Proxy) SetMode(m proxyMode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.mode = m
+	now := time.Now()
+	if n := len(p.disturbed); n > 0 && p.disturbed[n-1].to.IsZero() {
+		p.disturbed[n-1].to = now
+	}
+	if p.mode = m; m != proxyPass {
+		p.disturbed = append(p.disturbed, span{from: now})
+	}
 	for l := range p.conns {
 		switch m {
 		case proxySilent:
@@ -71,6 +80,15 @@
 	}
 }
 
+// passed tells whether all passed as it came in a span of time.
+func (p *Proxy) passed(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !slices.ContainsFunc(p.disturbed, func(s span) bool {
+		return s.from.Before(to) && (s.to.IsZero() || from.Before(s.to))
+	})
+}
+
 // Close stops listening and ends all connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
--- a/hornbench/soaker/soak_test.go
+++ b/hornbench/soaker/soak_test.go
@@ -26,6 +26,9 @@
 }{
 	{4242, Options{Instances: 4, Upstreams: 3, Callers: 8}, 6 * time.Second},
 	{510, Options{Instances: 4, Upstreams: 4, Callers: 12, Later: true}, 8 * time.Second},
+	// A refusal with a pause did not come through a link that was cut one way; the
+	// audit held the requests that followed against the instance.
+	{629, Options{Instances: 5, Upstreams: 4, Callers: 16, Later: true}, 12 * time.Second},
 	// The answer to a watch was lost, and nothing showed that for 26 s.
 	{136, Options{Instances: 5, Upstreams: 4, Callers: 16}, 12 * time.Second},
 }
@@ -106,6 +109,85 @@
 	is.Equal(len(w.drains()), 0)
 }
 
+// TestAnswersHeard shows the checks an instance that goes on to use an upstream
+// which has told it that it leaves, or has asked it for a pause.
+func TestAnswersHeard(t *testing.T) {
+	began := time.Now()
+	at := func(seconds float64) time.Time { return began.Add(time.Duration(seconds * float64(time.Second))) }
+	sent := func(id string, start float64, instance string) Sent {
+		return Sent{ID: id, Instance: instance, Start: at(start), End: at(start + 0.1), Status: http.StatusOK}
+	}
+	tests := []struct {
+		name string
+		all  []Sent
+		// link has a time in which the upstream's link was disturbed.
+		link []span
+		want int
+	}{
+		{"left in time", []Sent{sent("q1", 0, "i:1"), sent("q2", 2, "i:1")}, nil, 0},
+		{"not left", []Sent{sent("q1", 0, "i:1"), sent("q2", 3, "i:1")}, nil, 1},
+		{"another instance does not know", []Sent{sent("q1", 0, "i:1"), sent("q2", 3, "j:1")}, nil, 0},
+		{"two in a pause", []Sent{sent("p1", 0, "i:1"), sent("p2", 1, "i:1"), sent("p3", 2, "i:1")}, nil, 0},
+		{"three in a pause", []Sent{sent("p1", 0, "i:1"), sent("p2", 1, "i:1"), sent("p3", 2, "i:1"), sent("p4", 3, "i:1")}, nil, 1},
+		{"under way at the pause", []Sent{sent("p1", 0, "i:1"), sent("p2", 0.3, "i:1"), sent("p3", 0.4, "i:1"), sent("p4", 0.45, "i:1")}, nil, 0},
+		{"the answer did not come", []Sent{sent("p1", 0, "i:1"), sent("p2", 1, "i:1"), sent("p3", 2, "i:1"), sent("p4", 3, "i:1")}, []span{{at(-1), at(0.2)}}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			u := &Upstream{ID: "u", proxy: &Proxy{disturbed: tt.link}, said: map[string]bool{"q1": true}, asked: map[string]pause{"p1": {at(0), at(5)}}}
+			for _, s := range tt.all {
+				u.arrivals = append(u.arrivals, arrival{s.ID, s.Start})
+			}
+			fronts := []*Instance{{IP: "i"}, {IP: "j"}}
+			for i := range tt.all {
+				// Callers name instances by their addresses.
+				tt.all[i].Instance = map[string]string{"i:1": fronts[0].Front(), "j:1": fronts[1].Front()}[tt.all[i].Instance]
+			}
+			w := &World{all: []*Upstream{u}, instances: fronts}
+			is.Equal(len(w.answersHeard(tt.all)), tt.want)
+		})
+	}
+}
+
+// TestEvacuationsKept finds a request that ran in a domain long after it had been
+// evacuated.
+func TestEvacuationsKept(t *testing.T) {
+	is := is.New(t)
+	began := time.Now()
+	w := &World{
+		all:         []*Upstream{{ID: "u", Domain: "a-1"}},
+		ledger:      &Ledger{runs: map[string][]Run{"q": {{Upstream: "u", At: began.Add(8 * time.Second)}}}},
+		evacuations: []evacuation{{"a-1", span{began, began.Add(10 * time.Second)}}},
+	}
+	is.Equal(len(w.evacuationsKept()), 1)
+	w.evacuations[0].to = began.Add(7 * time.Second)
+	is.Equal(len(w.evacuationsKept()), 0)
+}
+
+// TestRestore takes the store back to its copy: what was written since is gone, and
+// its revisions are given out again.
+func TestRestore(t *testing.T) {
+	is := is.New(t)
+	s := NewStore()
+	is.NoErr(s.Put("servers", "a", 1))
+	s.Save()
+	saved := s.revision
+	is.NoErr(s.Put("servers", "b", 1))
+	is.NoErr(s.Put("servers", "a", 2))
+	s.Restore()
+	is.Equal(s.Names("servers"), []string{"a"})
+	is.Equal(string(s.objects["servers"]["a"].Spec), "1")
+	is.Equal(s.Era(), 2)
+	_, _, _, gone := s.since("servers", saved+1)
+	is.True(gone) // a revision that it does not have
+	is.NoErr(s.Put("servers", "c", 1))
+	is.Equal(s.revision, saved+1)
+	events, _, _, gone := s.since("servers", saved)
+	is.True(!gone)
+	is.Equal(len(events), 1)
+}
+
 // TestProxyModes sends bytes through a proxy in each of its modes.
 func TestProxyModes(t *testing.T) {
 	for mode, want := range map[proxyMode]string{
