dispatcher: requests do not spill to upstreams that never saw their key

Cause: if the owners of a key had a long wait, a request went to any upstream with a free slot.

Change: the spill goes, with its bound on usage, its gathering rank and the flag of free slots; a crowded request is refused and comes back.

--- a/core/dispatcher/choose.go
+++ b/core/dispatcher/choose.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"math"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -28,9 +27,6 @@
 	// downCost keeps requests away from unreachable upstreams while there are
 	// others.
 	downCost = 2 * time.Second
-	// busyUsage is the usage of slots above which requests go to no upstream that
-	// does not know their key.
-	busyUsage = 0.7
 	// strayCost keeps requests in the region where they should run.
 	strayCost = time.Second
 	// minReturn and maxReturn bound the time after which a refused request may
@@ -151,8 +147,6 @@
 	report      time.Duration
 	// second tells that the upstream takes the key's requests only in empty slots.
 	second bool
-	// free tells that a slot seems to be free.
-	free bool
 }
 
 // Choose picks the upstream with the least expected time to an answer. The
@@ -166,18 +160,9 @@
 	if u := preferred[0].u; u.path.cut(r.Now) && u.path.probe(r.Now) {
 		r.probed = u
 	}
-	r.weigh(preferred, true)
+	r.weigh(preferred)
 	f := field{found: preferred, home: r.home(preferred)}
-	best := f.cheapest()
-	if r.Key != 0 && preferred[best].wait > r.patience() {
-		// Elsewhere the key is unknown. A run that takes several times as long is
-		// worth it only in a slot that would be empty.
-		others := r.others(preferred)
-		r.weigh(others, false)
-		f.found = append(preferred, slices.DeleteFunc(others, func(c candidate) bool { return !c.free })...)
-		best = f.cheapest()
-	}
-	f.away = r.leaves(f, best)
+	f.away = r.leaves(f, f.cheapest())
 	return r.enter(f)
 }
 
@@ -211,13 +196,6 @@
 	return r.Pool.spill.leaves(r.Pool, r.spillKey(), rather, r.Now)
 }
 
-// patience is the wait for which a request stays with the upstreams that know
-// its key.
-func (r *Request) patience() time.Duration {
-	w := r.Route.work
-	return time.Duration(w.cold() - w.warm())
-}
-
 // spillKey orders requests for the bounds on moves between regions.
 func (r *Request) spillKey() uint64 {
 	if r.Key != 0 {
@@ -312,7 +290,7 @@
 // the request.
 func (r *Request) preferred(found []candidate) []candidate {
 	if r.Key == 0 {
-		return r.others(found)
+		return r.all(found)
 	}
 	if r.owned() {
 		return r.owners(found)
@@ -342,11 +320,10 @@
 	return found
 }
 
-// others lists the usable upstreams that are not among the given ones.
-func (r *Request) others(without []candidate) (found []candidate) {
-	found = make([]candidate, 0, len(r.Pool.Upstreams))
+// all lists all usable upstreams.
+func (r *Request) all(found []candidate) []candidate {
 	for _, u := range r.Pool.Upstreams {
-		if r.usable(u) && !slices.ContainsFunc(without, func(c candidate) bool { return c.u == u }) {
+		if r.usable(u) {
 			found = append(found, r.candidate(u))
 		}
 	}
@@ -357,21 +334,21 @@
 	return len(r.Route.Homes) == 0 || slices.Contains(r.Route.Homes, u.Region)
 }
 
-// weigh computes the costs of candidates. Shared tells that their upstreams
-// share the request's key, so that another instance may have sent it there.
-func (r *Request) weigh(found []candidate, shared bool) {
+// weigh computes the costs of candidates. Another instance may have sent the
+// request's key to their upstreams.
+func (r *Request) weigh(found []candidate) {
 	for i := range found {
-		r.weighOne(&found[i], shared)
+		r.weighOne(&found[i])
 	}
 }
 
-func (r *Request) weighOne(c *candidate, shared bool) {
+func (r *Request) weighOne(c *candidate) {
 	u := c.u
 	s := u.state(r.Now, r.Key)
 	work := r.Route.work
 	c.load, c.report = s.load, s.report
 	c.known = s.warm
-	c.warm = s.warm || shared && r.Key != 0
+	c.warm = s.warm || r.Key != 0
 	run := work.cold()
 	switch {
 	case c.known:
@@ -379,16 +356,11 @@
 	case c.warm:
 		run = work.assumed()
 	}
-	if !shared && !s.warm {
-		// Requests of a key that do not find room gather on few upstreams.
-		run -= (work.cold() - work.warm()) / 2 * float64(c.rank) / math.MaxUint64
-	}
 	slots := float64(max(1, u.Slots))
 	slow := s.slow
 	if u.cold(r.Now) {
 		slow *= 2
 	}
-	c.free = s.load+1 <= slots && !s.down && !u.path.cut(r.Now) && (s.warm || u.usage.value() < busyUsage)
 	wait := max(0, s.load+1-slots) / slots * work.mean() * slow
 	c.wait = time.Duration(wait)
 	c.took = u.Trip + time.Duration(wait+run*slow)
