pooler: one reset does not shorten the idle time of all connections

Cause: one reset of a reused connection was taken for an upstream that forgets idle connections, and all connections of the service were used for 0.7 of that idle time for 30 s.

Change: the bound for requests that may be sent again needs three of them, or three tenths of the reused ones; a single one bounds requests that must not be lost, as before, until three connections that were idle as long are in order.

--- a/hornbeamd/relayer/exchange.go
+++ b/hornbeamd/relayer/exchange.go
@@ -81,7 +81,7 @@
 	now := x.relayer.cfg.Now()
 	since := now - int64(x.relayer.cfg.Reuse)
 	if !c.route.Idempotent {
-		since = now - int64(x.relayer.cfg.Proven)
+		since = now - int64(min(x.relayer.cfg.Proven, x.pool.Idle.Doubt(now)))
 	}
 	if x.conn, x.fresh, err = x.pool.Get(since, now, c.deadline, x.target.Conns()); err != nil {
 		return err
@@ -95,8 +95,9 @@
 	if err = x.send(); err != nil {
 		return err
 	}
-	if err = x.await(); err != nil {
-		x.learnIdle(now, err)
+	err = x.await()
+	x.learnIdle(now, err)
+	if err != nil {
 		return err
 	}
 	if err = x.read(); err != nil {
@@ -106,13 +107,20 @@
 	return nil
 }
 
-// learnIdle notes that the upstream has reset a connection that had been idle,
-// about a round trip after the request was sent: it had forgotten it.
+// learnIdle notes whether the upstream knew a connection that had been idle. If it
+// has reset it about a round trip after the request was sent, it had forgotten it.
 func (x *exchange) learnIdle(began int64, err error) {
+	if x.fresh {
+		return
+	}
 	now := x.relayer.cfg.Now()
+	idle := time.Duration(began - x.conn.Proven)
 	reset := errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF)
-	if reset && !x.fresh && time.Duration(now-began) < 2*x.target.Trip+resetSlack {
-		x.pool.Idle.Forgotten(time.Duration(began-x.conn.Proven), now)
+	switch {
+	case err == nil:
+		x.pool.Idle.Reused(idle, false, now)
+	case reset && time.Duration(now-began) < 2*x.target.Trip+resetSlack:
+		x.pool.Idle.Reused(idle, true, now)
 	}
 }
 
