hornctl: losses says where requests lost their worth; requests log aim and key

Change: hornctl losses reads the logs of instances and gives each request that lost worth one class (refused, left, failed, late for one of four reasons), by class, cause, route, second, domain, upstream or instance. The line of a request has the route's aim and whether the key was known.

Measured: golden log with one request of each class; the parts add up.

--- a/hornbeamd/relayer/answer.go
+++ b/hornbeamd/relayer/answer.go
@@ -25,7 +25,10 @@
 	// report.
 	load   float64
 	report time.Duration
-	cause  string
+	// known tells that this instance had sent the request's key to the upstream
+	// before.
+	known bool
+	cause string
 }
 
 // fields are the parts of an outcome for the log, with times in milliseconds.
@@ -120,9 +123,9 @@
 func (r *Relayer) finish(c *call) {
 	c.dropNext(r.cfg.Now())
 	took := time.Duration(r.cfg.Now() - c.began)
-	route, version := "", uint64(0)
+	route, aim, version := "", time.Duration(0), uint64(0)
 	if c.route != nil {
-		route = c.route.Name
+		route, aim = c.route.Name, c.route.Aim
 	}
 	if c.table.Known() {
 		version = c.table.View.Config.Version
@@ -130,7 +133,7 @@
 	status := c.ctx.Response.StatusCode()
 	r.cfg.Metrics.Answered(route, c.last.word, took)
 	r.cfg.Log.V(verbosity(status)).Info("request", append(c.last.fields(),
-		"id", string(c.id), "route", route, "key", string(c.object), "version", version,
+		"id", string(c.id), "route", route, "aim", aim.Milliseconds(), "known", c.last.known, "key", string(c.object), "version", version,
 		"status", status, "sends", c.sends, "runs", c.runs, "took", took.Milliseconds())...)
 }
 
--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -270,7 +270,7 @@
 	d.Done(&c.req, res, time.Duration(now-c.req.Now), now)
 	r.cfg.Metrics.Tried(c.pool.Name, results[res])
 	c.req.Tried = append(c.req.Tried, d.Upstream)
-	c.last = outcome{word: results[res], upstream: d.Upstream.ID, domain: d.Upstream.Domain, expected: d.Expected, wait: d.Wait, load: d.Load, report: d.Age}
+	c.last = outcome{word: results[res], upstream: d.Upstream.ID, domain: d.Upstream.Domain, expected: d.Expected, wait: d.Wait, load: d.Load, report: d.Age, known: d.Known}
 	if err != nil {
 		c.last.cause = err.Error()
 	}
--- a/hornctl/commands/commands.go
+++ b/hornctl/commands/commands.go
@@ -126,7 +126,7 @@
 		},
 		Commands: []*cli.Command{
 			p.checkCommand(), p.ticketCommand(), p.drainCommand(), p.shiftCommand(),
-			p.statusCommand(), p.timelineCommand(), p.traceCommand(),
+			p.statusCommand(), p.timelineCommand(), p.traceCommand(), p.lossesCommand(),
 		},
 	}
 	group(root)
--- a/hornctl/commands/commands_test.go
+++ b/hornctl/commands/commands_test.go
@@ -279,3 +279,15 @@
 	is.Equal(Run(ctx, args, out, io.Discard), ExitOK)
 	is.Equal(out.lines.Load(), int64(0))
 }
+
+// TestLosses adds up the losses of a log in several ways.
+func TestLosses(t *testing.T) {
+	const log = "../accountant/testdata/requests.log"
+	transcript(t, "losses.golden", "", []step{
+		{"losses " + log, ExitOK},
+		{"losses --by cause --by domain --rows 2 " + log, ExitOK},
+		{"losses --by colour " + log, ExitUsage},
+		{"losses ../tracer/testdata/instances.log", ExitFailed},
+		{"losses", ExitUsage},
+	})
+}
