dispatcher: load patterns in which half of a service asks for a pause

Cause: nothing played a pause under load.

Change: the model's upstreams ask for pauses; two patterns, with the usual load and twice as much, each checks that no instance sends an upstream more than two requests later than half a second after its answer.

--- a/core/dispatcher/load_test.go
+++ b/core/dispatcher/load_test.go
@@ -122,6 +122,17 @@
 			m.upstreams[i].dead = now > 10*time.Second && now < 24*time.Second && now/time.Second%2 == 0
 		}
 	}
+	pause := today("half of the upstreams ask for a pause of 3 s")
+	pause.change = func(m *model, now time.Duration) {
+		for i, u := range m.upstreams {
+			if i%2 == 0 && now == 15*time.Second {
+				u.pausedUntil = int64(now + 3*time.Second)
+			}
+		}
+	}
+	pause.from, pause.length = 15*time.Second, 20*time.Second
+	pauseHeavy := scaled(pause, 2)
+	pauseHeavy.name = "half of the upstreams ask for a pause of 3 s under twice the usual load"
 	small := today("upstreams remember a sixth of the keys")
 	small.remembers = 47
 	shared := today("callers of all regions ask for the same objects")
@@ -130,7 +141,7 @@
 	isolated.cut = func(a, b int, now time.Duration) bool {
 		return a != b && (a == 0 || b == 0) && now > 10*time.Second && now < 16*time.Second
 	}
-	return []scenario{wave, start, heavy, burst, crowd, slow, many, crash, flap, small, shared, isolated, large, cold}
+	return []scenario{wave, start, heavy, burst, crowd, slow, many, crash, flap, pause, pauseHeavy, small, shared, isolated, large, cold}
 }
 
 // TestPatterns plays each pattern with the dispatcher and with simple policies.
@@ -140,6 +151,11 @@
 		t.Run(s.name, func(t *testing.T) {
 			is := is.New(t)
 			own := play(s, newSteering(s), 1)
+			for _, u := range own.upstreams {
+				for _, n := range u.late {
+					is.True(n <= 2) // an upstream that pauses gets two requests of an instance at most
+				}
+			}
 			var out strings.Builder
 			fmt.Fprintf(&out, "%-14s %v\n", "dispatcher", own.tally)
 			for _, b := range baselines() {
--- a/core/dispatcher/model_test.go
+++ b/core/dispatcher/model_test.go
@@ -56,12 +56,18 @@
 	running       int
 	// coming counts requests on their way here, pending the keys that run, wait
 	// or come.
-	coming        int
-	pending       map[uint64]int
-	queue         []*modelRequest
-	recent        []uint64
-	slow          float64
-	dead          bool
+	coming  int
+	pending map[uint64]int
+	queue   []*modelRequest
+	recent  []uint64
+	slow    float64
+	dead    bool
+	// pausedUntil is the end of the pause that the upstream asks all instances
+	// for, asked has the instances that know, late the requests that reached it
+	// from these more than half a second later.
+	pausedUntil   int64
+	asked         map[[2]int]int64
+	late          map[[2]int]int
 	runs, coldRun int
 	// perSecond counts arrivals by second.
 	perSecond map[int64]int
@@ -149,7 +155,7 @@
 		for range region.upstreams {
 			i := len(m.upstreams)
 			m.upstreams = append(m.upstreams, &modelUpstream{
-				index: i, region: r, slow: 1, perSecond: map[int64]int{}, pending: map[uint64]int{},
+				index: i, region: r, slow: 1, perSecond: map[int64]int{}, pending: map[uint64]int{}, asked: map[[2]int]int64{}, late: map[[2]int]int{},
 				up: steerer.Upstream{ID: fmt.Sprintf("u%02d", i), Service: "s", Address: fmt.Sprint(i), Domain: domainName(r), Slots: s.slots},
 			})
 		}
@@ -275,6 +281,14 @@
 	switch {
 	case u.dead:
 		m.answer(q, Unreachable, now)
+	case now < u.pausedUntil:
+		who := [2]int{q.region, q.instance}
+		if at, ok := u.asked[who]; ok && now-at > int64(500*time.Millisecond) {
+			u.late[who]++
+		} else if !ok {
+			u.asked[who] = now
+		}
+		m.answer(q, Deferred, now)
 	case u.running < m.slots:
 		m.start(u, q, now)
 	case len(u.queue) < 3*m.slots:
@@ -381,7 +395,7 @@
 	}
 	took := time.Duration(now - q.began)
 	switch {
-	case res == Shed:
+	case res == Shed, res == Deferred:
 		m.tally.refused++
 	case res != Answered || now > q.deadline:
 		m.tally.failed++
--- a/core/dispatcher/policies_test.go
+++ b/core/dispatcher/policies_test.go
@@ -87,6 +87,9 @@
 		if res == Answered || res == Shed {
 			d.Report(l, now)
 		}
+		if res == Deferred {
+			d.Upstream.Pause(time.Duration(q.upstream.pausedUntil-now), now)
+		}
 		d.Done(r, res, took, now)
 	}
 	for i, u := range m.upstreams {
@@ -145,7 +148,7 @@
 func (informed) choose(m *model, q *modelRequest, now int64) (int, time.Duration) {
 	best, at, ends := -1, math.Inf(1), 0.0
 	for i, u := range m.upstreams {
-		if u.dead || u == q.upstream {
+		if u.dead || u == q.upstream || now < u.pausedUntil {
 			continue
 		}
 		warm, cold := 0.3*float64(m.work)*u.slow, float64(m.work)*u.slow
