--- a/hornctl/accountant/accountant.go
+++ b/hornctl/accountant/accountant.go
@@ -25,8 +25,9 @@
 	Resent Class = "late, sent again"
 	// Waited requests were late because of the wait for a slot.
 	Waited Class = "late, waited for a slot"
-	// Unknown requests were late because the upstream did not know their key.
-	Unknown Class = "late, key not known"
+	// Unknown requests were late and the first ones for their key that the instance
+	// sent to the upstream, which may not have known it.
+	Unknown Class = "late, key not known here"
 	// Slow requests were late although nothing of that was expected.
 	Slow Class = "late, slower than expected"
 )
