--- a/core/dispatcher/load_test.go
+++ b/core/dispatcher/load_test.go
@@ -149,6 +149,7 @@
 func TestPatterns(t *testing.T) {
 	for _, s := range patterns() {
 		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
 			is := is.NewRelaxed(t)
 			own := play(s, newSteering(s), 1)
 			for _, u := range own.upstreams {
--- a/core/dispatcher/unseen_test.go
+++ b/core/dispatcher/unseen_test.go
@@ -71,6 +71,7 @@
 // callers earn with the dispatcher, with the best of the simple policies, and with
 // the informed one.
 func TestUnseen(t *testing.T) {
+	t.Parallel()
 	const seeds = 50
 	is := is.NewRelaxed(t)
 	var out strings.Builder
