runner: a test of instances whose store comes back without them

Cause: that a registration is repeated was shown by the reducer's scripts only.

Change: two running instances, a store in memory that loses all.

Measured: red when the effect is not executed, green otherwise.

--- a/hornbeamd/runner/runner_test.go
+++ b/hornbeamd/runner/runner_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -25,6 +27,7 @@
 // memory is a store in memory.
 type memory struct {
 	mu       sync.Mutex
+	era      uint64
 	revision uint64
 	objects  map[steerer.Kind]map[string]steerer.Object
 	changes  []stored
@@ -39,7 +42,7 @@
 }
 
 func newMemory() *memory {
-	return &memory{revision: 1, objects: map[steerer.Kind]map[string]steerer.Object{}, wake: make(chan struct{})}
+	return &memory{era: 1, revision: 1, objects: map[steerer.Kind]map[string]steerer.Object{}, wake: make(chan struct{})}
 }
 
 func (m *memory) put(k steerer.Kind, o steerer.Object) {
@@ -55,6 +58,23 @@
 	m.wake = make(chan struct{})
 }
 
+// restore takes the store back to a copy in which nothing was written yet.
+func (m *memory) restore() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.era++
+	m.revision, m.objects, m.changes = 1, map[steerer.Kind]map[string]steerer.Object{}, nil
+	close(m.wake)
+	m.wake = make(chan struct{})
+}
+
+// names lists the objects of a kind.
+func (m *memory) names(k steerer.Kind) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Sorted(maps.Keys(m.objects[k]))
+}
+
 func (m *memory) Register(_ context.Context, i steerer.Instance) error {
 	m.mu.Lock()
 	down := m.down
@@ -72,7 +92,7 @@
 	if m.down {
 		return p, fmt.Errorf("down")
 	}
-	p.Revision = m.revision
+	p.Era, p.Revision = m.era, m.revision
 	for _, o := range m.objects[k] {
 		p.Objects = append(p.Objects, o)
 	}
@@ -83,7 +103,8 @@
 	for {
 		m.mu.Lock()
 		down, wake := m.down, m.wake
-		p = watcher.Page{Revision: m.revision}
+		p = watcher.Page{Era: m.era, Revision: m.revision}
+		gone := revision > m.revision
 		for _, c := range m.changes {
 			if c.kind == k && c.revision > revision {
 				p.Objects = append(p.Objects, c.object)
@@ -93,6 +114,8 @@
 		switch {
 		case down:
 			return p, fmt.Errorf("down")
+		case gone:
+			return p, watcher.ErrHistory
 		case len(p.Objects) > 0 || !time.Now().Before(until):
 			return p, nil
 		}
@@ -242,6 +265,30 @@
 	is.Equal(get(again.cfg.Self.Front, "/p/x"), "200 ran /p/x")
 }
 
+// TestStoreFromACopy takes the store back to a copy that has nothing. The instances
+// keep their configuration and register again.
+func TestStoreFromACopy(t *testing.T) {
+	is := is.New(t)
+	m := newMemory()
+	m.put(steerer.Configs, steerer.Object{Name: "main", Config: &steerer.Config{Version: 3}})
+	var all []*instance
+	for n := range 2 {
+		all = append(all, start(t, m, 10+n))
+	}
+	for _, i := range all {
+		await(t, i.cfg.Lookup, "/", "200 true 2")
+	}
+	m.restore()
+	for until := time.Now().Add(30 * time.Second); len(m.names(steerer.Instances)) < 2 && time.Now().Before(until); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(m.names(steerer.Instances), []string{"i10", "i11"})
+	for _, i := range all {
+		await(t, i.cfg.Lookup, "/", "200 true 2")
+		is.True(strings.Contains(get(i.cfg.Admin, "/status"), `"version":3`))
+	}
+}
+
 // TestPanicsOfEvents sends an event at which the reducer panics. The instance
 // keeps what it knew and goes on.
 func TestPanicsOfEvents(t *testing.T) {
