relayer: the test kit leaves no connections behind

Each execution left a connection on both sides, 4,760 descriptors after 5,500 executions in one process, so that a worker comes near the limits of descriptors and ports.

Change: stubs close what they have accepted, rigs the pools of their upstreams.

--- a/hornbeamd/relayer/kit_test.go
+++ b/hornbeamd/relayer/kit_test.go
@@ -69,6 +69,8 @@
 	mu   sync.Mutex
 	runs []string
 	seen []*http.Request
+	// open has the accepted connections.
+	open []net.Conn
 	// conns counts accepted connections, cut those that ended while a request
 	// was at work.
 	conns, cut atomic.Int64
@@ -80,7 +82,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	s := &upstreamStub{id: id, listener: ln, serve: serve}
-	t.Cleanup(func() { _ = ln.Close() })
+	t.Cleanup(s.close)
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -88,12 +90,25 @@
 				return
 			}
 			s.conns.Add(1)
+			s.mu.Lock()
+			s.open = append(s.open, c)
+			s.mu.Unlock()
 			go s.talk(c)
 		}
 	}()
 	return s
 }
 
+// close ends the stub with its connections, so that many of them leave none behind.
+func (s *upstreamStub) close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.open {
+		_ = c.Close()
+	}
+}
+
 func (s *upstreamStub) talk(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	br := bufio.NewReader(c)
@@ -159,7 +174,12 @@
 	is.NoErr(err)
 	g.address = ln.Addr().String()
 	go func() { _ = g.relayer.Serve(ln) }()
-	t.Cleanup(func() { _ = ln.Close() })
+	t.Cleanup(func() {
+		_ = ln.Close()
+		g.publish(func(v *steerer.View) { v.Upstreams = nil })
+		// Closes the connections to the upstreams that are gone.
+		g.relayer.Maintain()
+	})
 	return g
 }
 
