emulator: upstreams of tests listen on an address of their own

The test closes an upstream and listens on its port again; between the two another process had got the port as the source of a connection from 127.0.0.1.

Change: tests listen on a loopback address of their process. The check stays.

--- a/hornbench/emulator/upstream_test.go
+++ b/hornbench/emulator/upstream_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -75,8 +76,11 @@
 	return answer{a.StatusCode, a.Header, b, err}
 }
 
+// startUpstream starts an upstream on an address of this process, whose ports no
+// other one takes while the upstream is closed.
 func startUpstream(t *testing.T, b Behavior) *Upstream {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	ip := fmt.Sprintf("127.77.%d.%d", os.Getpid()>>8&0xff, os.Getpid()&0xff)
+	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
