dispatcher: an aim that no run can reach refuses nobody

Cause: seen by reading. The wait for a slot bounds what is taken in by the route's aim; with an aim below the time of a run, set by mistake, every request that finds no free slot would be refused, though its deadline is far.

Change: the bound is never below the time of a run that knows its key.

Measured: TestCrowd has 8 taken in with an aim of 1 ms.

--- a/core/dispatcher/choose.go
+++ b/core/dispatcher/choose.go
@@ -227,9 +227,10 @@
 }
 
 // crowded tells whether the wait for a slot alone takes longer than the aim. In its
-// place a request would be answered late, and so would all those behind it.
+// place a request would be answered late, and so would all those behind it. An aim
+// that no run can reach says nothing.
 func (r *Request) crowded(c *candidate) bool {
-	return r.Route.Aim > 0 && c.wait > r.Route.Aim
+	return r.Route.Aim > 0 && c.wait > max(r.Route.Aim, time.Duration(r.Route.work.warm()))
 }
 
 // comeBack is when room is likely after a wait of the given length: somewhat
