--- a/core/steerer/objects.go
+++ b/core/steerer/objects.go
@@ -35,7 +35,7 @@
 	for _, o := range all {
 		present[o.Name] = true
 	}
-	if s.returned(k, at) {
+	if s.turned(k, at) {
 		out = append(s.turn(now, k, at), s.carry(now, k, present)...)
 		// From here on what is known belongs to the new era.
 		s.sources[k].at = at
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -118,7 +118,7 @@
 		now = e.Now
 		out = s.regain(e.Now, e.Kind)
 		at := s.sources[e.Kind].mark(e.Era, e.Revision)
-		if s.outdated(e.Kind, at) || s.returned(e.Kind, at) {
+		if s.outdated(e.Kind, at) || s.turned(e.Kind, at) {
 			break
 		}
 		out = append(out, s.apply(e.Now, e.Kind, e.Objects)...)
--- a/hornbench/soaker/faults.go
+++ b/hornbench/soaker/faults.go
@@ -171,8 +171,8 @@
 	}
 }
 
-// laterFaults join the others if the soak has them.
-var laterFaults = []fault{
+// extendedFaults join the others if the soak has them.
+var extendedFaults = []fault{
 	{"store returns from a copy", false, returnFault},
 	{"upstream leaves by its answers", false, func(ctx context.Context, w *World, d time.Duration) {
 		u := w.takeUpstream()
@@ -263,8 +263,8 @@
 	var group sync.WaitGroup
 	var signals sync.Mutex
 	all := faults
-	if w.options.Later {
-		all = slices.Concat(faults, laterFaults, laterFaults)
+	if w.options.Extended {
+		all = slices.Concat(faults, extendedFaults, extendedFaults)
 	}
 	for time.Now().Before(w.options.Until) && ctx.Err() == nil {
 		f := all[w.number(len(all))]
--- a/hornbench/soaker/soak.go
+++ b/hornbench/soaker/soak.go
@@ -22,9 +22,9 @@
 	// Instances and Upstreams (for each of two services) are spread over the
 	// failure domains.
 	Instances, Upstreams, Callers int
-	// Later adds a store that comes back from a copy, and upstreams that say that
+	// Extended adds a store that comes back from a copy, and upstreams that say that
 	// they leave or ask for a pause.
-	Later bool
+	Extended bool
 	// Dir takes the logs of the instances. It is made if it is missing.
 	Dir string
 }
--- a/hornbench/soaker/soak_test.go
+++ b/hornbench/soaker/soak_test.go
@@ -25,10 +25,10 @@
 	length  time.Duration
 }{
 	{4242, Options{Instances: 4, Upstreams: 3, Callers: 8}, 6 * time.Second},
-	{510, Options{Instances: 4, Upstreams: 4, Callers: 12, Later: true}, 8 * time.Second},
+	{510, Options{Instances: 4, Upstreams: 4, Callers: 12, Extended: true}, 8 * time.Second},
 	// A refusal with a pause did not come through a link that was cut one way; the
 	// audit held the requests that followed against the instance.
-	{629, Options{Instances: 5, Upstreams: 4, Callers: 16, Later: true}, 12 * time.Second},
+	{629, Options{Instances: 5, Upstreams: 4, Callers: 16, Extended: true}, 12 * time.Second},
 	// The answer to a watch was lost, and nothing showed that for 26 s.
 	{136, Options{Instances: 5, Upstreams: 4, Callers: 16}, 12 * time.Second},
 }
