steerer: an instance that moves after a return from a copy is followed

The copy may have an old address of an instance that is heard, and for 10 s after a return every other address was ignored, also one that was written after the return. An instance that was replaced in that time was named by its dead address for good.

Change: only the first list of the new era is doubted.

Measured: the new script has beacons and look-ups at near:70 before and new:70 after; all other golden files as before.

--- a/core/steerer/era_test.go
+++ b/core/steerer/era_test.go
@@ -128,6 +128,13 @@
 			listed(2, Instances, 2, 90, instance(self()), instance(Instance{Name: "near", Front: "old:80", Beacon: "old:70", Domain: "a-2", Region: "a"}), instance(other("far", "b-1"))),
 			heard(2.2, "near"),
 		),
+		"instance-moves-shortly-after-a-return": append(firstEra(),
+			heard(1.9, "near"),
+			listed(2, Instances, 2, 90, instance(self()), instance(other("near", "a-2")), instance(other("far", "b-1"))),
+			heard(2.9, "near"),
+			changed(3, Instances, 2, 95, instance(Instance{Name: "near", Front: "new:80", Beacon: "new:70", Domain: "a-2", Region: "a"})),
+			heard(3.1, "near"),
+		),
 		"starting-instance-learns-a-lost-configuration": {
 			listed(0.1, Configs, 2, 90, config(8)),
 			listed(0.1, Upstreams, 2, 90),
--- a/core/steerer/objects.go
+++ b/core/steerer/objects.go
@@ -198,8 +198,9 @@
 		old.heldUntil = 0
 		return nil
 	}
-	if c := s.sources[Instances]; old != nil && old.near(now) && c.turnedAt != 0 && now-c.turnedAt < int64(rejoinTime) {
-		// The copy may have the address of an earlier process.
+	if old != nil && old.near(now) && s.sources[Instances].turnedAt == now {
+		// The copy may have the address of an earlier process. What is written after
+		// the return is newer.
 		return nil
 	}
 	p := &peer{Instance: *o.Instance, silence: silentTime}
