relayer, dispatcher: record the request limits that upstreams state

Cause: no log line and no metric says that an upstream has stated a limit, so the hypotheses on the incident cannot be told apart. Nothing decides by it yet.

--- a/core/dispatcher/pause.go
+++ b/core/dispatcher/pause.go
@@ -19,6 +19,8 @@
 type pauseState struct {
 	// pausedUntil is when the incarnation accepts requests of this instance again.
 	pausedUntil atomic.Int64
+	// limit is the limit that the incarnation has stated.
+	limit rateLimit
 	// absentSince is when the incarnation left the view, 0 while it is in it.
 	absentSince int64
 }
--- a/hornbeamd/relayer/exchange.go
+++ b/hornbeamd/relayer/exchange.go
@@ -61,8 +61,10 @@
 	// rerouteAt is the time at which the request is sent to another upstream, if
 	// there is one.
 	rerouteAt int64
-	// sent reports whether a byte of the request may have reached the upstream.
+	// sent reports whether a byte of the request may have reached the upstream,
+	// sentAt is when it was sent.
 	sent      bool
+	sentAt    int64
 	writeDone chan error
 	response  *fasthttp.Response
 	body      body
@@ -141,6 +143,10 @@
 	if !x.target.Available(now) {
 		return errWithdrawn
 	}
+	x.sentAt = now
+	if x.target.CountSend() {
+		x.relayer.cfg.Metrics.LimitedSend(x.call.pool.Name, x.call.sends > 1)
+	}
 	encoded := x.call.encoded(x.target.ID, remaining)
 	if err := x.conn.SetWriteDeadline(time.Now().Add(remaining)); err != nil {
 		return err
@@ -271,6 +277,25 @@
 		cfg.Log.Info("paused by upstream", "upstream", x.target.ID, "id", string(x.call.id), "status", status,
 			"asked", x.info.Pause.Milliseconds(), "left", (until-now)/int64(time.Millisecond))
 	}
+	x.applyLimit()
+}
+
+// applyLimit records the limit that the response states. Only a signed response
+// without one ends a limit, since others may be made by something in between.
+func (x *exchange) applyLimit() {
+	cfg := &x.relayer.cfg
+	if !x.info.RateLimit.Stated && !x.info.Signed {
+		return
+	}
+	c := x.target.ObserveLimit(x.info.RateLimit, x.sentAt, cfg.Now())
+	switch {
+	case !c.Changed:
+	case c.Active:
+		cfg.Metrics.UpstreamSignal(x.call.pool.Name, "limit")
+		cfg.Log.Info("limited by upstream", "upstream", x.target.ID, "id", string(x.call.id), "status", x.response.StatusCode(), "limit", c.PerSecond)
+	default:
+		cfg.Log.Info("limit of upstream ended", "upstream", x.target.ID, "id", string(x.call.id), "limit", c.PerSecond, "sends", c.Sends)
+	}
 }
 
 // validate rejects responses that cannot be the upstream's response to this
--- a/hornbeamd/relayer/harness_test.go
+++ b/hornbeamd/relayer/harness_test.go
@@ -43,7 +43,9 @@
 	if err != nil {
 		pause = 0
 	}
+	limit, err := strconv.ParseFloat(string(h.Peek("Limit")), 64)
 	return ResponseInfo{
+		RateLimit: dispatcher.RateLimit{Stated: len(h.Peek("Limit")) > 0, Valid: err == nil, PerSecond: limit},
 		RequestID: h.Peek("Id"), NotRun: len(h.Peek("Notrun")) > 0, Signed: len(h.Peek("Sign")) > 0,
 		Leaving: len(h.Peek("Leaving")) > 0, Pause: time.Duration(pause) * time.Millisecond,
 	}
@@ -58,6 +60,7 @@
 func (noMetrics) ExchangeDone(string, string)               {}
 func (noMetrics) Dialed(string)                             {}
 func (noMetrics) UpstreamSignal(string, string)             {}
+func (noMetrics) LimitedSend(string, bool)                  {}
 
 // upstreamStub is an upstream whose handler writes raw bytes, so that it can
 // violate the protocol. It records the requests that it has run.
--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -47,6 +47,8 @@
 	// wants no requests from this instance; 0 if it asks for no pause.
 	Leaving bool
 	Pause   time.Duration
+	// RateLimit is the request rate that the upstream accepts from all instances.
+	RateLimit dispatcher.RateLimit
 }
 
 // HeaderCodec reads and writes the header fields of callers and upstreams.
@@ -73,8 +75,11 @@
 	ExchangeDone(service, result string)
 	// Dialed records a new connection to an upstream.
 	Dialed(service string)
-	// UpstreamSignal records a signal of an upstream: "pause" or "left".
+	// UpstreamSignal records a signal of an upstream: "pause", "limit" or "left".
 	UpstreamSignal(service, signal string)
+	// LimitedSend records a request sent to an upstream that limits its rate. Repeat
+	// reports whether it had been sent to an upstream before.
+	LimitedSend(service string, repeat bool)
 }
 
 // Config holds the dependencies and settings of a Relayer.
--- a/hornbeamd/runner/metrics.go
+++ b/hornbeamd/runner/metrics.go
@@ -20,6 +20,7 @@
 	sends            *prometheus.CounterVec
 	dials            *prometheus.CounterVec
 	upstreamRequests *prometheus.CounterVec
+	limitedSends     *prometheus.CounterVec
 	changes          *prometheus.CounterVec
 	storeCalls       *prometheus.CounterVec
 	panics           *prometheus.CounterVec
@@ -53,8 +54,11 @@
 			Name: "horn_dials_total", Help: "Connections opened to upstreams.",
 		}, []string{"service"}),
 		upstreamRequests: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "horn_upstream_requests_total", Help: "What upstreams have asked for: a pause, or to be left.",
+			Name: "horn_upstream_requests_total", Help: "What upstreams have asked for: a pause, a limited rate, or to be left.",
 		}, []string{"service", "what"}),
+		limitedSends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "horn_limited_sends_total", Help: "Requests sent to upstreams that limit their rate, first sends and repeats.",
+		}, []string{"service", "send"}),
 		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "horn_changes_total", Help: "Changes of what the instance believes.",
 		}, []string{"what"}),
@@ -66,7 +70,7 @@
 		}, []string{"what"}),
 		labeledRoutes: map[string]bool{},
 	}
-	registry.MustRegister(m.requests, m.latency, m.sends, m.dials, m.upstreamRequests, m.changes, m.storeCalls, m.panics)
+	registry.MustRegister(m.requests, m.latency, m.sends, m.dials, m.upstreamRequests, m.limitedSends, m.changes, m.storeCalls, m.panics)
 	if dropped != nil {
 		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "horn_log_lines_dropped_total", Help: "Log lines dropped because of the bound on their rate.",
@@ -132,6 +136,15 @@
 	m.upstreamRequests.WithLabelValues(service, what).Inc()
 }
 
+// LimitedSend implements relayer.Metrics.
+func (m *metrics) LimitedSend(service string, repeat bool) {
+	send := "first"
+	if repeat {
+		send = "repeat"
+	}
+	m.limitedSends.WithLabelValues(service, send).Inc()
+}
+
 // instrumentedStore counts the calls to a Store by result.
 type instrumentedStore struct {
 	Store
