--- a/core/dispatcher/policies_test.go
+++ b/core/dispatcher/policies_test.go
@@ -87,6 +87,9 @@
 		if res == Answered || res == Shed {
 			d.ReportLoad(l, now)
 		}
+		if res == Answered {
+			d.Upstream.ObserveLimit(RateLimit{Stated: q.limit > 0, Valid: q.limit > 0, PerSecond: q.limit}, q.sentAt, now)
+		}
 		if res == PauseRequested {
 			d.Upstream.Pause(time.Duration(q.upstream.pausedUntil-now), now)
 		}
--- a/core/dispatcher/simulation_test.go
+++ b/core/dispatcher/simulation_test.go
@@ -73,6 +73,20 @@
 	runs, coldRuns int
 	// arrivals counts requests by second.
 	arrivals map[int64]int
+	// limit is the request rate that its answers state, 0 for none. limitedAt is when
+	// it was first stated.
+	limit     float64
+	limitedAt int64
+	// limitSentAt is when each instance first got an answer with the limit,
+	// limitedArrivals are the requests since limitedAt.
+	limitSentAt     map[[2]int]int64
+	limitedArrivals []simArrival
+}
+
+// simArrival is the arrival of a request of an instance, by region and index.
+type simArrival struct {
+	at       int64
+	instance [2]int
 }
 
 // simRequest is a simulated request.
@@ -85,6 +99,8 @@
 	attempt             int
 	// sends counts the exchanges, ended is the number of the last one that has ended.
 	sends, ended int
+	// limit is the limit in the answer, 0 for none.
+	limit float64
 	// done informs the policy of the result of an exchange.
 	done func(res Result, l Load, took time.Duration, now int64)
 }
@@ -159,7 +175,7 @@
 		for range region.upstreams {
 			i := len(m.upstreams)
 			m.upstreams = append(m.upstreams, &simUpstream{
-				index: i, region: r, slowdown: 1, arrivals: map[int64]int{}, pendingKeys: map[uint64]int{}, pauseSentAt: map[[2]int]int64{}, afterPause: map[[2]int]int{},
+				index: i, region: r, slowdown: 1, arrivals: map[int64]int{}, pendingKeys: map[uint64]int{}, pauseSentAt: map[[2]int]int64{}, limitSentAt: map[[2]int]int64{}, afterPause: map[[2]int]int{},
 				registration: steerer.Upstream{ID: fmt.Sprintf("u%02d", i), Service: "s", Address: fmt.Sprint(i), Domain: domainName(r), Slots: s.slots},
 			})
 		}
@@ -283,6 +299,9 @@
 	u := q.upstream
 	u.incoming--
 	u.arrivals[now/1e9]++
+	if u.limitedAt != 0 {
+		u.limitedArrivals = append(u.limitedArrivals, simArrival{now, [2]int{q.region, q.instance}})
+	}
 	switch {
 	case u.down:
 		m.respond(q, Unreachable, now)
@@ -363,11 +382,19 @@
 	u.pendingKeys[q.key]--
 	l := Load{u.running, len(u.queue), m.slots}
 	sends := q.sends
+	limit := u.limit
+	if limit > 0 && u.limitedAt == 0 {
+		u.limitedAt = now
+	}
 	m.schedule(now+m.delay(u.region, q.region), func(now int64) {
 		if q.ended >= sends {
 			return
 		}
 		q.ended = sends
+		q.limit = limit
+		if instance := [2]int{q.region, q.instance}; limit > 0 && u.limitSentAt[instance] == 0 {
+			u.limitSentAt[instance] = now
+		}
 		if q.done != nil {
 			q.done(res, l, time.Duration(now-q.sentAt), now)
 		}
--- a/hornbeamd/relayer/harness_test.go
+++ b/hornbeamd/relayer/harness_test.go
@@ -258,3 +258,15 @@
 	}
 	return n
 }
+
+// exchange returns an exchange with an upstream that was chosen just now and has not
+// begun.
+func (h *harness) exchange(u *dispatcher.Upstream) *exchange {
+	t := h.tables.Load()
+	c := &call{
+		ctx: &fasthttp.RequestCtx{}, table: t, codec: testCodec{}, deadline: h.now() + int64(routeTimeout),
+		route: t.Route("h", "/once/"), pool: t.Pool("s"), start: h.now(),
+	}
+	c.req.Now = h.now()
+	return &exchange{relayer: h.relayer, call: c, target: u, pool: h.relayer.pool(u), response: &fasthttp.Response{}, rerouteAt: c.deadline}
+}
