dispatcher, steerer: instances share the request limits of upstreams

Callers saw nothing; upstreams in need got up to 2.3 times what they had allowed (111 requests in 4 s instead of 49). Cause: what an upstream says of itself was heard for leaving and for pauses only. A rate for all instances together was not read, and no mechanism divided one: the class is a bound shared by all instances that each of them has to keep without asking the others. Change: the limit is divided over the registered instances, reached or not, those of the upstream's region first. The number of shares is bounded so that all of them, each sending as much as it may, stay within 75% of what a window of 4 s accepts, for 1 to 1000 instances. An instance that the store has not listed yet has no share. The share is taken when the request is admitted, on every path, and again before it is written if the limit was stated since. Beacons carry limits and their ends, with their age; instances without a share stand in one after the other if nobody has news for 10 s. Requests that no share is left for go to other upstreams or are refused at once.

--- a/core/dispatcher/choose.go
+++ b/core/dispatcher/choose.go
@@ -20,6 +20,9 @@
 	// Paused means that all usable upstreams of the service have asked for a
 	// pause.
 	Paused Reason = "upstreams pause"
+	// Limited means that this instance's shares of the limits of all usable
+	// upstreams are used up.
+	Limited Reason = "upstream limits"
 )
 
 const (
@@ -59,6 +62,8 @@
 // Decision is the result of Choose. If Upstream is nil, the request is refused.
 type Decision struct {
 	Upstream *Upstream
+	// At is when the request was admitted.
+	At int64
 	// Expected is the expected latency, of which Wait is spent in the upstream's
 	// queue.
 	Expected, Wait time.Duration
@@ -177,12 +182,17 @@
 
 // noCandidate returns the refusal of a request that no upstream may take.
 func (r *Request) noCandidate() Decision {
-	end, ok := r.firstPauseEnd()
+	at, reason, ok := r.firstOpening()
 	if !ok {
 		return Decision{Reason: NoUpstream, RetryAfter: maxRetryAfter / 4}
 	}
-	// Jitter keeps callers that get the same pause end from retrying together.
-	return Decision{Reason: Paused, RetryAfter: time.Duration(end-r.Now) + r.jitter(maxRetryAfter/4)}
+	// Jitter keeps callers that are told the same time from retrying together.
+	wait := time.Duration(at - r.Now)
+	if reason == Limited {
+		// Another instance may have a share to spare.
+		wait = min(wait, maxRetryAfter)
+	}
+	return Decision{Reason: reason, RetryAfter: wait + r.jitter(maxRetryAfter/4)}
 }
 
 // homeRegion returns the region where the request should run: that of its key's
@@ -226,7 +236,7 @@
 			if left := c.upstream.Region != set.homeRegion; left != set.away {
 				r.Pool.spillover.moveLimiter.correct(left)
 			}
-			return Decision{Upstream: c.upstream, Expected: c.expected, ExpectedCold: c.expectedCold, Wait: c.wait, LikelyWarm: c.likelyWarm, KnownWarm: c.knownWarm, Load: c.load, ReportAge: c.reportAge}
+			return Decision{Upstream: c.upstream, At: r.Now, Expected: c.expected, ExpectedCold: c.expectedCold, Wait: c.wait, LikelyWarm: c.likelyWarm, KnownWarm: c.knownWarm, Load: c.load, ReportAge: c.reportAge}
 		}
 		set.members = slices.DeleteFunc(set.members, func(x candidate) bool { return x.upstream == c.upstream })
 		if len(set.members) == 0 {
--- a/core/dispatcher/pause_test.go
+++ b/core/dispatcher/flow_control_test.go
@@ -62,7 +62,7 @@
 // maxPauseTime.
 func TestPauseIsBounded(t *testing.T) {
 	is := is.New(t)
-	u := &Upstream{pauseState: &pauseState{}}
+	u := &Upstream{flow: &flowControl{}}
 	is.Equal(u.Pause(time.Minute, 1), 1+int64(time.Minute))
 	is.Equal(u.Pause(time.Second, 2), 1+int64(time.Minute)) // a shorter pause does not end it
 	is.Equal(u.Pause(1000*time.Hour, 3), 3+int64(maxPauseTime))
@@ -76,7 +76,7 @@
 	for n := range 500 {
 		buildTable(b, int64(n)*int64(time.Second), testUpstream(fmt.Sprint("u", n), 1))
 	}
-	is.True(len(b.pauses) < 100)
+	is.True(len(b.flows) < 100)
 }
 
 // TestAllUpstreamsPaused checks that callers are told to retry when the first pause
--- a/core/dispatcher/limit_test.go
+++ b/core/dispatcher/limit_test.go
@@ -1,10 +1,14 @@
 package dispatcher
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"hornbeamstream.example/core/steerer"
 )
 
 const (
@@ -12,11 +16,6 @@
 	// exceeded, limitToldTime the time after which an instance that was told counts.
 	limitContactTime = 3 * time.Second
 	limitToldTime    = 500 * time.Millisecond
-	// In each limitWindow an upstream may get limitFactor times what its limit allows,
-	// and limitSlack more.
-	limitWindow = 4 * time.Second
-	limitFactor = 1.5
-	limitSlack  = 5
 )
 
 // excess returns the largest number of requests in a window of the limit, less what is
@@ -45,6 +44,8 @@
 	limit float64
 	// limited is the number of upstreams that state it.
 	limited int
+	// used is the part of the limit that is used at least if there is enough demand.
+	used float64
 }
 
 func limitScenarios() []limitScenario {
@@ -76,34 +77,220 @@
 	alone.instances = 1
 	alone.regions = []simRegion{{upstreams: 6, rate: 126, keys: 94}}
 	return []limitScenario{
-		{base, 4.2, 1}, {few, 0.5, 4}, {all, 7.3, 12}, {burst, 5, 3}, {cut, 5, 3}, {large, 4.2, 4}, {alone, 4.2, 2},
+		{base, 4.2, 1, 0.5}, {few, 0.5, 4, 0.5}, {all, 7.3, 12, 0.5}, {burst, 5, 3, 0.5}, {cut, 5, 3, 0.5}, {large, 4.2, 4, 0}, {alone, 4.2, 2, 0.5},
 	}
 }
 
+// simulateLimit runs a scenario in which upstreams limit their rate from second 8 until
+// the given time, or for ever if that is 0.
+func simulateLimit(s limitScenario, p policy, until time.Duration) *simulation {
+	s.onTick = func(m *simulation, now time.Duration) {
+		limit := s.limit
+		if now < 8*time.Second || until > 0 && now >= until {
+			limit = 0
+		}
+		// The limited upstreams are spread over the regions.
+		for i := range s.limited {
+			m.upstreams[i*len(m.upstreams)/s.limited].limit = limit
+		}
+	}
+	return simulate(s.scenario, p, 1)
+}
+
 // TestRateLimitHoldsOverAllInstances guards against more requests than an upstream has
 // limited itself to: each instance kept sending its usual load.
 func TestRateLimitHoldsOverAllInstances(t *testing.T) {
 	for _, s := range limitScenarios() {
+		for _, gossipDelay := range []time.Duration{0, 700 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s, told after %v", s.name, gossipDelay), func(t *testing.T) {
+				t.Parallel()
+				is := is.NewRelaxed(t)
+				p := newDispatcherPolicy(s.scenario)
+				p.gossipDelay = gossipDelay
+				m := simulateLimit(s, p, 0)
+				for _, u := range m.upstreams {
+					if u.limitedAt == 0 {
+						continue
+					}
+					t.Logf("%s: excess %.1f, %d requests since the limit", u.registration.ID, u.excess(s.limit), len(u.limitedArrivals))
+					is.True(u.excess(s.limit) <= 0) // at most 1.5 times the limit, and 5 requests, in 4 s
+				}
+			})
+		}
+	}
+}
+
+// arrivalsBetween returns the number of requests that arrived in the given seconds.
+func (u *simUpstream) arrivalsBetween(from, to int64) (n int) {
+	for second := from; second < to; second++ {
+		n += u.arrivals[second]
+	}
+	return n
+}
+
+// TestRateLimitIsUsed checks that the shares serve what the limit allows, and that an
+// upstream gets its usual load again when its limit ends. Instances without a share
+// learn of the end from the others.
+func TestRateLimitIsUsed(t *testing.T) {
+	for _, s := range limitScenarios() {
+		if s.partitioned != nil || s.rateFactor != nil {
+			continue
+		}
 		t.Run(s.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.NewRelaxed(t)
-			s.onTick = func(m *simulation, now time.Duration) {
-				if now < 8*time.Second {
-					return
-				}
-				// The limited upstreams are spread over the regions.
-				for i := range s.limited {
-					m.upstreams[i*len(m.upstreams)/s.limited].limit = s.limit
-				}
+			p := newDispatcherPolicy(s.scenario)
+			p.gossipDelay = 700 * time.Millisecond
+			s.duration = 36 * time.Second
+			m := simulateLimit(s, p, 20*time.Second)
+			// After any absence, keys are cached by other upstreams as well.
+			absent := simulateAbsence(s, 20*time.Second)
+			for i := range s.limited {
+				u := m.upstreams[i*len(m.upstreams)/s.limited]
+				during, after := u.arrivalsBetween(12, 20), u.arrivalsBetween(28, 36)
+				want := absent.upstreams[u.index].arrivalsBetween(28, 36)
+				t.Logf("%s: %d requests in 8 s of a limit of %.1f, %d in 8 s after it, %d after a pause", u.registration.ID, during, s.limit, after, want)
+				is.True(during > 0 && float64(during) >= s.used*s.limit*8)
+				is.True(float64(after) >= 0.8*float64(want))
 			}
-			m := simulate(s.scenario, newDispatcherPolicy(s.scenario), 1)
-			for _, u := range m.upstreams {
-				if u.limitedAt == 0 {
-					continue
+		})
+	}
+}
+
+// simulateAbsence runs a scenario in which the upstreams that would limit their rate
+// pause from second 8 until the given time.
+func simulateAbsence(s limitScenario, until time.Duration) *simulation {
+	s.onTick = func(m *simulation, now time.Duration) {
+		for i := range s.limited {
+			if now >= 8*time.Second {
+				m.upstreams[i*len(m.upstreams)/s.limited].pausedUntil = int64(until)
+			}
+		}
+	}
+	return simulate(s.scenario, newDispatcherPolicy(s.scenario), 1)
+}
+
+// TestSharesFitIntoWindow checks that all instances with a share, each sending as much as
+// it may, stay within what an upstream accepts, with the reserve.
+func TestSharesFitIntoWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		perSecond, n := rapid.Float64Range(0, 500).Draw(t, "perSecond"), rapid.IntRange(1, 1000).Draw(t, "instances")
+		s := divideLimit(perSecond, n)
+		rate := max(perSecond, minSharedRate)
+		if float64(s.count*s.mostInWindow()) > (1-limitReserve)*(limitFactor*rate*limitWindow.Seconds()+limitSlack) {
+			t.Fatalf("%d shares of %d requests in a window", s.count, s.mostInWindow())
+		}
+		if s.count < 1 || s.count > n || float64(s.count)/s.interval.Seconds() > rate {
+			t.Fatalf("%d shares with an interval of %v", s.count, s.interval)
+		}
+		// Requests under one share are never closer than mostInWindow says.
+		u := &Upstream{flow: &flowControl{}}
+		u.ObserveLimit(RateLimit{Stated: true, Valid: true, PerSecond: perSecond}, 1, 1)
+		var sent []int64
+		now := int64(1)
+		for range 200 {
+			now += int64(rapid.IntRange(0, int(time.Second)).Draw(t, "gap"))
+			if u.useLimit(now) {
+				sent = append(sent, now)
+			}
+		}
+		one := divideLimit(perSecond, 1)
+		for i, first := range sent {
+			n := 0
+			for _, at := range sent[i:] {
+				if at-first < int64(limitWindow) {
+					n++
 				}
-				t.Logf("%s: excess %.1f", u.registration.ID, u.excess(s.limit))
-				is.True(u.excess(s.limit) <= 0) // at most 1.5 times the limit, and 5 requests, in 4 s
 			}
-		})
+			if n > one.mostInWindow() {
+				t.Fatalf("%d requests in a window, at most %d", n, one.mostInWindow())
+			}
+		}
+	})
+}
+
+// TestPeersAgreeOnRanks checks that the instances rank each other alike, those of the
+// upstream's region first.
+func TestPeersAgreeOnRanks(t *testing.T) {
+	is := is.New(t)
+	regions := map[string]bool{"a": true, "b": true, "c": true}
+	for _, n := range []int{1, 2, 9, 300} {
+		var peers []steerer.Instance
+		for i := range n {
+			peers = append(peers, steerer.Instance{Name: fmt.Sprint("i", i), Region: string(rune('a' + i%3))})
+		}
+		for hash := range uint64(5) {
+			ranks := map[int]bool{}
+			for _, self := range peers {
+				rank := newPeerSet(self, peers, regions, false).rank("b", hash*hashMultiplier)
+				ranks[rank] = true
+				is.Equal(self.Region == "b", rank < (n+1)/3)
+				is.True(rank < n)
+			}
+			is.Equal(len(ranks), n)
+		}
+	}
+}
+
+// TestRateLimitOfUnregisteredInstance guards against an instance that has just started
+// and uses a share of a limit before the others count it.
+func TestRateLimitOfUnregisteredInstance(t *testing.T) {
+	is := is.New(t)
+	now := int64(time.Minute)
+	view := steerer.View{
+		Config: &steerer.Config{
+			Services: []steerer.Service{{Name: "s", Conns: 100, ColdRate: 15}},
+			Routes:   []steerer.Route{{Name: "r", Host: "h", Prefix: "/", Timeout: time.Second, Aim: 100 * time.Millisecond, Parts: []steerer.WeightedService{{Service: "s", Weight: 1}}}},
+		},
+		Upstreams: []steerer.Upstream{testUpstream("u", 1)},
+		Peers:     []steerer.Instance{{Name: "i", Domain: "a", Region: "r"}},
+	}
+	b := &Builder{Self: view.Peers[0], Regions: map[string]string{"a": "r"}, Bounds: steerer.Bounds{ColdSlack: 5, RetryShare: 0.2, RetrySlack: 58}}
+	for _, incomplete := range []bool{true, false} {
+		view.PeersIncomplete = incomplete
+		table := b.Build(view, now)
+		u := table.Pool("s").Upstreams[0]
+		if incomplete {
+			u.ObserveLimit(RateLimit{Stated: true, Valid: true, PerSecond: 4}, now, now)
+		}
+		is.Equal(u.Available(now+int64(time.Hour)), !incomplete)
+		r := &Request{Route: table.Route("h", "/"), Pool: table.Pool("s"), Key: 1, Now: now + 1, Deadline: now + int64(time.Second)}
+		d := Choose(r)
+		is.Equal(d.Reason, Limited) // refused at once
+		is.True(d.RetryAfter <= 2*maxRetryAfter)
+	}
+}
+
+// TestStandInsFindTheEndOfALimit checks that instances without a share send a request
+// now and then if nobody else does, in turn.
+func TestStandInsFindTheEndOfALimit(t *testing.T) {
+	is := is.New(t)
+	var peers []steerer.Instance
+	for i := range 300 {
+		peers = append(peers, steerer.Instance{Name: fmt.Sprint("i", i), Domain: "a", Region: "r"})
+	}
+	now := int64(time.Minute)
+	sends, senders := map[int64]int{}, 0
+	for _, self := range peers {
+		b := &Builder{Self: self, Regions: map[string]string{"a": "r"}}
+		b.Build(steerer.View{Config: &steerer.Config{Services: []steerer.Service{{Name: "s"}}}, Upstreams: []steerer.Upstream{testUpstream("u", 1)}, Peers: peers}, now)
+		var u *Upstream
+		for _, u = range b.upstreams {
+			u.ObserveLimit(RateLimit{Stated: true, Valid: true, PerSecond: 0.5}, now, now)
+		}
+		sent := false
+		for at := now; at < now+int64(5*time.Minute); at += int64(100 * time.Millisecond) {
+			if u.useLimit(at) {
+				sends[(at-now)/int64(limitWindow)]++
+				sent = true
+			}
+		}
+		if sent {
+			senders++
+		}
+	}
+	for _, n := range sends {
+		is.True(float64(n) <= limitFactor*0.5*limitWindow.Seconds()+limitSlack)
 	}
+	is.True(senders >= divideLimit(0.5, 300).count+25)
 }
--- a/core/dispatcher/policies_test.go
+++ b/core/dispatcher/policies_test.go
@@ -14,6 +14,9 @@
 	tables   [][]*Table
 	// view, if set, edits the view that the instances get.
 	view func(v *steerer.View)
+	// gossipDelay is the time after which instances tell each other of limits, 0 if
+	// they do not.
+	gossipDelay time.Duration
 }
 
 func newDispatcherPolicy(s scenario) *dispatcherPolicy {
@@ -88,7 +91,10 @@
 			d.ReportLoad(l, now)
 		}
 		if res == Answered {
-			d.Upstream.ObserveLimit(RateLimit{Stated: q.limit > 0, Valid: q.limit > 0, PerSecond: q.limit}, q.sentAt, now)
+			c := d.Upstream.ObserveLimit(RateLimit{Stated: q.limit > 0, Valid: q.limit > 0, PerSecond: q.limit}, q.sentAt, now)
+			if p.gossipDelay > 0 && (c.Active || c.Changed) {
+				p.gossip(m, d.Upstream, steerer.LimitState{InForce: c.Active, PerSecond: c.PerSecond}, now)
+			}
 		}
 		if res == PauseRequested {
 			d.Upstream.Pause(time.Duration(q.upstream.pausedUntil-now), now)
@@ -103,6 +109,17 @@
 	return -1, 0
 }
 
+// gossip tells all instances of a limit that one of them has observed.
+func (p *dispatcherPolicy) gossip(m *simulation, u *Upstream, s steerer.LimitState, now int64) {
+	m.schedule(now+int64(p.gossipDelay), func(later int64) {
+		for _, region := range p.builders {
+			for _, b := range region {
+				b.ApplyLimit(steerer.Incarnation{ID: u.ID, Born: u.Born}, s, now, later)
+			}
+		}
+	})
+}
+
 // roundRobin chooses the upstreams in turn.
 type roundRobin struct{ next int }
 
--- a/core/dispatcher/table.go
+++ b/core/dispatcher/table.go
@@ -75,7 +75,11 @@
 	counters     map[string]*decayingCounter
 	slotLoads    map[string]*movingAverage
 	paths        map[string]*path
-	pauses       map[steerer.Incarnation]*pauseState
+	flows        map[steerer.Incarnation]*flowControl
+	// peers ranks the instances of the latest view.
+	peers *peerSet
+	// peerList is the list that peers was made from.
+	peerList []steerer.Instance
 }
 
 // incarnationKey identifies the registration of one incarnation under an address.
@@ -87,12 +91,13 @@
 // Build returns the table for a view. Now is the current time.
 func (b *Builder) Build(v steerer.View, now int64) *Table {
 	b.init()
+	b.updatePeers(&v)
 	t := &Table{View: v, hosts: map[string]map[string]*Route{}, pools: map[string]*Pool{}}
 	if v.Config == nil {
 		return t
 	}
 	for _, s := range v.Config.Services {
-		t.pools[s.Name] = b.buildPool(s, len(v.Peers))
+		t.pools[s.Name] = b.buildPool(s)
 	}
 	b.placeUpstreams(t, now)
 	for i := range v.Config.Routes {
@@ -119,14 +124,23 @@
 	b.counters = map[string]*decayingCounter{}
 	b.slotLoads = map[string]*movingAverage{}
 	b.paths = map[string]*path{}
-	b.pauses = map[steerer.Incarnation]*pauseState{}
+	b.flows = map[steerer.Incarnation]*flowControl{}
+}
+
+// updatePeers ranks the instances again if they have changed.
+func (b *Builder) updatePeers(v *steerer.View) {
+	if b.peers != nil && b.peers.incomplete == v.PeersIncomplete && slices.Equal(b.peerList, v.Peers) {
+		return
+	}
+	b.peerList = slices.Clone(v.Peers)
+	b.peers = newPeerSet(b.Self, v.Peers, regionSet(b.Regions), v.PeersIncomplete)
 }
 
 // budgetMargin is the part of the configured bounds on retries that is used. The
 // rest allows for retries that fall into another window than their requests.
 const budgetMargin = 0.95
 
-func (b *Builder) buildPool(s steerer.Service, peers int) *Pool {
+func (b *Builder) buildPool(s steerer.Service) *Pool {
 	p := &Pool{
 		Service:     s,
 		RetryBudget: getOrCreate(b.budgets, s.Name),
@@ -137,7 +151,7 @@
 		p.spillover.moveLimiter = b.moveLimiter
 	}
 	if b.Bounds.RetryShare > 0 {
-		burst := b.Bounds.RetrySlack * budgetMargin / float64(max(1, peers))
+		burst := b.Bounds.RetrySlack * budgetMargin / float64(b.peers.size())
 		p.RetryBudget.Set(b.Bounds.RetryShare*budgetMargin, max(1, burst))
 	}
 	return p
@@ -155,7 +169,6 @@
 // left the view.
 func (b *Builder) placeUpstreams(t *Table, now int64) {
 	present := map[incarnationKey]bool{}
-	ring := b.instanceRing(&t.View)
 	for _, u := range t.View.Upstreams {
 		p := t.pools[u.Service]
 		if p == nil {
@@ -167,11 +180,12 @@
 		if upstream == nil {
 			region := b.Regions[u.Domain]
 			upstream = newUpstream(u, region, b.Self, getOrCreate(b.slotLoads, u.Service+" "+region), getOrCreate(b.paths, u.Domain))
-			upstream.pauseState = getOrCreate(b.pauses, steerer.Incarnation{ID: u.ID, Born: u.Born})
+			upstream.flow = getOrCreate(b.flows, steerer.Incarnation{ID: u.ID, Born: u.Born})
 			b.upstreams[key] = upstream
 		}
-		upstream.pauseState.absentSince = 0
-		upstream.update(u, b.coldRate(ring, u, p), b.maxConns(&t.View, p), now)
+		upstream.flow.absentSince, upstream.flow.upstream = 0, upstream
+		upstream.peers.Store(b.peers)
+		upstream.update(u, b.coldRate(u, p), b.maxConns(p), now)
 		p.Upstreams = append(p.Upstreams, upstream)
 		p.totalSlots += upstream.Slots
 		if upstream.Region == b.Self.Region {
@@ -181,11 +195,11 @@
 	for key, u := range b.upstreams {
 		if !present[key] {
 			u.closed.Store(true)
-			u.pauseState.absentSince = now
+			u.flow.absentSince = now
 			delete(b.upstreams, key)
 		}
 	}
-	maps.DeleteFunc(b.pauses, func(_ steerer.Incarnation, s *pauseState) bool { return s.expired(now) })
+	maps.DeleteFunc(b.flows, func(_ steerer.Incarnation, f *flowControl) bool { return f.expired(now) })
 	for _, p := range t.pools {
 		p.dropDoubtful()
 		p.regionCount = len(regionSet(b.Regions))
@@ -219,10 +233,11 @@
 // upstream accepts. Only some instances of the upstream's region, ColdSlack at most,
 // get a share: each may send one request at once, and these must not exceed the
 // slack.
-func (b *Builder) coldRate(r instanceRing, u steerer.Upstream, p *Pool) float64 {
+func (b *Builder) coldRate(u steerer.Upstream, p *Pool) float64 {
 	if b.Regions[u.Domain] != b.Self.Region {
 		return 0
 	}
+	r := b.peers.within[b.Self.Region]
 	maxInstances := max(1, int(b.Bounds.ColdSlack))
 	if r.distance(xxhash.Sum64String(u.ID)) >= maxInstances {
 		return 0
@@ -230,41 +245,10 @@
 	return p.ColdRate / float64(max(1, min(len(r.points), maxInstances)))
 }
 
-// instanceRing is a hash ring of the instances in this instance's region.
-type instanceRing struct {
-	// points are the hashes of the instances in ascending order.
-	points []uint64
-	// self is the index of this instance's point.
-	self int
-}
-
-func (b *Builder) instanceRing(v *steerer.View) (r instanceRing) {
-	selfHash := xxhash.Sum64String(b.Self.Name)
-	for _, i := range v.Peers {
-		if i.Region == b.Self.Region {
-			r.points = append(r.points, xxhash.Sum64String(i.Name))
-		}
-	}
-	slices.Sort(r.points)
-	r.self, _ = slices.BinarySearch(r.points, selfHash)
-	return r
-}
-
-// distance returns the number of instances on the ring from point to this instance,
-// this one excluded.
-func (r instanceRing) distance(point uint64) int {
-	n := len(r.points)
-	if n == 0 {
-		return 0
-	}
-	first, _ := slices.BinarySearch(r.points, point)
-	return (r.self - first%n + n) % n
-}
-
 // maxConns returns this instance's share of the connections to one upstream. A fifth
 // of the service's limit is left unused.
-func (b *Builder) maxConns(v *steerer.View, p *Pool) int {
-	return max(2, p.Conns*4/5/max(1, len(v.Peers)))
+func (b *Builder) maxConns(p *Pool) int {
+	return max(2, p.Conns*4/5/b.peers.size())
 }
 
 func (b *Builder) buildRoute(t *Table, r *steerer.Route) *Route {
--- a/core/dispatcher/upstream.go
+++ b/core/dispatcher/upstream.go
@@ -43,10 +43,12 @@
 
 	closed atomic.Bool
 	// draining is set once the upstream has announced its shutdown.
-	draining   atomic.Bool
-	pauseState *pauseState
-	doubtful   atomic.Bool
-	inflight   atomic.Int64
+	draining atomic.Bool
+	flow     *flowControl
+	// peers ranks this instance among those that share the upstream's bounds.
+	peers    atomic.Pointer[peerSet]
+	doubtful atomic.Bool
+	inflight atomic.Int64
 	// maxConns is this instance's share of the connections to the upstream.
 	maxConns atomic.Int64
 	// Until coldUntil the upstream is cold and gets one request per coldInterval,
@@ -77,7 +79,7 @@
 }
 
 func newUpstream(u steerer.Upstream, region string, self steerer.Instance, load *movingAverage, p *path) *Upstream {
-	upstream := &Upstream{Upstream: u, Region: region, RTT: crossRegionRTT, slotLoad: load, path: p, pauseState: &pauseState{}, slowdown: 1, seed: xxhash.Sum64String(u.ID)}
+	upstream := &Upstream{Upstream: u, Region: region, RTT: crossRegionRTT, slotLoad: load, path: p, flow: &flowControl{}, slowdown: 1, seed: xxhash.Sum64String(u.ID)}
 	switch {
 	case u.Domain == self.Domain:
 		upstream.RTT = sameDomainRTT
@@ -130,11 +132,17 @@
 func (u *Upstream) cold(now int64) bool { return now < u.coldUntil.Load() }
 
 // admit reports whether one more request may be sent. Requests to a cold upstream
-// are limited to one per coldInterval.
+// are limited to one per coldInterval, those under a limit to this instance's share.
 func (u *Upstream) admit(now int64) bool {
 	if !u.Available(now) {
 		return false
 	}
+	return u.admitCold(now) && u.useLimit(now)
+}
+
+// admitCold reports whether one more request may be sent as far as the upstream's slow
+// start is concerned.
+func (u *Upstream) admitCold(now int64) bool {
 	if !u.cold(now) {
 		return true
 	}
--- a/core/steerer/events.go
+++ b/core/steerer/events.go
@@ -98,6 +98,15 @@
 	Incarnation Incarnation
 }
 
+// UpstreamLimited reports what a response says about its upstream's limit, as of the
+// time At.
+type UpstreamLimited struct {
+	Now         int64
+	Incarnation Incarnation
+	State       LimitState
+	At          int64
+}
+
 // Resumed reports that the process runs again after a pause.
 type Resumed struct{ Now int64 }
 
@@ -113,6 +122,7 @@
 func (Tick) isEvent()             {}
 func (SettingsChanged) isEvent()  {}
 func (UpstreamLeaving) isEvent()  {}
+func (UpstreamLimited) isEvent()  {}
 func (Resumed) isEvent()          {}
 func (ShutdownStarted) isEvent()  {}
 
@@ -166,6 +176,14 @@
 	SinceStoreRecovery time.Duration
 }
 
+// ApplyLimit passes another instance's observation of an upstream's limit, made at the
+// time At, to the data plane.
+type ApplyLimit struct {
+	Incarnation Incarnation
+	State       LimitState
+	At          int64
+}
+
 // Register writes this instance's registration again.
 type Register struct{}
 
@@ -187,6 +205,7 @@
 func (Watch) isEffect()      {}
 func (Fetch) isEffect()      {}
 func (Reply) isEffect()      {}
+func (ApplyLimit) isEffect() {}
 func (Register) isEffect()   {}
 func (LogEvent) isEffect()   {}
 
@@ -201,6 +220,10 @@
 	// Peers lists the instances that share the budgets, including this one and
 	// unreachable ones, ordered by name.
 	Peers []Instance
+	// PeersIncomplete means that the instances, or this one's registration, have not
+	// been seen in the store yet. The others may not count this instance, so it takes
+	// no share of what is divided among all.
+	PeersIncomplete bool
 	// Available lists the instances that callers may use, ordered by name.
 	Available []Instance
 	// Ready means that this instance may accept requests.
--- a/core/steerer/fuzz_test.go
+++ b/core/steerer/fuzz_test.go
@@ -12,6 +12,7 @@
 	f.Add(`{"n":"near","r":true,"v":5,"p":{"upstreams":{"r":9,"a":4}}}`)
 	f.Add(`{"n":"near","p":{"unknown":{"r":18446744073709551615,"a":-1}}}`)
 	f.Add(`{"n":"","r":true}`)
+	f.Add(`{"n":"near","q":[{"i":"u1","b":1,"f":true,"v":4.2,"a":9},{"i":"","v":-1e308,"a":-9223372036854775808}]}`)
 	f.Fuzz(func(t *testing.T, text string) {
 		var b Beacon
 		if json.Unmarshal([]byte(text), &b) != nil {
--- /dev/null
+++ b/core/steerer/limit.go
@@ -0,0 +1,104 @@
+package steerer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// limitReportTime is how long beacons carry the observation of a limit. Those with
+	// a share of the limit observe it every few seconds.
+	limitReportTime = 4 * time.Second
+	// limitEndReportTime is how long beacons carry the end of a limit. An instance
+	// without a share of the limit learns it from others only.
+	limitEndReportTime = 30 * time.Second
+	// limitUrgentTime is how long the start or end of a limit is also sent to other
+	// regions with each beacon.
+	limitUrgentTime = time.Second
+	// maxLimitsPerBeacon bounds the limits in one beacon, less one for two leaving
+	// upstreams, so that a beacon fits into a datagram. If there are more, the beacons
+	// take turns.
+	maxLimitsPerBeacon = 8
+)
+
+// LimitState is the limit of an upstream as an instance has observed it. Short JSON
+// names keep beacons small.
+type LimitState struct {
+	// InForce reports whether the upstream limits the rate of its requests. PerSecond
+	// is the rate that it accepts from all instances together.
+	InForce   bool    `json:"f,omitempty"`
+	PerSecond float64 `json:"v,omitempty"`
+}
+
+// LimitReport is an observation of an upstream's limit by the sender of a beacon.
+type LimitReport struct {
+	Incarnation
+	LimitState
+	// Age is the time in milliseconds from the observation to the sending of the
+	// beacon.
+	Age int64 `json:"a"`
+}
+
+// limitObservation is this instance's own latest observation of a limit.
+type limitObservation struct {
+	born  int64
+	state LimitState
+	at    int64
+}
+
+// observeLimit keeps an observation for the beacons. The start or end of a limit is sent
+// as early as allowed.
+func (s *State) observeLimit(e UpstreamLimited) {
+	old, ok := s.limits[e.Incarnation.ID]
+	if ok && (old.born > e.Incarnation.Born || old.born == e.Incarnation.Born && old.at > e.At) {
+		return
+	}
+	s.limits[e.Incarnation.ID] = limitObservation{e.Incarnation.Born, e.State, e.At}
+	if !ok || old.born != e.Incarnation.Born || old.state.InForce != e.State.InForce {
+		s.limitChangedAt = e.Now
+		s.nextBeaconAt = min(s.nextBeaconAt, max(e.Now, s.lastBeaconAt+int64(minBeaconInterval)))
+	}
+}
+
+// limitReports returns at most the given number of observations for the next beacon. It
+// forgets old ones.
+func (s *State) limitReports(now int64, most int) (all []LimitReport) {
+	for id, o := range s.limits {
+		keep := limitReportTime
+		if !o.state.InForce {
+			keep = limitEndReportTime
+		}
+		if now-o.at >= int64(keep) {
+			delete(s.limits, id)
+			continue
+		}
+		all = append(all, LimitReport{Incarnation{id, o.born}, o.state, (now - o.at) / int64(time.Millisecond)})
+	}
+	if len(all) > most {
+		turn := func(r LimitReport) uint64 {
+			return (xxhash.Sum64String(r.ID) ^ uint64(s.beaconRounds)) * limitTurnMultiplier
+		}
+		slices.SortFunc(all, func(a, b LimitReport) int { return cmp.Compare(turn(a), turn(b)) })
+		all = all[:most]
+	}
+	slices.SortFunc(all, func(a, b LimitReport) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// limitTurnMultiplier mixes the number of the beacon into the order of the limits.
+const limitTurnMultiplier = 0x9e3779b97f4a7c15
+
+// applyReports passes on what another instance has observed of limits. Malformed reports
+// are ignored.
+func applyReports(now int64, reports []LimitReport) (out []Effect) {
+	for _, r := range reports {
+		if r.Age < 0 || r.Age > int64(limitEndReportTime/time.Millisecond) || r.PerSecond < 0 {
+			continue
+		}
+		out = append(out, ApplyLimit{Incarnation: r.Incarnation, State: r.LimitState, At: now - r.Age*int64(time.Millisecond)})
+	}
+	return out
+}
--- a/core/steerer/objects.go
+++ b/core/steerer/objects.go
@@ -214,9 +214,12 @@
 	return []Effect{LogEvent{Type: "met", Subject: o.Name}}
 }
 
-// applyOwnInstance schedules a new registration of this instance if the store has
-// lost or replaced the earlier one.
+// applyOwnInstance notes that this instance is registered. It schedules a new
+// registration if the store has lost or replaced the earlier one.
 func (s *State) applyOwnInstance(now int64, o Object) {
+	if !o.Deleted && !s.selfListed {
+		s.selfListed, s.dirty = true, true
+	}
 	switch {
 	case !o.Deleted && o.Instance != nil && *o.Instance == s.Self:
 		s.selfRegistered = true
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -60,6 +60,13 @@
 	tombstones map[string]tombstone
 	// selfRegistered reports whether the store has had this instance's registration.
 	selfRegistered bool
+	// selfListed reports whether the store has had a registration of this name, so
+	// that the others count this instance.
+	selfListed bool
+	// limits has this instance's own recent observations by upstream ID. limitChangedAt
+	// is when one of the limits last started or ended.
+	limits         map[string]limitObservation
+	limitChangedAt int64
 	// anyHeld reports whether objects may be held that the store does not have.
 	anyHeld bool
 	// reregisterAt is when this instance registers again, or 0 if it need not.
@@ -91,6 +98,7 @@
 		upstreams:       map[string]*upstream{},
 		evacuations:     map[string]int64{},
 		tombstones:      map[string]tombstone{},
+		limits:          map[string]limitObservation{},
 		domainColdUntil: map[string]int64{},
 		peers:           map[string]*peer{},
 		sync:            newSyncStates(),
@@ -148,6 +156,9 @@
 	case UpstreamLeaving:
 		now = e.Now
 		out = s.markLeaving(e.Now, e.Incarnation, "it has said so")
+	case UpstreamLimited:
+		now = e.Now
+		s.observeLimit(e)
 	case Resumed:
 		now = e.Now
 		out = s.resume(e.Now)
@@ -211,6 +222,7 @@
 	for _, i := range e.Beacon.Leaving {
 		out = append(out, s.markLeaving(e.Now, i, "another instance says so")...)
 	}
+	out = append(out, applyReports(e.Now, e.Beacon.Limits)...)
 	out = append(out, s.fetchNewerConfig(e, p)...)
 	return append(out, s.fetchFromPeer(e.Now, p)...)
 }
@@ -256,14 +268,16 @@
 }
 
 // sendBeacon sends a beacon to the instances in the same region. Those in other
-// regions get one less often, unless the beacon has a sync status or leaving
-// upstreams, or this instance shuts down.
+// regions get one less often, unless the beacon has a sync status, leaving upstreams or
+// the start or end of a limit, or this instance shuts down.
 func (s *State) sendBeacon(now int64) SendBeacon {
 	b := Beacon{Name: s.Self.Name, Ready: s.ready(), Sync: s.syncStatuses(now), Leaving: s.recentlyLeaving(now)}
+	b.Limits = s.limitReports(now, maxLimitsPerBeacon-len(b.Leaving)/2)
 	if s.config != nil {
 		b.Version = s.config.Version
 	}
-	everywhere := s.shuttingDown || len(b.Sync) > 0 || len(b.Leaving) > 0 || s.beaconRounds%remoteBeaconEvery == 0
+	limitChanged := len(b.Limits) > 0 && now-s.limitChangedAt < int64(limitUrgentTime)
+	everywhere := s.shuttingDown || len(b.Sync) > 0 || len(b.Leaving) > 0 || limitChanged || s.beaconRounds%remoteBeaconEvery == 0
 	to := make([]string, 0, len(s.peers))
 	for _, name := range slices.Sorted(maps.Keys(s.peers)) {
 		if p := s.peers[name]; everywhere || p.Region == s.Self.Region {
@@ -279,7 +293,7 @@
 }
 
 func (s *State) view(now int64) View {
-	v := View{Config: s.config, Ready: s.ready(), Stale: s.stale(), Self: s.Self, Peers: []Instance{s.Self}, Bounds: s.Bounds, Regions: s.Regions}
+	v := View{Config: s.config, Ready: s.ready(), Stale: s.stale(), Self: s.Self, Peers: []Instance{s.Self}, Bounds: s.Bounds, Regions: s.Regions, PeersIncomplete: !s.sync[Instances].known || !s.selfListed}
 	for _, u := range s.upstreams {
 		if _, evacuated := s.evacuations[u.Domain]; u.Draining || evacuated || s.isTombstoned(&u.Upstream) {
 			continue
--- a/core/steerer/steerer_test.go
+++ b/core/steerer/steerer_test.go
@@ -58,9 +58,49 @@
 
 func ptr[T any](v T) *T { return &v }
 
+// limitedAt is the event that this instance has observed the limit of u1 at the given
+// second.
+func limitedAt(at float64, perSecond float64) UpstreamLimited {
+	return UpstreamLimited{Now: seconds(at), Incarnation: Incarnation{"u1", 1}, State: LimitState{InForce: perSecond > 0, PerSecond: perSecond}, At: seconds(at)}
+}
+
 // scenarios are event sequences by name. The golden files have their effects.
 func scenarios() map[string][]Event {
 	return map[string][]Event{
+		"limit-is-told-while-it-is-observed": append(startEvents(upstreamObject("u1")),
+			Tick{Now: seconds(1)},
+			limitedAt(1.1, 4.2),
+			Tick{Now: seconds(1.2)},
+			limitedAt(2.5, 4.2),
+			Tick{Now: seconds(3)},
+			UpstreamLimited{Now: seconds(3.1), Incarnation: Incarnation{"u1", 1}, At: seconds(2)},
+			Tick{Now: seconds(3.5)},
+			Tick{Now: seconds(7)},
+		),
+		"end-of-a-limit-is-told-for-longer": append(startEvents(upstreamObject("u1")),
+			limitedAt(1.1, 4.2),
+			Tick{Now: seconds(1.2)},
+			limitedAt(2, 0),
+			Tick{Now: seconds(2.1)},
+			Tick{Now: seconds(20)},
+			Tick{Now: seconds(32)},
+		),
+		"limit-of-a-new-incarnation-replaces-the-old-one": append(startEvents(upstreamObject("u1")),
+			UpstreamLimited{Now: seconds(1), Incarnation: Incarnation{"u1", 2}, State: LimitState{InForce: true, PerSecond: 1}, At: seconds(1)},
+			UpstreamLimited{Now: seconds(1.1), Incarnation: Incarnation{"u1", 1}, State: LimitState{InForce: true, PerSecond: 9}, At: seconds(1.1)},
+			Tick{Now: seconds(1.2)},
+		),
+		"limits-of-other-instances-are-applied": append(startEvents(upstreamObject("u1")),
+			BeaconReceived{Now: seconds(1), Beacon: Beacon{Name: "near", Ready: true, Limits: []LimitReport{
+				{Incarnation{"u1", 1}, LimitState{InForce: true, PerSecond: 4.2}, 300},
+				{Incarnation{"u2", 1}, LimitState{}, 20},
+				{Incarnation{"u3", 1}, LimitState{InForce: true, PerSecond: -1}, 20},
+				{Incarnation{"u4", 1}, LimitState{InForce: true, PerSecond: 1}, -5},
+				{Incarnation{"u5", 1}, LimitState{InForce: true, PerSecond: 1}, 1e9},
+			}}},
+			BeaconReceived{Now: seconds(1), Beacon: Beacon{Name: "stranger", Limits: []LimitReport{{Incarnation{"u1", 1}, LimitState{}, 0}}}},
+			Tick{Now: seconds(1.1)},
+		),
 		"versions-never-step-back": append(startEvents(),
 			Changed{Now: seconds(1), Kind: Configs, Objects: []Object{configObject(9)}},
 			Changed{Now: seconds(2), Kind: Configs, Objects: []Object{configObject(10)}},
@@ -331,6 +371,8 @@
 		return fmt.Sprintf("%.1f woken", float64(e.Now)/1e9)
 	case UpstreamLeaving:
 		return fmt.Sprintf("%.1f departed %s born %d", float64(e.Now)/1e9, e.Incarnation.ID, e.Incarnation.Born)
+	case UpstreamLimited:
+		return fmt.Sprintf("%.1f limited %s born %d %+v at %.1f", float64(e.Now)/1e9, e.Incarnation.ID, e.Incarnation.Born, e.State, float64(e.At)/1e9)
 	case Tick:
 		return fmt.Sprintf("%.1f tick", float64(e.Now)/1e9)
 	case SettingsChanged:
@@ -379,6 +421,9 @@
 	if len(b.Leaving) > 0 {
 		text += fmt.Sprintf(" Left:%v", b.Leaving)
 	}
+	if len(b.Limits) > 0 {
+		text += fmt.Sprintf(" Limits:%+v", b.Limits)
+	}
 	return "{" + text + "}"
 }
 
@@ -394,6 +439,8 @@
 		return fmt.Sprintf("fetch %s from %s%s after %d", x.Kind, x.From.Name, formatEra(x.Era), x.After)
 	case Reply:
 		return fmt.Sprintf("reply to %d:%s revision %d whole %t returned %v: %s", x.RequestID, formatEra(x.Era), x.Revision, x.Whole, x.SinceStoreRecovery, formatObjects(x.Objects))
+	case ApplyLimit:
+		return fmt.Sprintf("limit %s born %d %+v at %.1f", x.Incarnation.ID, x.Incarnation.Born, x.State, float64(x.At)/1e9)
 	case Register:
 		return "register"
 	case Publish:
--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -236,7 +236,7 @@
 
 // try performs one exchange. It reports whether the request is done.
 func (r *Relayer) try(c *call, d *dispatcher.Decision) (done bool) {
-	x := &exchange{relayer: r, call: c, target: d.Upstream, pool: r.pool(d.Upstream), response: fasthttp.AcquireResponse()}
+	x := &exchange{relayer: r, call: c, target: d.Upstream, admittedAt: d.At, pool: r.pool(d.Upstream), response: fasthttp.AcquireResponse()}
 	defer fasthttp.ReleaseResponse(x.response)
 	x.body.byteBudget = &r.byteBudget
 	x.rerouteAt = c.deadline
--- a/hornbeamd/relayer/exchange.go
+++ b/hornbeamd/relayer/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"hornbeamstream.example/core/dispatcher"
+	"hornbeamstream.example/core/steerer"
 	"hornbeamstream.example/hornbeamd/pooler"
 )
 
@@ -46,7 +47,7 @@
 	errStray        = errors.New("response belongs to another request")
 	errUnsigned     = errors.New("response is not signed")
 	// errWithdrawn means that the upstream takes no more requests.
-	errWithdrawn = errors.New("upstream has left or asked for a pause since it was chosen")
+	errWithdrawn = errors.New("upstream has left, asked for a pause or limited its rate since it was chosen")
 )
 
 // exchange is one request sent to an upstream and its response, on one
@@ -58,6 +59,8 @@
 	pool    *pooler.Pool
 	conn    *pooler.Conn
 	newConn bool
+	// admittedAt is when the dispatcher admitted the request to the upstream.
+	admittedAt int64
 	// rerouteAt is the time at which the request is sent to another upstream, if
 	// there is one.
 	rerouteAt int64
@@ -139,12 +142,13 @@
 	if remaining < minUpstreamTimeout {
 		return errDeadline
 	}
-	// The upstream may have been withdrawn during the wait for a connection.
-	if !x.target.Available(now) {
+	// The upstream may have been withdrawn, or have limited its rate, during the wait for a connection.
+	ok, limited := x.target.BeginSend(x.admittedAt, now)
+	if !ok {
 		return errWithdrawn
 	}
 	x.sentAt = now
-	if x.target.CountSend() {
+	if limited {
 		x.relayer.cfg.Metrics.LimitedSend(x.call.pool.Name, x.call.sends > 1)
 	}
 	encoded := x.call.encoded(x.target.ID, remaining)
@@ -287,7 +291,15 @@
 	if !x.info.RateLimit.Stated && !x.info.Signed {
 		return
 	}
-	c := x.target.ObserveLimit(x.info.RateLimit, x.sentAt, cfg.Now())
+	now := cfg.Now()
+	c := x.target.ObserveLimit(x.info.RateLimit, x.sentAt, now)
+	if cfg.OnUpstreamLimited != nil && (x.info.RateLimit.Valid || c.Changed) {
+		at := now
+		if !c.Active {
+			at = x.sentAt
+		}
+		cfg.OnUpstreamLimited(x.target, steerer.LimitState{InForce: c.Active, PerSecond: c.PerSecond}, at)
+	}
 	switch {
 	case !c.Changed:
 	case c.Active:
--- a/hornbeamd/relayer/rate_limit_test.go
+++ b/hornbeamd/relayer/rate_limit_test.go
@@ -136,7 +136,7 @@
 	var mu sync.Mutex
 	field := ""
 	hold := make(chan struct{})
-	stub := startStub(t, "u1", func(s *upstreamStub, c net.Conn, r *http.Request, _ string) {
+	stub := startStub(t, "u1", func(_ *upstreamStub, c net.Conn, r *http.Request, _ string) {
 		mu.Lock()
 		f := field
 		mu.Unlock()
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -124,8 +124,8 @@
 	r.recoverer = guarder.Recoverer{Log: cfg.Log, OnPanic: func(kind string) { r.metrics.panics.WithLabelValues(kind).Inc() }}
 	r.relayer = relayer.New(relayer.Config{
 		Tables: &r.table, HeaderCodec: cfg.Dialect, Metrics: r.metrics, Log: cfg.Log, Now: r.now,
-		OnUpstreamLeaving: r.upstreamLeaving,
-		ReuseAge:          cfg.ReuseWindow, NonIdempotentReuseAge: cfg.NonIdempotentReuseWindow, Guard: r.recoverer, MaxBufferedBytes: cfg.MaxResponseMemory, Heartbeat: &r.lastControl,
+		OnUpstreamLeaving: r.upstreamLeaving, OnUpstreamLimited: r.upstreamLimited,
+		ReuseAge: cfg.ReuseWindow, NonIdempotentReuseAge: cfg.NonIdempotentReuseWindow, Guard: r.recoverer, MaxBufferedBytes: cfg.MaxResponseMemory, Heartbeat: &r.lastControl,
 	})
 	r.relay = newRelay(r)
 	r.watchers = map[steerer.Kind]*watcher.Watcher{}
@@ -337,6 +337,8 @@
 		go r.relay.fetch(x)
 	case steerer.Reply:
 		r.relay.reply(x)
+	case steerer.ApplyLimit:
+		r.applyLimit(x)
 	case steerer.Register:
 		select {
 		case r.reregister <- struct{}{}:
@@ -350,10 +352,36 @@
 	}
 }
 
-// upstreamLeaving queues the event that an upstream has announced its shutdown. It
-// doesn't block, because traffic must not wait for the control goroutine.
+// upstreamLeaving queues the event that an upstream has announced its shutdown.
 func (r *Runner) upstreamLeaving(u *dispatcher.Upstream) {
-	e := steerer.UpstreamLeaving{Now: r.now(), Incarnation: steerer.Incarnation{ID: u.ID, Born: u.Born}}
+	r.post(steerer.UpstreamLeaving{Now: r.now(), Incarnation: incarnation(u)})
+}
+
+// upstreamLimited queues the event that a response says something about its upstream's
+// limit.
+func (r *Runner) upstreamLimited(u *dispatcher.Upstream, s steerer.LimitState, at int64) {
+	r.post(steerer.UpstreamLimited{Now: r.now(), Incarnation: incarnation(u), State: s, At: at})
+}
+
+func incarnation(u *dispatcher.Upstream) steerer.Incarnation {
+	return steerer.Incarnation{ID: u.ID, Born: u.Born}
+}
+
+// applyLimit applies what another instance has observed of an upstream's limit.
+func (r *Runner) applyLimit(x steerer.ApplyLimit) {
+	c := r.tableBuilder.ApplyLimit(x.Incarnation, x.State, x.At, r.now())
+	switch {
+	case !c.Changed:
+	case c.Active:
+		r.cfg.Log.Info("limited by upstream", "upstream", x.Incarnation.ID, "limit", c.PerSecond, "cause", "another instance says so")
+	default:
+		r.cfg.Log.Info("limit of upstream ended", "upstream", x.Incarnation.ID, "limit", c.PerSecond, "sends", c.Sends, "cause", "another instance says so")
+	}
+}
+
+// post queues an event from a traffic goroutine, which must not wait for the control
+// goroutine.
+func (r *Runner) post(e steerer.Event) {
 	select {
 	case r.events <- e:
 	default:
