dispatcher: an instance that is not registered takes no share of other bounds

The cold rate, the connections and the retry slack of an upstream are divided by the instances in the view. A starting instance that has fetched upstreams but not yet instances, or that the store has not registered, counted itself as the only one and used all. Change: until its own registration has been seen it sends nothing to cold upstreams, opens 2 connections to one, and has one retry beyond the share.

--- a/core/dispatcher/limit_test.go
+++ b/core/dispatcher/limit_test.go
@@ -233,7 +233,8 @@
 }
 
 // TestRateLimitOfUnregisteredInstance guards against an instance that has just started
-// and uses a share of a limit before the others count it.
+// and uses a share of a limit, of a cold upstream's rate, of its connections and of the
+// retry slack before the others count it.
 func TestRateLimitOfUnregisteredInstance(t *testing.T) {
 	is := is.New(t)
 	now := int64(time.Minute)
@@ -254,6 +255,13 @@
 			u.ObserveLimit(RateLimit{Stated: true, Valid: true, PerSecond: 4}, now, now)
 		}
 		is.Equal(u.Available(now+int64(time.Hour)), !incomplete)
+		is.Equal(u.coldInterval.Load() == 0, incomplete)
+		is.Equal(u.Conns() == 2, incomplete)
+		retries := 0
+		for table.Pool("s").RetryBudget.TryWithdraw() {
+			retries++
+		}
+		is.Equal(retries <= 1, incomplete)
 		r := &Request{Route: table.Route("h", "/"), Pool: table.Pool("s"), Key: 1, Now: now + 1, Deadline: now + int64(time.Second)}
 		d := Choose(r)
 		is.Equal(d.Reason, Limited) // refused at once
--- a/core/dispatcher/table.go
+++ b/core/dispatcher/table.go
@@ -151,7 +151,10 @@
 		p.spillover.moveLimiter = b.moveLimiter
 	}
 	if b.Bounds.RetryShare > 0 {
-		burst := b.Bounds.RetrySlack * budgetMargin / float64(b.peers.size())
+		burst := 0.0
+		if !b.peers.incomplete {
+			burst = b.Bounds.RetrySlack * budgetMargin / float64(b.peers.size())
+		}
 		p.RetryBudget.Set(b.Bounds.RetryShare*budgetMargin, max(1, burst))
 	}
 	return p
@@ -234,7 +237,7 @@
 // get a share: each may send one request at once, and these must not exceed the
 // slack.
 func (b *Builder) coldRate(u steerer.Upstream, p *Pool) float64 {
-	if b.Regions[u.Domain] != b.Self.Region {
+	if b.Regions[u.Domain] != b.Self.Region || b.peers.incomplete {
 		return 0
 	}
 	r := b.peers.within[b.Self.Region]
@@ -248,7 +251,11 @@
 // maxConns returns this instance's share of the connections to one upstream. A fifth
 // of the service's limit is left unused.
 func (b *Builder) maxConns(p *Pool) int {
-	return max(2, p.Conns*4/5/b.peers.size())
+	const minConns = 2
+	if b.peers.incomplete {
+		return minConns
+	}
+	return max(minConns, p.Conns*4/5/b.peers.size())
 }
 
 func (b *Builder) buildRoute(t *Table, r *steerer.Route) *Route {
