dispatcher: no slower choice where no upstream limits its rate; extreme limits

A limit beyond what a float or a duration holds, which a malformed beacon can carry, gave no shares or an interval of 0. Change: a flag tells apart upstreams that have never asked for anything; the rate that is divided is bounded; the files and types are named after rate limits, to tell them from the limits of the configuration. TestDivideExtremeLimits failed before and passes.

--- a/core/dispatcher/choose.go
+++ b/core/dispatcher/choose.go
@@ -267,7 +267,7 @@
 
 // usable reports whether the upstream may take the request.
 func (r *Request) usable(u *Upstream) bool {
-	return u.Available(r.Now) && r.allowedRegion(u) && !slices.Contains(r.Tried, u)
+	return (u.unrestricted() || u.Available(r.Now)) && r.allowedRegion(u) && !slices.Contains(r.Tried, u)
 }
 
 // candidate returns an upstream with its rank for the request's key. Ranks follow
--- a/core/dispatcher/flow_control.go
+++ b/core/dispatcher/flow_control.go
@@ -19,6 +19,8 @@
 // outlives the Upstream, which is closed when its failure domain is evacuated or
 // its registration is missing for a while.
 type flowControl struct {
+	// restricted is set once the incarnation has asked for a pause or stated a limit.
+	restricted atomic.Bool
 	// pausedUntil is when the incarnation accepts requests of this instance again.
 	pausedUntil atomic.Int64
 	limit       rateLimit
@@ -38,6 +40,7 @@
 // ends earlier does not shorten the current one.
 func (u *Upstream) Pause(d time.Duration, now int64) (until int64) {
 	until = now + int64(min(d, maxPauseTime))
+	u.flow.restricted.Store(true)
 	for {
 		old := u.flow.pausedUntil.Load()
 		if old >= until || u.flow.pausedUntil.CompareAndSwap(old, until) {
@@ -54,6 +57,11 @@
 	return !u.Closed() && !u.Paused(now) && now >= u.limitOpensAt()
 }
 
+// unrestricted reports whether the upstream is available as long as it has never asked
+// for a pause or stated a limit. It is small enough to be inlined where all upstreams of
+// a service are examined.
+func (u *Upstream) unrestricted() bool { return !u.Closed() && !u.flow.restricted.Load() }
+
 // MarkDraining records that the upstream has announced its shutdown. It reports
 // whether the upstream was not draining before.
 func (u *Upstream) MarkDraining() bool { return u.draining.CompareAndSwap(false, true) }
@@ -77,13 +85,13 @@
 	return at, reason, ok
 }
 
-// ApplyLimit records an observation of an upstream's limit that another instance made
+// ApplyRateLimit records an observation of an upstream's limit that another instance made
 // at the given time. An unknown incarnation is ignored: as long as the limit is in
 // force, the other instance repeats the observation.
-func (b *Builder) ApplyLimit(i steerer.Incarnation, o steerer.LimitState, at, now int64) LimitChange {
+func (b *Builder) ApplyRateLimit(i steerer.Incarnation, o steerer.RateLimitState, at, now int64) RateLimitChange {
 	f := b.flows[i]
 	if f == nil {
-		return LimitChange{}
+		return RateLimitChange{}
 	}
 	return f.upstream.applyLimit(o, at, now)
 }
--- a/core/dispatcher/policies_test.go
+++ b/core/dispatcher/policies_test.go
@@ -91,9 +91,9 @@
 			d.ReportLoad(l, now)
 		}
 		if res == Answered {
-			c := d.Upstream.ObserveLimit(RateLimit{Stated: q.limit > 0, Valid: q.limit > 0, PerSecond: q.limit}, q.sentAt, now)
+			c := d.Upstream.ObserveRateLimit(RateLimit{Stated: q.limit > 0, Valid: q.limit > 0, PerSecond: q.limit}, q.sentAt, now)
 			if p.gossipDelay > 0 && (c.Active || c.Changed) {
-				p.gossip(m, d.Upstream, steerer.LimitState{InForce: c.Active, PerSecond: c.PerSecond}, now)
+				p.gossip(m, d.Upstream, steerer.RateLimitState{InForce: c.Active, PerSecond: c.PerSecond}, now)
 			}
 		}
 		if res == PauseRequested {
@@ -110,11 +110,11 @@
 }
 
 // gossip tells all instances of a limit that one of them has observed.
-func (p *dispatcherPolicy) gossip(m *simulation, u *Upstream, s steerer.LimitState, now int64) {
+func (p *dispatcherPolicy) gossip(m *simulation, u *Upstream, s steerer.RateLimitState, now int64) {
 	m.schedule(now+int64(p.gossipDelay), func(later int64) {
 		for _, region := range p.builders {
 			for _, b := range region {
-				b.ApplyLimit(steerer.Incarnation{ID: u.ID, Born: u.Born}, s, now, later)
+				b.ApplyRateLimit(steerer.Incarnation{ID: u.ID, Born: u.Born}, s, now, later)
 			}
 		}
 	})
--- a/core/dispatcher/limit.go
+++ b/core/dispatcher/rate_limit.go
@@ -31,9 +31,10 @@
 	limitBurst = 0.2
 	// limitJitter is how much closer together requests may arrive than they were sent.
 	limitJitter = 200 * time.Millisecond
-	// minSharedRate is the rate in requests per second that is shared out under lower
-	// limits. The end of a limit shows only in the response to a request.
-	minSharedRate = 0.1
+	// minSharedRate and maxSharedRate bound the rate in requests per second that is
+	// shared out. It is not 0 because the end of a limit shows only in the response to
+	// a request.
+	minSharedRate, maxSharedRate = 0.1, 1e6
 	// standInDelay is the time without news of a limit after which one of the instances
 	// without a share sends a request, and after which the next one does. Those with a
 	// share may be gone.
@@ -53,7 +54,10 @@
 // divideLimit divides a limit into as many shares as possible.
 func divideLimit(perSecond float64, instances int) limitShares {
 	s := limitShares{perSecond: perSecond, instances: instances}
-	rate := max(perSecond, minSharedRate)
+	rate := minSharedRate
+	if perSecond > rate {
+		rate = min(perSecond, maxSharedRate)
+	}
 	accepted := (1 - limitReserve) * (limitFactor*rate*limitWindow.Seconds() + limitSlack)
 	for s.count = min(max(1, instances), int(accepted)); ; s.count-- {
 		s.interval = time.Duration(float64(s.count) / (limitUtilization * rate) * float64(time.Second))
@@ -100,8 +104,8 @@
 	sends int
 }
 
-// LimitChange describes the effect of an observation on an upstream's limit.
-type LimitChange struct {
+// RateLimitChange describes the effect of an observation on an upstream's limit.
+type RateLimitChange struct {
 	// Changed reports whether the limit has come into force, changed or ended. Active
 	// reports whether one is in force now.
 	Changed, Active bool
@@ -110,22 +114,22 @@
 	Sends int
 }
 
-// ObserveLimit records what a response of the upstream says about its limit. SentAt is
+// ObserveRateLimit records what a response of the upstream says about its limit. SentAt is
 // when the request was sent, now when its response arrived. A response without a limit
 // may have been overtaken by one with a limit on another connection, so it counts as of
 // the time of its request.
-func (u *Upstream) ObserveLimit(l RateLimit, sentAt, now int64) LimitChange {
+func (u *Upstream) ObserveRateLimit(l RateLimit, sentAt, now int64) RateLimitChange {
 	switch {
 	case l.Stated && l.Valid:
-		return u.applyLimit(steerer.LimitState{InForce: true, PerSecond: l.PerSecond}, now, now)
+		return u.applyLimit(steerer.RateLimitState{InForce: true, PerSecond: l.PerSecond}, now, now)
 	case !l.Stated && u.flow.limit.inForce.Load():
-		return u.applyLimit(steerer.LimitState{}, sentAt, now)
+		return u.applyLimit(steerer.RateLimitState{}, sentAt, now)
 	}
-	return LimitChange{}
+	return RateLimitChange{}
 }
 
 // applyLimit records an observation made at the given time.
-func (u *Upstream) applyLimit(o steerer.LimitState, at, now int64) (c LimitChange) {
+func (u *Upstream) applyLimit(o steerer.RateLimitState, at, now int64) (c RateLimitChange) {
 	l, peers := &u.flow.limit, u.peers.Load()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -134,6 +138,7 @@
 		c.Changed = before != o.InForce || before && l.shares.perSecond != o.PerSecond
 		l.observedAt = at
 		l.inForce.Store(o.InForce)
+		u.flow.restricted.Store(true)
 	}
 	if c.Changed && o.InForce {
 		l.shares = divideLimit(o.PerSecond, peers.size())
--- a/core/dispatcher/limit_test.go
+++ b/core/dispatcher/rate_limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -185,7 +186,7 @@
 		}
 		// Requests under one share are never closer than mostInWindow says.
 		u := &Upstream{flow: &flowControl{}}
-		u.ObserveLimit(RateLimit{Stated: true, Valid: true, PerSecond: perSecond}, 1, 1)
+		u.ObserveRateLimit(RateLimit{Stated: true, Valid: true, PerSecond: perSecond}, 1, 1)
 		var sent []int64
 		now := int64(1)
 		for range 200 {
@@ -209,6 +210,19 @@
 	})
 }
 
+// TestDivideExtremeLimits guards against limits that cannot be divided, such as one from
+// a malformed beacon, which would block the control goroutine.
+func TestDivideExtremeLimits(t *testing.T) {
+	is := is.New(t)
+	for _, perSecond := range []float64{-1, 0, 5e-324, math.MaxInt64, math.MaxFloat64, math.Inf(1), math.NaN()} {
+		for _, n := range []int{0, 1, 9, 300} {
+			s := divideLimit(perSecond, n)
+			is.True(s.count >= 1 && s.count <= max(1, n))
+			is.True(s.interval > 0)
+		}
+	}
+}
+
 // TestPeersAgreeOnRanks checks that the instances rank each other alike, those of the
 // upstream's region first.
 func TestPeersAgreeOnRanks(t *testing.T) {
@@ -252,7 +266,7 @@
 		table := b.Build(view, now)
 		u := table.Pool("s").Upstreams[0]
 		if incomplete {
-			u.ObserveLimit(RateLimit{Stated: true, Valid: true, PerSecond: 4}, now, now)
+			u.ObserveRateLimit(RateLimit{Stated: true, Valid: true, PerSecond: 4}, now, now)
 		}
 		is.Equal(u.Available(now+int64(time.Hour)), !incomplete)
 		is.Equal(u.coldInterval.Load() == 0, incomplete)
@@ -284,7 +298,7 @@
 		b.Build(steerer.View{Config: &steerer.Config{Services: []steerer.Service{{Name: "s"}}}, Upstreams: []steerer.Upstream{testUpstream("u", 1)}, Peers: peers}, now)
 		var u *Upstream
 		for _, u = range b.upstreams {
-			u.ObserveLimit(RateLimit{Stated: true, Valid: true, PerSecond: 0.5}, now, now)
+			u.ObserveRateLimit(RateLimit{Stated: true, Valid: true, PerSecond: 0.5}, now, now)
 		}
 		sent := false
 		for at := now; at < now+int64(5*time.Minute); at += int64(100 * time.Millisecond) {
--- a/core/steerer/clone.go
+++ b/core/steerer/clone.go
@@ -32,7 +32,7 @@
 	c.unavailable = maps.Clone(s.unavailable)
 	c.recoveredAt = maps.Clone(s.recoveredAt)
 	c.tombstones = maps.Clone(s.tombstones)
-	c.limits = maps.Clone(s.limits)
+	c.rateLimits = maps.Clone(s.rateLimits)
 	return &c
 }
 
--- a/core/steerer/events.go
+++ b/core/steerer/events.go
@@ -103,7 +103,7 @@
 type UpstreamLimited struct {
 	Now         int64
 	Incarnation Incarnation
-	State       LimitState
+	State       RateLimitState
 	At          int64
 }
 
@@ -176,11 +176,11 @@
 	SinceStoreRecovery time.Duration
 }
 
-// ApplyLimit passes another instance's observation of an upstream's limit, made at the
+// ApplyRateLimit passes another instance's observation of an upstream's limit, made at the
 // time At, to the data plane.
-type ApplyLimit struct {
+type ApplyRateLimit struct {
 	Incarnation Incarnation
-	State       LimitState
+	State       RateLimitState
 	At          int64
 }
 
@@ -200,14 +200,14 @@
 	Cause string
 }
 
-func (Publish) isEffect()    {}
-func (SendBeacon) isEffect() {}
-func (Watch) isEffect()      {}
-func (Fetch) isEffect()      {}
-func (Reply) isEffect()      {}
-func (ApplyLimit) isEffect() {}
-func (Register) isEffect()   {}
-func (LogEvent) isEffect()   {}
+func (Publish) isEffect()        {}
+func (SendBeacon) isEffect()     {}
+func (Watch) isEffect()          {}
+func (Fetch) isEffect()          {}
+func (Reply) isEffect()          {}
+func (ApplyRateLimit) isEffect() {}
+func (Register) isEffect()       {}
+func (LogEvent) isEffect()       {}
 
 // View is the immutable snapshot of the state that the data plane uses.
 type View struct {
--- a/core/steerer/limit.go
+++ b/core/steerer/rate_limit.go
@@ -24,67 +24,67 @@
 	maxLimitsPerBeacon = 8
 )
 
-// LimitState is the limit of an upstream as an instance has observed it. Short JSON
+// RateLimitState is the limit of an upstream as an instance has observed it. Short JSON
 // names keep beacons small.
-type LimitState struct {
+type RateLimitState struct {
 	// InForce reports whether the upstream limits the rate of its requests. PerSecond
 	// is the rate that it accepts from all instances together.
 	InForce   bool    `json:"f,omitempty"`
 	PerSecond float64 `json:"v,omitempty"`
 }
 
-// LimitReport is an observation of an upstream's limit by the sender of a beacon.
-type LimitReport struct {
+// RateLimitReport is an observation of an upstream's limit by the sender of a beacon.
+type RateLimitReport struct {
 	Incarnation
-	LimitState
+	RateLimitState
 	// Age is the time in milliseconds from the observation to the sending of the
 	// beacon.
 	Age int64 `json:"a"`
 }
 
-// limitObservation is this instance's own latest observation of a limit.
-type limitObservation struct {
+// rateLimitObservation is this instance's own latest observation of a limit.
+type rateLimitObservation struct {
 	born  int64
-	state LimitState
+	state RateLimitState
 	at    int64
 }
 
-// observeLimit keeps an observation for the beacons. The start or end of a limit is sent
+// observeRateLimit keeps an observation for the beacons. The start or end of a limit is sent
 // as early as allowed.
-func (s *State) observeLimit(e UpstreamLimited) {
-	old, ok := s.limits[e.Incarnation.ID]
+func (s *State) observeRateLimit(e UpstreamLimited) {
+	old, ok := s.rateLimits[e.Incarnation.ID]
 	if ok && (old.born > e.Incarnation.Born || old.born == e.Incarnation.Born && old.at > e.At) {
 		return
 	}
-	s.limits[e.Incarnation.ID] = limitObservation{e.Incarnation.Born, e.State, e.At}
+	s.rateLimits[e.Incarnation.ID] = rateLimitObservation{e.Incarnation.Born, e.State, e.At}
 	if !ok || old.born != e.Incarnation.Born || old.state.InForce != e.State.InForce {
-		s.limitChangedAt = e.Now
+		s.rateLimitChangedAt = e.Now
 		s.nextBeaconAt = min(s.nextBeaconAt, max(e.Now, s.lastBeaconAt+int64(minBeaconInterval)))
 	}
 }
 
-// limitReports returns at most the given number of observations for the next beacon. It
+// rateLimitReports returns at most the given number of observations for the next beacon. It
 // forgets old ones.
-func (s *State) limitReports(now int64, most int) (all []LimitReport) {
-	for id, o := range s.limits {
+func (s *State) rateLimitReports(now int64, most int) (all []RateLimitReport) {
+	for id, o := range s.rateLimits {
 		keep := limitReportTime
 		if !o.state.InForce {
 			keep = limitEndReportTime
 		}
 		if now-o.at >= int64(keep) {
-			delete(s.limits, id)
+			delete(s.rateLimits, id)
 			continue
 		}
-		all = append(all, LimitReport{Incarnation{id, o.born}, o.state, (now - o.at) / int64(time.Millisecond)})
+		all = append(all, RateLimitReport{Incarnation{id, o.born}, o.state, (now - o.at) / int64(time.Millisecond)})
 	}
 	if len(all) > most {
-		turn := func(r LimitReport) uint64 {
+		turn := func(r RateLimitReport) uint64 {
 			return (xxhash.Sum64String(r.ID) ^ uint64(s.beaconRounds)) * limitTurnMultiplier
 		}
-		slices.SortFunc(all, func(a, b LimitReport) int { return cmp.Compare(turn(a), turn(b)) })
+		slices.SortFunc(all, func(a, b RateLimitReport) int { return cmp.Compare(turn(a), turn(b)) })
 		all = all[:most]
 	}
-	slices.SortFunc(all, func(a, b LimitReport) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(all, func(a, b RateLimitReport) int { return cmp.Compare(a.ID, b.ID) })
 	return all
 }
 
@@ -93,12 +93,12 @@
 
 // applyReports passes on what another instance has observed of limits. Malformed reports
 // are ignored.
-func applyReports(now int64, reports []LimitReport) (out []Effect) {
+func applyReports(now int64, reports []RateLimitReport) (out []Effect) {
 	for _, r := range reports {
 		if r.Age < 0 || r.Age > int64(limitEndReportTime/time.Millisecond) || r.PerSecond < 0 {
 			continue
 		}
-		out = append(out, ApplyLimit{Incarnation: r.Incarnation, State: r.LimitState, At: now - r.Age*int64(time.Millisecond)})
+		out = append(out, ApplyRateLimit{Incarnation: r.Incarnation, State: r.RateLimitState, At: now - r.Age*int64(time.Millisecond)})
 	}
 	return out
 }
--- a/core/steerer/limit_test.go
+++ b/core/steerer/rate_limit_test.go
@@ -22,7 +22,7 @@
 			return Incarnation{fmt.Sprintf("i-4f060b07%02d", n), 1767954779000 + int64(n)}
 		}
 		for n := range 40 {
-			s, _ = Step(s, UpstreamLimited{Now: seconds(1), Incarnation: incarnation(n), State: LimitState{InForce: true, PerSecond: 4.333333333333333}, At: seconds(1)})
+			s, _ = Step(s, UpstreamLimited{Now: seconds(1), Incarnation: incarnation(n), State: RateLimitState{InForce: true, PerSecond: 4.333333333333333}, At: seconds(1)})
 		}
 		for n := range leaving {
 			s, _ = Step(s, UpstreamLeaving{Now: seconds(1), Incarnation: incarnation(50 + n)})
@@ -39,7 +39,7 @@
 				data, err := json.Marshal(b.Beacon)
 				is.NoErr(err)
 				is.True(len(data) <= maxBytes)
-				for _, r := range b.Beacon.Limits {
+				for _, r := range b.Beacon.RateLimits {
 					told[r.ID] = true
 				}
 			}
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -63,10 +63,10 @@
 	// selfListed reports whether the store has had a registration of this name, so
 	// that the others count this instance.
 	selfListed bool
-	// limits has this instance's own recent observations by upstream ID. limitChangedAt
+	// rateLimits has this instance's own recent observations by upstream ID. rateLimitChangedAt
 	// is when one of the limits last started or ended.
-	limits         map[string]limitObservation
-	limitChangedAt int64
+	rateLimits         map[string]rateLimitObservation
+	rateLimitChangedAt int64
 	// anyHeld reports whether objects may be held that the store does not have.
 	anyHeld bool
 	// reregisterAt is when this instance registers again, or 0 if it need not.
@@ -98,7 +98,7 @@
 		upstreams:       map[string]*upstream{},
 		evacuations:     map[string]int64{},
 		tombstones:      map[string]tombstone{},
-		limits:          map[string]limitObservation{},
+		rateLimits:      map[string]rateLimitObservation{},
 		domainColdUntil: map[string]int64{},
 		peers:           map[string]*peer{},
 		sync:            newSyncStates(),
@@ -158,7 +158,7 @@
 		out = s.markLeaving(e.Now, e.Incarnation, "it has said so")
 	case UpstreamLimited:
 		now = e.Now
-		s.observeLimit(e)
+		s.observeRateLimit(e)
 	case Resumed:
 		now = e.Now
 		out = s.resume(e.Now)
@@ -222,7 +222,7 @@
 	for _, i := range e.Beacon.Leaving {
 		out = append(out, s.markLeaving(e.Now, i, "another instance says so")...)
 	}
-	out = append(out, applyReports(e.Now, e.Beacon.Limits)...)
+	out = append(out, applyReports(e.Now, e.Beacon.RateLimits)...)
 	out = append(out, s.fetchNewerConfig(e, p)...)
 	return append(out, s.fetchFromPeer(e.Now, p)...)
 }
@@ -272,11 +272,11 @@
 // the start or end of a limit, or this instance shuts down.
 func (s *State) sendBeacon(now int64) SendBeacon {
 	b := Beacon{Name: s.Self.Name, Ready: s.ready(), Sync: s.syncStatuses(now), Leaving: s.recentlyLeaving(now)}
-	b.Limits = s.limitReports(now, maxLimitsPerBeacon-len(b.Leaving)/2)
+	b.RateLimits = s.rateLimitReports(now, maxLimitsPerBeacon-len(b.Leaving)/2)
 	if s.config != nil {
 		b.Version = s.config.Version
 	}
-	limitChanged := len(b.Limits) > 0 && now-s.limitChangedAt < int64(limitUrgentTime)
+	limitChanged := len(b.RateLimits) > 0 && now-s.rateLimitChangedAt < int64(limitUrgentTime)
 	everywhere := s.shuttingDown || len(b.Sync) > 0 || len(b.Leaving) > 0 || limitChanged || s.beaconRounds%remoteBeaconEvery == 0
 	to := make([]string, 0, len(s.peers))
 	for _, name := range slices.Sorted(maps.Keys(s.peers)) {
--- a/core/steerer/steerer_test.go
+++ b/core/steerer/steerer_test.go
@@ -61,7 +61,7 @@
 // limitedAt is the event that this instance has observed the limit of u1 at the given
 // second.
 func limitedAt(at float64, perSecond float64) UpstreamLimited {
-	return UpstreamLimited{Now: seconds(at), Incarnation: Incarnation{"u1", 1}, State: LimitState{InForce: perSecond > 0, PerSecond: perSecond}, At: seconds(at)}
+	return UpstreamLimited{Now: seconds(at), Incarnation: Incarnation{"u1", 1}, State: RateLimitState{InForce: perSecond > 0, PerSecond: perSecond}, At: seconds(at)}
 }
 
 // scenarios are event sequences by name. The golden files have their effects.
@@ -86,19 +86,19 @@
 			Tick{Now: seconds(32)},
 		),
 		"limit-of-a-new-incarnation-replaces-the-old-one": append(startEvents(upstreamObject("u1")),
-			UpstreamLimited{Now: seconds(1), Incarnation: Incarnation{"u1", 2}, State: LimitState{InForce: true, PerSecond: 1}, At: seconds(1)},
-			UpstreamLimited{Now: seconds(1.1), Incarnation: Incarnation{"u1", 1}, State: LimitState{InForce: true, PerSecond: 9}, At: seconds(1.1)},
+			UpstreamLimited{Now: seconds(1), Incarnation: Incarnation{"u1", 2}, State: RateLimitState{InForce: true, PerSecond: 1}, At: seconds(1)},
+			UpstreamLimited{Now: seconds(1.1), Incarnation: Incarnation{"u1", 1}, State: RateLimitState{InForce: true, PerSecond: 9}, At: seconds(1.1)},
 			Tick{Now: seconds(1.2)},
 		),
 		"limits-of-other-instances-are-applied": append(startEvents(upstreamObject("u1")),
-			BeaconReceived{Now: seconds(1), Beacon: Beacon{Name: "near", Ready: true, Limits: []LimitReport{
-				{Incarnation{"u1", 1}, LimitState{InForce: true, PerSecond: 4.2}, 300},
-				{Incarnation{"u2", 1}, LimitState{}, 20},
-				{Incarnation{"u3", 1}, LimitState{InForce: true, PerSecond: -1}, 20},
-				{Incarnation{"u4", 1}, LimitState{InForce: true, PerSecond: 1}, -5},
-				{Incarnation{"u5", 1}, LimitState{InForce: true, PerSecond: 1}, 1e9},
+			BeaconReceived{Now: seconds(1), Beacon: Beacon{Name: "near", Ready: true, RateLimits: []RateLimitReport{
+				{Incarnation{"u1", 1}, RateLimitState{InForce: true, PerSecond: 4.2}, 300},
+				{Incarnation{"u2", 1}, RateLimitState{}, 20},
+				{Incarnation{"u3", 1}, RateLimitState{InForce: true, PerSecond: -1}, 20},
+				{Incarnation{"u4", 1}, RateLimitState{InForce: true, PerSecond: 1}, -5},
+				{Incarnation{"u5", 1}, RateLimitState{InForce: true, PerSecond: 1}, 1e9},
 			}}},
-			BeaconReceived{Now: seconds(1), Beacon: Beacon{Name: "stranger", Limits: []LimitReport{{Incarnation{"u1", 1}, LimitState{}, 0}}}},
+			BeaconReceived{Now: seconds(1), Beacon: Beacon{Name: "stranger", RateLimits: []RateLimitReport{{Incarnation{"u1", 1}, RateLimitState{}, 0}}}},
 			Tick{Now: seconds(1.1)},
 		),
 		"versions-never-step-back": append(startEvents(),
@@ -421,8 +421,8 @@
 	if len(b.Leaving) > 0 {
 		text += fmt.Sprintf(" Left:%v", b.Leaving)
 	}
-	if len(b.Limits) > 0 {
-		text += fmt.Sprintf(" Limits:%+v", b.Limits)
+	if len(b.RateLimits) > 0 {
+		text += fmt.Sprintf(" Limits:%+v", b.RateLimits)
 	}
 	return "{" + text + "}"
 }
@@ -439,7 +439,7 @@
 		return fmt.Sprintf("fetch %s from %s%s after %d", x.Kind, x.From.Name, formatEra(x.Era), x.After)
 	case Reply:
 		return fmt.Sprintf("reply to %d:%s revision %d whole %t returned %v: %s", x.RequestID, formatEra(x.Era), x.Revision, x.Whole, x.SinceStoreRecovery, formatObjects(x.Objects))
-	case ApplyLimit:
+	case ApplyRateLimit:
 		return fmt.Sprintf("limit %s born %d %+v at %.1f", x.Incarnation.ID, x.Incarnation.Born, x.State, float64(x.At)/1e9)
 	case Register:
 		return "register"
--- a/core/steerer/types.go
+++ b/core/steerer/types.go
@@ -112,8 +112,8 @@
 	Sync map[Kind]SyncStatus `json:"p,omitempty"`
 	// Leaving lists upstreams that have recently announced that they are leaving.
 	Leaving []Incarnation `json:"l,omitempty"`
-	// Limits lists what the sender has observed of upstreams' limits.
-	Limits []LimitReport `json:"q,omitempty"`
+	// RateLimits lists what the sender has observed of upstreams' limits.
+	RateLimits []RateLimitReport `json:"q,omitempty"`
 }
 
 // SyncStatus states that an instance has applied all changes of a kind up to a
--- a/hornbeamd/relayer/exchange.go
+++ b/hornbeamd/relayer/exchange.go
@@ -292,13 +292,13 @@
 		return
 	}
 	now := cfg.Now()
-	c := x.target.ObserveLimit(x.info.RateLimit, x.sentAt, now)
+	c := x.target.ObserveRateLimit(x.info.RateLimit, x.sentAt, now)
 	if cfg.OnUpstreamLimited != nil && (x.info.RateLimit.Valid || c.Changed) {
 		at := now
 		if !c.Active {
 			at = x.sentAt
 		}
-		cfg.OnUpstreamLimited(x.target, steerer.LimitState{InForce: c.Active, PerSecond: c.PerSecond}, at)
+		cfg.OnUpstreamLimited(x.target, steerer.RateLimitState{InForce: c.Active, PerSecond: c.PerSecond}, at)
 	}
 	switch {
 	case !c.Changed:
--- a/hornbeamd/relayer/harness_test.go
+++ b/hornbeamd/relayer/harness_test.go
@@ -267,6 +267,5 @@
 		ctx: &fasthttp.RequestCtx{}, table: t, codec: testCodec{}, deadline: h.now() + int64(routeTimeout),
 		route: t.Route("h", "/once/"), pool: t.Pool("s"), start: h.now(),
 	}
-	c.req.Now = h.now()
-	return &exchange{relayer: h.relayer, call: c, target: u, pool: h.relayer.pool(u), response: &fasthttp.Response{}, rerouteAt: c.deadline}
+	return &exchange{relayer: h.relayer, call: c, target: u, pool: h.relayer.pool(u), response: &fasthttp.Response{}, admittedAt: h.now(), rerouteAt: c.deadline}
 }
--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -99,7 +99,7 @@
 	// OnUpstreamLimited, if not nil, is called for each response of an upstream that
 	// limits its rate, and when such a limit has ended. The state is as of the given
 	// time.
-	OnUpstreamLimited func(u *dispatcher.Upstream, s steerer.LimitState, at int64)
+	OnUpstreamLimited func(u *dispatcher.Upstream, s steerer.RateLimitState, at int64)
 	// Guard recovers panics.
 	Guard guarder.Recoverer
 	// MaxBufferedBytes limits the bytes of responses that are buffered at the
--- a/hornbeamd/relayer/upstream_signal_test.go
+++ b/hornbeamd/relayer/upstream_signal_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/valyala/fasthttp"
 
 	"hornbeamstream.example/core/dispatcher"
 	"hornbeamstream.example/core/steerer"
@@ -166,11 +165,7 @@
 			s := startStub(t, "u1", respondOK)
 			h := startHarness(t, s)
 			u := h.tables.Load().Pool("s").Upstreams[0]
-			c := &call{
-				ctx: &fasthttp.RequestCtx{}, table: h.tables.Load(), codec: testCodec{}, deadline: h.now() + int64(routeTimeout),
-				route: h.tables.Load().Route("h", "/once/"), pool: h.tables.Load().Pool("s"), start: h.now(),
-			}
-			x := &exchange{relayer: h.relayer, call: c, target: u, pool: h.relayer.pool(u), response: &fasthttp.Response{}}
+			x := h.exchange(u)
 			withdraw(h, u)
 			err := x.run()
 			is.True(errors.Is(err, errWithdrawn))
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -337,7 +337,7 @@
 		go r.relay.fetch(x)
 	case steerer.Reply:
 		r.relay.reply(x)
-	case steerer.ApplyLimit:
+	case steerer.ApplyRateLimit:
 		r.applyLimit(x)
 	case steerer.Register:
 		select {
@@ -359,7 +359,7 @@
 
 // upstreamLimited queues the event that a response says something about its upstream's
 // limit.
-func (r *Runner) upstreamLimited(u *dispatcher.Upstream, s steerer.LimitState, at int64) {
+func (r *Runner) upstreamLimited(u *dispatcher.Upstream, s steerer.RateLimitState, at int64) {
 	r.post(steerer.UpstreamLimited{Now: r.now(), Incarnation: incarnation(u), State: s, At: at})
 }
 
@@ -368,8 +368,8 @@
 }
 
 // applyLimit applies what another instance has observed of an upstream's limit.
-func (r *Runner) applyLimit(x steerer.ApplyLimit) {
-	c := r.tableBuilder.ApplyLimit(x.Incarnation, x.State, x.At, r.now())
+func (r *Runner) applyLimit(x steerer.ApplyRateLimit) {
+	c := r.tableBuilder.ApplyRateLimit(x.Incarnation, x.State, x.At, r.now())
 	switch {
 	case !c.Changed:
 	case c.Active:
