dispatcher: ranks follow regions that change, and hold for unknown ones

Cause: the ranks were kept when the settings named other regions, and for an upstream in a domain without a region every instance had the first rank, so that each took a share of its limit. Change: ranks are made again when the regions change; without a region all instances are ranked in one order. Result: TestRanksFollowRegions and the new case of TestPeersAgreeOnRanks failed before and pass.

--- a/core/dispatcher/peers.go
+++ b/core/dispatcher/peers.go
@@ -18,24 +18,31 @@
 	// count is the number of instances, this one included.
 	count      int
 	selfRegion string
-	// within has the instances of each region, outside those of all other regions.
+	// within has the instances of each region, outside those of all other regions, and
+	// all those of all regions.
 	within, outside map[string]instanceRing
+	all             instanceRing
 }
 
 func newPeerSet(self steerer.Instance, peers []steerer.Instance, regions map[string]bool, incomplete bool) *peerSet {
 	s := &peerSet{incomplete: incomplete, count: len(peers), selfRegion: self.Region, within: map[string]instanceRing{}, outside: map[string]instanceRing{}}
+	selfHash := xxhash.Sum64String(self.Name)
+	var all []uint64
+	for _, p := range peers {
+		all = append(all, xxhash.Sum64String(p.Name))
+	}
 	for region := range regions {
 		var within, outside []uint64
-		for _, p := range peers {
-			if h := xxhash.Sum64String(p.Name); p.Region == region {
-				within = append(within, h)
+		for i, p := range peers {
+			if p.Region == region {
+				within = append(within, all[i])
 			} else {
-				outside = append(outside, h)
+				outside = append(outside, all[i])
 			}
 		}
-		selfHash := xxhash.Sum64String(self.Name)
 		s.within[region], s.outside[region] = newInstanceRing(within, selfHash), newInstanceRing(outside, selfHash)
 	}
+	s.all = newInstanceRing(all, selfHash)
 	return s
 }
 
@@ -49,13 +56,16 @@
 
 // rank returns the number of instances that come before this one for an upstream:
 // first those of its region, then the others, each in the order of the ring from the
-// upstream's hash on.
+// upstream's hash on. If the region is unknown, all are in one order.
 func (s *peerSet) rank(region string, hash uint64) int {
 	if s == nil {
 		return 0
 	}
-	within := s.within[region]
-	if region == s.selfRegion {
+	within, ok := s.within[region]
+	switch {
+	case !ok:
+		return s.all.distance(hash)
+	case region == s.selfRegion:
 		return within.distance(hash)
 	}
 	return len(within.points) + s.outside[region].distance(hash)
--- a/core/dispatcher/rate_limit_test.go
+++ b/core/dispatcher/rate_limit_test.go
@@ -234,18 +234,34 @@
 			peers = append(peers, steerer.Instance{Name: fmt.Sprint("i", i), Region: string(rune('a' + i%3))})
 		}
 		for hash := range uint64(5) {
-			ranks := map[int]bool{}
+			ranks, unknown := map[int]bool{}, map[int]bool{}
 			for _, self := range peers {
-				rank := newPeerSet(self, peers, regions, false).rank("b", hash*hashMultiplier)
-				ranks[rank] = true
+				s := newPeerSet(self, peers, regions, false)
+				rank := s.rank("b", hash*hashMultiplier)
 				is.Equal(self.Region == "b", rank < (n+1)/3)
 				is.True(rank < n)
+				ranks[rank] = true
+				unknown[s.rank("of a new domain", hash*hashMultiplier)] = true
 			}
 			is.Equal(len(ranks), n)
+			is.Equal(len(unknown), n)
 		}
 	}
 }
 
+// TestRanksFollowRegions guards against ranks of regions that the settings have only
+// named later: all instances would have the first rank there.
+func TestRanksFollowRegions(t *testing.T) {
+	is := is.New(t)
+	peers := []steerer.Instance{{Name: "i", Region: "r"}, {Name: "j", Region: "q"}}
+	b := &Builder{Self: peers[0]}
+	b.Build(steerer.View{Peers: peers}, 1)
+	b.Regions = map[string]string{"a": "r", "b": "q"}
+	b.Build(steerer.View{Peers: peers}, 2)
+	is.Equal(b.peers.rank("q", 7), 1)
+	is.Equal(b.peers.rank("r", 7), 0)
+}
+
 // TestRateLimitOfUnregisteredInstance guards against an instance that has just started
 // and uses a share of a limit, of a cold upstream's rate, of its connections and of the
 // retry slack before the others count it.
--- a/core/dispatcher/table.go
+++ b/core/dispatcher/table.go
@@ -76,10 +76,11 @@
 	slotLoads    map[string]*movingAverage
 	paths        map[string]*path
 	flows        map[steerer.Incarnation]*flowControl
-	// peers ranks the instances of the latest view.
-	peers *peerSet
-	// peerList is the list that peers was made from.
-	peerList []steerer.Instance
+	// peers ranks the instances of the latest view. It was made from the instances
+	// peerList and the regions peerRegions.
+	peers       *peerSet
+	peerList    []steerer.Instance
+	peerRegions map[string]bool
 }
 
 // incarnationKey identifies the registration of one incarnation under an address.
@@ -129,11 +130,12 @@
 
 // updatePeers ranks the instances again if they have changed.
 func (b *Builder) updatePeers(v *steerer.View) {
-	if b.peers != nil && b.peers.incomplete == v.PeersIncomplete && slices.Equal(b.peerList, v.Peers) {
+	regions := regionSet(b.Regions)
+	if b.peers != nil && b.peers.incomplete == v.PeersIncomplete && slices.Equal(b.peerList, v.Peers) && maps.Equal(b.peerRegions, regions) {
 		return
 	}
-	b.peerList = slices.Clone(v.Peers)
-	b.peers = newPeerSet(b.Self, v.Peers, regionSet(b.Regions), v.PeersIncomplete)
+	b.peerList, b.peerRegions = slices.Clone(v.Peers), regions
+	b.peers = newPeerSet(b.Self, v.Peers, regions, v.PeersIncomplete)
 }
 
 // budgetMargin is the part of the configured bounds on retries that is used. The
@@ -205,7 +207,7 @@
 	maps.DeleteFunc(b.flows, func(_ steerer.Incarnation, f *flowControl) bool { return f.expired(now) })
 	for _, p := range t.pools {
 		p.dropDoubtful()
-		p.regionCount = len(regionSet(b.Regions))
+		p.regionCount = len(b.peerRegions)
 	}
 }
 
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -63,8 +63,8 @@
 	// selfListed reports whether the store has had a registration of this name, so
 	// that the others count this instance.
 	selfListed bool
-	// rateLimits has this instance's own recent observations by upstream ID. rateLimitChangedAt
-	// is when one of the limits last started or ended.
+	// rateLimits has this instance's own recent observations by upstream ID.
+	// rateLimitChangedAt is when one of the limits last started or ended.
 	rateLimits         map[string]rateLimitObservation
 	rateLimitChangedAt int64
 	// anyHeld reports whether objects may be held that the store does not have.
--- a/hornbeamd/relayer/exchange.go
+++ b/hornbeamd/relayer/exchange.go
@@ -142,7 +142,8 @@
 	if remaining < minUpstreamTimeout {
 		return errDeadline
 	}
-	// The upstream may have been withdrawn, or have limited its rate, during the wait for a connection.
+	// The upstream may have been withdrawn, or have limited its rate, during the wait
+	// for a connection.
 	ok, limited := x.target.BeginSend(x.admittedAt, now)
 	if !ok {
 		return errWithdrawn
@@ -284,8 +285,8 @@
 	x.applyLimit()
 }
 
-// applyLimit records the limit that the response states. Only a signed response
-// without one ends a limit, since others may be made by something in between.
+// applyLimit records the limit that the response states. A response without one ends a
+// limit only if it is signed, since another one may not be the upstream's.
 func (x *exchange) applyLimit() {
 	cfg := &x.relayer.cfg
 	if !x.info.RateLimit.Stated && !x.info.Signed {
