steerer: a started instance hears of limits that no answer states any more

Cause: beacons carried a limit for 4 s after it was last observed. Change: limits and their ends are carried for 30 s. 50 generated deployments with limits and two restarts each are played in the model; the first runs of that test took refused connections and answers to the process before the restart for news of the limit, which no instance gets.

--- a/core/dispatcher/policies_test.go
+++ b/core/dispatcher/policies_test.go
@@ -17,6 +17,8 @@
 	// gossipDelay is the time after which instances tell each other of limits, 0 if
 	// they do not.
 	gossipDelay time.Duration
+	// observed has the latest observation of each upstream's limit.
+	observed map[string]simObservation
 }
 
 func newDispatcherPolicy(s scenario) *dispatcherPolicy {
@@ -90,7 +92,7 @@
 		if res == Answered || res == Shed {
 			d.ReportLoad(l, now)
 		}
-		if res == Answered {
+		if res == Answered || res == Shed {
 			c := d.Upstream.ObserveRateLimit(RateLimit{Stated: q.limit > 0, Valid: q.limit > 0, PerSecond: q.limit}, q.sentAt, now)
 			if p.gossipDelay > 0 && (c.Active || c.Changed) {
 				p.gossip(m, d.Upstream, steerer.RateLimitState{InForce: c.Active, PerSecond: c.PerSecond}, now)
@@ -109,8 +111,18 @@
 	return -1, 0
 }
 
+// simObservation is an observation of an upstream's limit.
+type simObservation struct {
+	state steerer.RateLimitState
+	at    int64
+}
+
 // gossip tells all instances of a limit that one of them has observed.
 func (p *dispatcherPolicy) gossip(m *simulation, u *Upstream, s steerer.RateLimitState, now int64) {
+	if p.observed == nil {
+		p.observed = map[string]simObservation{}
+	}
+	p.observed[u.ID] = simObservation{s, now}
 	m.schedule(now+int64(p.gossipDelay), func(later int64) {
 		for _, region := range p.builders {
 			for _, b := range region {
--- a/core/dispatcher/rate_limit_test.go
+++ b/core/dispatcher/rate_limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -121,6 +122,69 @@
 	}
 }
 
+// TestRateLimitHoldsInUnseenDeployments plays generated deployments with their loads and
+// faults, in which upstreams limit their rates and two instances are restarted. A
+// restarted instance counts again once it has been told of a limit anew.
+func TestRateLimitHoldsInUnseenDeployments(t *testing.T) {
+	const deployments = 50
+	for seed := range uint64(deployments) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			is := is.NewRelaxed(t)
+			s := randomScenario(seed)
+			rng := rand.New(rand.NewPCG(seed, 28))
+			p := newDispatcherPolicy(s)
+			p.gossipDelay = time.Duration(rng.IntN(3)) * 700 * time.Millisecond
+			share, fault := rng.IntN(4), s.onTick
+			limits := map[int]float64{}
+			restarts := map[time.Duration][2]int{}
+			for range 2 {
+				region := rng.IntN(len(s.regions))
+				restarts[time.Duration(80+rng.IntN(100))*100*time.Millisecond] = [2]int{region, rng.IntN(s.instancesPerRegion())}
+			}
+			s.onTick = func(m *simulation, now time.Duration) {
+				if fault != nil {
+					fault(m, now)
+				}
+				for i, u := range m.upstreams {
+					if now == 6*time.Second && rng.IntN(4) <= share {
+						u.limit = 0.1 + 12*rng.Float64()
+						limits[i] = u.limit
+					}
+				}
+				if instance, ok := restarts[now]; ok {
+					p.restart(m, instance, int64(now))
+				}
+			}
+			m := simulate(s, p, seed)
+			for i, limit := range limits {
+				is.True(m.upstreams[i].excess(limit) <= 0) // at most 1.5 times the limit, and 5 requests, in 4 s
+			}
+		})
+	}
+}
+
+// restart replaces an instance, given by region and index, by a process that knows
+// nothing of limits.
+func (p *dispatcherPolicy) restart(m *simulation, instance [2]int, now int64) {
+	old := p.builders[instance[0]][instance[1]]
+	p.builders[instance[0]][instance[1]] = &Builder{Self: old.Self, Bounds: old.Bounds, Regions: old.Regions}
+	p.publish(m, now)
+	m.restartedAt[instance] = now
+	for _, u := range m.upstreams {
+		delete(u.limitSentAt, instance)
+	}
+	if p.gossipDelay == 0 {
+		return
+	}
+	// The next beacons tell it what the others have observed.
+	m.schedule(now+int64(p.gossipDelay), func(later int64) {
+		for id, o := range p.observed {
+			p.builders[instance[0]][instance[1]].ApplyRateLimit(steerer.Incarnation{ID: id}, o.state, o.at, later)
+		}
+	})
+}
+
 // arrivalsBetween returns the number of requests that arrived in the given seconds.
 func (u *simUpstream) arrivalsBetween(from, to int64) (n int) {
 	for second := from; second < to; second++ {
--- a/core/dispatcher/simulation_test.go
+++ b/core/dispatcher/simulation_test.go
@@ -166,11 +166,13 @@
 	seq        int
 	tally      tally
 	end        bool
+	// restartedAt is when instances, by region and index, were last restarted.
+	restartedAt map[[2]int]int64
 }
 
 // simulate runs a scenario with a policy.
 func simulate(s scenario, p policy, seed uint64) *simulation {
-	m := &simulation{scenario: s, policy: p, rng: rand.New(rand.NewPCG(seed, 1))}
+	m := &simulation{scenario: s, policy: p, restartedAt: map[[2]int]int64{}, rng: rand.New(rand.NewPCG(seed, 1))}
 	for r, region := range s.regions {
 		for range region.upstreams {
 			i := len(m.upstreams)
@@ -382,7 +384,10 @@
 	u.pendingKeys[q.key]--
 	l := Load{u.running, len(u.queue), m.slots}
 	sends := q.sends
-	limit := u.limit
+	limit := 0.0
+	if res == Answered || res == Shed {
+		limit = u.limit
+	}
 	if limit > 0 && u.limitedAt == 0 {
 		u.limitedAt = now
 	}
@@ -392,7 +397,8 @@
 		}
 		q.ended = sends
 		q.limit = limit
-		if instance := [2]int{q.region, q.instance}; limit > 0 && u.limitSentAt[instance] == 0 {
+		instance := [2]int{q.region, q.instance}
+		if limit > 0 && u.limitSentAt[instance] == 0 && q.sentAt > m.restartedAt[instance] {
 			u.limitSentAt[instance] = now
 		}
 		if q.done != nil {
--- a/core/steerer/rate_limit.go
+++ b/core/steerer/rate_limit.go
@@ -9,12 +9,10 @@
 )
 
 const (
-	// limitReportTime is how long beacons carry the observation of a limit. Those with
-	// a share of the limit observe it every few seconds.
-	limitReportTime = 4 * time.Second
-	// limitEndReportTime is how long beacons carry the end of a limit. An instance
-	// without a share of the limit learns it from others only.
-	limitEndReportTime = 30 * time.Second
+	// limitReportTime is how long beacons carry the observation of a limit or of its
+	// end. An instance without a share of the limit learns of the end from others only,
+	// and one that has just started has to learn of limits even if no upstream answers.
+	limitReportTime = 30 * time.Second
 	// limitUrgentTime is how long the start or end of a limit is also sent to other
 	// regions with each beacon.
 	limitUrgentTime = time.Second
@@ -67,11 +65,7 @@
 // forgets old ones.
 func (s *State) rateLimitReports(now int64, most int) (all []RateLimitReport) {
 	for id, o := range s.rateLimits {
-		keep := limitReportTime
-		if !o.state.InForce {
-			keep = limitEndReportTime
-		}
-		if now-o.at >= int64(keep) {
+		if now-o.at >= int64(limitReportTime) {
 			delete(s.rateLimits, id)
 			continue
 		}
@@ -95,7 +89,7 @@
 // are ignored.
 func applyReports(now int64, reports []RateLimitReport) (out []Effect) {
 	for _, r := range reports {
-		if r.Age < 0 || r.Age > int64(limitEndReportTime/time.Millisecond) || r.PerSecond < 0 {
+		if r.Age < 0 || r.Age > int64(limitReportTime/time.Millisecond) || r.PerSecond < 0 {
 			continue
 		}
 		out = append(out, ApplyRateLimit{Incarnation: r.Incarnation, State: r.RateLimitState, At: now - r.Age*int64(time.Millisecond)})
--- a/core/steerer/steerer_test.go
+++ b/core/steerer/steerer_test.go
@@ -67,7 +67,7 @@
 // scenarios are event sequences by name. The golden files have their effects.
 func scenarios() map[string][]Event {
 	return map[string][]Event{
-		"limit-is-told-while-it-is-observed": append(startEvents(upstreamObject("u1")),
+		"limit-is-told-as-of-its-last-observation": append(startEvents(upstreamObject("u1")),
 			Tick{Now: seconds(1)},
 			limitedAt(1.1, 4.2),
 			Tick{Now: seconds(1.2)},
@@ -75,9 +75,10 @@
 			Tick{Now: seconds(3)},
 			UpstreamLimited{Now: seconds(3.1), Incarnation: Incarnation{"u1", 1}, At: seconds(2)},
 			Tick{Now: seconds(3.5)},
-			Tick{Now: seconds(7)},
+			Tick{Now: seconds(32)},
+			Tick{Now: seconds(33)},
 		),
-		"end-of-a-limit-is-told-for-longer": append(startEvents(upstreamObject("u1")),
+		"limit-and-its-end-are-told-for-half-a-minute": append(startEvents(upstreamObject("u1")),
 			limitedAt(1.1, 4.2),
 			Tick{Now: seconds(1.2)},
 			limitedAt(2, 0),
