--- a/hornbeamd/runner/runner_test.go
+++ b/hornbeamd/runner/runner_test.go
@@ -155,7 +155,7 @@
 	err  error
 }
 
-func startInstance(t *testing.T, m *memoryStore, n int) *testInstance {
+func startInstance(t *testing.T, m *memoryStore, n int, edit ...func(*Config)) *testInstance {
 	t.Helper()
 	ip := fmt.Sprintf("127.91.%d.%d", os.Getpid()%250, n+1)
 	cfg := Config{
@@ -165,6 +165,9 @@
 		DirectoryAddress: ip + ":8383", AdminAddress: ip + ":9464",
 		Store: m, Dialect: plainDialect{}, Directory: plainDialect{}, Log: logr.Discard(), ReuseWindow: 10 * time.Second, NonIdempotentReuseWindow: 4 * time.Second, Clock: NewClock(),
 	}
+	for _, f := range edit {
+		f(&cfg)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	i := &testInstance{cfg: cfg, stop: stop, done: make(chan struct{})}
 	go func() {
--- /dev/null
+++ b/hornbeamd/runner/shutdown_test.go
@@ -0,0 +1,66 @@
+package runner
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamstream.example/core/steerer"
+)
+
+// TestNoRequestCutByExit guards against requests that are accepted late in a graceful
+// shutdown and run for longer than the process: their connections were closed without
+// an answer. They have to be refused as not run, so that callers go elsewhere.
+func TestNoRequestCutByExit(t *testing.T) {
+	is := is.New(t)
+	const stop, runTime = 4 * time.Second, 1500 * time.Millisecond
+	upstream, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		time.Sleep(runTime)
+		w.Header().Set("Id", q.Header.Get("Id"))
+		fmt.Fprint(w, "ran")
+	})}
+	go func() { _ = server.Serve(upstream) }()
+	defer func() { is.NoErr(server.Close()) }()
+
+	m := newMemoryStore()
+	m.put(steerer.Upstreams, steerer.Object{Name: "u", Upstream: &steerer.Upstream{ID: "u", Service: "s", Address: upstream.Addr().String(), Domain: "d", Slots: 40}})
+	m.put(steerer.Configs, steerer.Object{Name: "main", Config: &steerer.Config{
+		Version:  1,
+		Services: []steerer.Service{{Name: "s", Conns: 50}},
+		Routes: []steerer.Route{{
+			Name: "r", Host: "h", Prefix: "/p/", Timeout: 5 * time.Second, Aim: runTime, Attempts: 1,
+			Parts: []steerer.WeightedService{{Service: "s", Weight: 1}},
+		}},
+	}})
+	i := startInstance(t, m, 7, func(c *Config) { c.Bounds.Stop = stop })
+	waitForResponse(t, i.cfg.DirectoryAddress, "/", "200 true 1")
+	is.Equal(get(i.cfg.Self.Front, "/p/x"), "200 ran")
+
+	i.stop()
+	began := time.Now()
+	answers := make(chan string, 100)
+	sent := 0
+	// Until the listener closes.
+	for time.Since(began) < time.Duration(closeListenerShare*float64(stop))-200*time.Millisecond {
+		go func() { answers <- get(i.cfg.Self.Front, "/p/x") }()
+		sent++
+		time.Sleep(100 * time.Millisecond)
+	}
+	// The process exits when Run has returned.
+	<-i.done
+	is.NoErr(i.err)
+	time.Sleep(50 * time.Millisecond)
+	t.Logf("%d of %d requests answered before the exit", len(answers), sent)
+	is.Equal(len(answers), sent)
+	for range sent {
+		answer := <-answers
+		is.True(answer == "200 ran" || strings.HasPrefix(answer, "503")) // answered, or refused as not run
+	}
+}
