--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -117,7 +117,9 @@
 	pools      sync.Map // *dispatcher.Upstream to *pooler.Pool
 	idleLimits sync.Map // service name to *pooler.IdleLimit
 
-	draining    atomic.Bool
+	draining atomic.Bool
+	// exitAt is when the process exits, 0 if that is not known.
+	exitAt      atomic.Int64
 	callerConns connTracker
 	byteBudget  byteBudget
 }
@@ -200,6 +202,20 @@
 // progress. From then on no request is rerouted or started before its turn.
 func (r *Relayer) StartDrain() { r.draining.Store(true) }
 
+// SetExitTime sets when the process exits. Requests that are expected to run for longer
+// are refused, so that their callers go elsewhere.
+func (r *Relayer) SetExitTime(at int64) { r.exitAt.Store(at) }
+
+// exitRunFactor is how much longer than expected a run may take before the process
+// exits.
+const exitRunFactor = 1.25
+
+// exitsBefore reports whether the process may exit before the end of a request.
+func (r *Relayer) exitsBefore(d *dispatcher.Decision, now int64) bool {
+	at := r.exitAt.Load()
+	return at != 0 && now+int64(exitRunFactor*float64(d.ExpectedCold)) > at
+}
+
 // Maintain closes idle connections of callers and the pools of removed
 // upstreams. It is called about once a second.
 func (r *Relayer) Maintain() {
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -431,6 +431,7 @@
 	}
 	r.events <- steerer.ShutdownStarted{Now: r.now()}
 	r.relayer.StartDrain()
+	r.relayer.SetExitTime(r.now() + int64(timeout-exitMargin))
 	time.Sleep(time.Until(at(closeIdleShare)))
 	r.relayer.CloseIdleConnections()
 	time.Sleep(time.Until(at(closeListenerShare)))
