watcher: check that the store answers before and during long polls

Callers saw requests handled by a configuration that had been replaced long before (CONFIG), and upstreams that had left got requests (DRAIN).

Cause: a watch waits 25 s. If the store does not take the call, or forgets it, nothing shows that until 26.5 s later. All instances call again at the same moment, after the same change, so they are deaf together and cannot tell each other. A watcher whose call had failed then waited 1.5 s more for the one that is to try the store, which had a call of its own pending.

While long polls are pending, the store is pinged each second. A failed call or a new era interrupts all pending long polls, which are made again over connections that answer.

Evidence: TestWatchSentDuringSilence, TestForgottenWatches and TestFailureOfOneWatch were red before.

--- a/hornbeamd/runner/metrics.go
+++ b/hornbeamd/runner/metrics.go
@@ -171,6 +171,12 @@
 	return s.Store.Watch(ctx, k, revision, until)
 }
 
+// Ping implements watcher.Source.
+func (s instrumentedStore) Ping(ctx context.Context) (era uint64, err error) {
+	defer func() { s.count("ping", err) }()
+	return s.Store.Ping(ctx)
+}
+
 // Register implements Store.
 func (s instrumentedStore) Register(ctx context.Context, i steerer.Instance) (err error) {
 	defer func() { s.count("register", err) }()
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -98,6 +98,7 @@
 	eventClock   recorder.Clock
 	beaconConn   *net.UDPConn
 	watchers     map[steerer.Kind]*watcher.Watcher
+	availability watcher.Availability
 	relay        *relay
 	recoverer    guarder.Recoverer
 	// reregister requests another registration.
@@ -129,9 +130,8 @@
 	})
 	r.relay = newRelay(r)
 	r.watchers = map[steerer.Kind]*watcher.Watcher{}
-	guard := &watcher.Availability{}
 	for _, k := range steerer.Kinds {
-		r.watchers[k] = &watcher.Watcher{Kind: k, Source: r.cfg.Store, Now: r.now, Availability: guard, Prober: k == steerer.Instances}
+		r.watchers[k] = &watcher.Watcher{Kind: k, Source: r.cfg.Store, Now: r.now, Availability: &r.availability, Prober: k == steerer.Instances}
 	}
 	return r
 }
@@ -164,6 +164,7 @@
 		w.Emit = r.emitter(groupCtx)
 		group.Go(func() error { return r.runWatcher(groupCtx, w) })
 	}
+	group.Go(func() error { return r.availability.Run(groupCtx, r.cfg.Store) })
 	group.Go(func() error { return r.serveRelay(groupCtx) })
 	group.Go(func() error {
 		select {
--- a/hornbeamd/runner/runner_test.go
+++ b/hornbeamd/runner/runner_test.go
@@ -99,6 +99,15 @@
 	return p, nil
 }
 
+func (m *memoryStore) Ping(context.Context) (era uint64, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.unavailable {
+		return 0, fmt.Errorf("down")
+	}
+	return m.era, nil
+}
+
 func (m *memoryStore) Watch(ctx context.Context, k steerer.Kind, revision uint64, until time.Time) (p watcher.Page, err error) {
 	for {
 		m.mu.Lock()
--- a/hornbeamd/watcher/silence_test.go
+++ b/hornbeamd/watcher/silence_test.go
@@ -30,6 +30,8 @@
 	// fails.
 	silent  bool
 	failing steerer.Kind
+	// pingDelay is the time that the store takes to answer a ping.
+	pingDelay time.Duration
 	// forgotten is closed when the store forgets the calls that wait.
 	forgotten chan struct{}
 }
@@ -88,6 +90,7 @@
 	if err := s.accept(ctx, ""); err != nil {
 		return 0, err
 	}
+	sleep(ctx, s.pingDelay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.era, nil
@@ -174,6 +177,7 @@
 			watcher.Update(Options{Enabled: true, Revision: revision, Era: min(revision, 1), PollTimeout: 25 * time.Second})
 			go func() { is.NoErr(watcher.Run(ctx)) }()
 		}
+		go func() { is.NoErr(guard.Run(ctx, w.silentStore)) }()
 		time.Sleep(time.Second)
 		test(is, w)
 	})
@@ -270,3 +274,29 @@
 		is.True(w.knows(steerer.Upstreams))
 	})
 }
+
+// TestUpdateDuringPing guards against a long poll with old options because they were
+// updated while the store was checked.
+func TestUpdateDuringPing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, end := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer end()
+		s := newSilentStore()
+		s.pingDelay = pingTimeout / 2
+		known := uint64(0)
+		w := &Watcher{Source: s, Now: func() int64 { return 1 }, Availability: &Availability{}, Prober: true, Emit: func(e steerer.Event) {
+			if e, ok := e.(steerer.Changed); ok {
+				known = e.Revision
+			}
+		}}
+		w.Update(Options{Enabled: true, Revision: 10, Era: 1, PollTimeout: time.Minute})
+		go func() { is.NoErr(w.Run(ctx)) }()
+		time.Sleep(pingTimeout / 4)
+		w.Update(Options{Enabled: true, Revision: 10, Era: 1, PollTimeout: time.Minute, Confirm: true})
+		time.Sleep(pingTimeout)
+		synctest.Wait()
+		is.Equal(known, uint64(10)) // answered at once
+	})
+}
--- a/hornbeamd/watcher/watcher.go
+++ b/hornbeamd/watcher/watcher.go
@@ -8,7 +8,6 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"hornbeamstream.example/core/steerer"
@@ -17,13 +16,17 @@
 // ErrCompacted reports that the store no longer has the changes since a revision.
 var ErrCompacted = errors.New("the history since this revision is gone")
 
-// errEra reports that the store was restored from a backup, which makes known
+// errEraChanged reports that the store was restored from a backup, which makes known
 // revisions invalid.
 var errEraChanged = errors.New("the store has come back from a copy")
 
-// errOld reports that a response is from an earlier era than the known one.
+// errStaleEra reports that a response is from an earlier era than the known one.
 var errStaleEra = errors.New("the answer is of an earlier era of the store")
 
+// errInterrupted reports that a watch call was canceled, or not made, because it has to
+// be made with other options or over another connection.
+var errInterrupted = errors.New("the call was interrupted")
+
 // Page is one page of a list, or the changes since a revision.
 type Page struct {
 	Objects []steerer.Object
@@ -44,14 +47,17 @@
 	// Watch returns the changes since a revision. It waits for a change until the
 	// given time. It returns ErrCompacted if the store no longer has them.
 	Watch(ctx context.Context, k steerer.Kind, revision uint64, until time.Time) (Page, error)
+	// Ping returns the store's era, or 0 if that is unknown, with a call that is cheap
+	// and answered at once.
+	Ping(ctx context.Context) (era uint64, err error)
 }
 
 const (
-	// callTime bounds one call of Source.List.
+	// listTimeout bounds one call of Source.List.
 	listTimeout = 1500 * time.Millisecond
-	// waitSlack is added to the poll timeout for the response to arrive.
+	// watchTimeoutMargin is added to the poll timeout for the response to arrive.
 	watchTimeoutMargin = 1500 * time.Millisecond
-	// gatherTime is the delay after a change. Further changes arrive in one batch,
+	// batchDelay is the delay after a change. Further changes arrive in one batch,
 	// so that a series of changes costs few calls.
 	batchDelay = 250 * time.Millisecond
 	// Bounds of the backoff after a failed call. slowMaxBackoff applies instead of
@@ -97,15 +103,16 @@
 	options  Options
 	// era is the latest known era of the store.
 	era uint64
-	mu  sync.Mutex
-	// cancelCall cancels the pending watch call.
+	// failed means that the last call failed.
+	failed bool
+
+	mu sync.Mutex
+	// cancelCall cancels the pending watch call, which is a long poll if longPoll is
+	// set.
 	cancelCall context.CancelFunc
+	longPoll   bool
 }
 
-// Availability records whether a store is unavailable, so that only one of its
-// watchers has to probe it.
-type Availability struct{ unavailable atomic.Bool }
-
 // Update replaces the options and cancels the pending watch call.
 func (w *Watcher) Update(o Options) {
 	w.init()
@@ -121,13 +128,35 @@
 	}
 }
 
-// callContext returns the context of a call, which Update can cancel.
-func (w *Watcher) callContext(ctx context.Context, until time.Time) (context.Context, context.CancelFunc) {
-	ctx, end := context.WithDeadline(ctx, until)
+// interrupt cancels the pending watch call if it is a long poll.
+func (w *Watcher) interrupt() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.longPoll {
+		w.cancelCall()
+	}
+}
+
+// polling reports whether a long poll is pending.
+func (w *Watcher) polling() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.longPoll
+}
+
+// startCall returns the context of a watch call, which Update can cancel, and the
+// function that ends it.
+func (w *Watcher) startCall(ctx context.Context, until time.Time, longPoll bool) (context.Context, func()) {
+	ctx, cancel := context.WithDeadline(ctx, until)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.cancelCall = end
-	return ctx, end
+	w.cancelCall, w.longPoll = cancel, longPoll
+	return ctx, func() {
+		cancel()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.longPoll = false
+	}
 }
 
 func (w *Watcher) init() { w.initOnce.Do(func() { w.updates = make(chan Options, 1) }) }
@@ -138,6 +167,7 @@
 // Run lists and watches the objects until ctx is done.
 func (w *Watcher) Run(ctx context.Context) error {
 	w.init()
+	w.Availability.add(w)
 	pause := minBackoff
 	revision := uint64(0)
 	// The first list may be stale: the changes since then come with the watch. After
@@ -153,11 +183,13 @@
 		}
 		switch {
 		case err == nil:
-			w.Availability.unavailable.Store(false)
-			pause = minBackoff
+			w.Availability.markUp()
+			w.failed, pause = false, minBackoff
 			continue
 		case ctx.Err() != nil:
 			return nil
+		case errors.Is(err, errInterrupted):
+			continue
 		case errors.Is(err, ErrCompacted), errors.Is(err, errEraChanged):
 			revision, stale = 0, false
 			continue
@@ -165,7 +197,8 @@
 		if errors.Is(err, errStaleEra) {
 			stale = false
 		}
-		w.Availability.unavailable.Store(true)
+		w.failed = true
+		w.Availability.markDown()
 		w.Emit(steerer.StoreUnavailable{Now: w.Now(), Kind: w.Kind, Cause: err.Error()})
 		pause = w.backOff(ctx, pause)
 	}
@@ -210,7 +243,7 @@
 		// The prober's success ends the wait. The wait is bounded, because a
 		// disabled prober must not block the others.
 		until := time.Now().Add(slowMaxBackoff)
-		for w.Availability.unavailable.Load() && time.Now().Before(until) && ctx.Err() == nil {
+		for w.Availability.down() && time.Now().Before(until) && ctx.Err() == nil {
 			sleep(ctx, minBackoff/2)
 		}
 	}
@@ -254,15 +287,30 @@
 
 func (w *Watcher) watch(ctx context.Context, revision uint64) (uint64, error) {
 	until := time.Now()
+	longPoll := !w.options.Confirm && w.options.PollTimeout > maxUnverifiedPoll
+	if longPoll {
+		// Only the end of a long poll would show that the store has not taken the call.
+		if err := w.Availability.ping(ctx, w.Source); err != nil {
+			return revision, err
+		}
+		if w.failed {
+			w.failed = false
+			w.Emit(steerer.StoreAvailable{Now: w.Now(), Kind: w.Kind})
+		}
+		until = time.Now()
+	}
 	if !w.options.Confirm {
 		until = until.Add(w.options.PollTimeout)
 	}
-	call, cancel := w.callContext(ctx, until.Add(watchTimeoutMargin))
-	defer cancel()
+	call, end := w.startCall(ctx, until.Add(watchTimeoutMargin), longPoll)
+	defer end()
+	if len(w.updates) > 0 {
+		// They came during the ping.
+		return revision, errInterrupted
+	}
 	page, err := w.Source.Watch(call, w.Kind, revision, until)
 	if errors.Is(call.Err(), context.Canceled) && ctx.Err() == nil {
-		// Update canceled the call.
-		return revision, nil
+		return revision, errInterrupted
 	}
 	if err != nil {
 		return revision, err
@@ -288,6 +336,7 @@
 		return errStaleEra
 	}
 	w.era = p.Era
+	w.Availability.observeEra(p.Era)
 	return errEraChanged
 }
 
--- a/hornbeamd/watcher/watcher_test.go
+++ b/hornbeamd/watcher/watcher_test.go
@@ -48,6 +48,9 @@
 	return s.next(ctx, fmt.Sprint("watch ", revision))
 }
 
+// Ping implements Source. Pings are not part of the script.
+func (s *scriptedSource) Ping(context.Context) (era uint64, err error) { return 0, nil }
+
 func objects(names ...string) (all []steerer.Object) {
 	for _, n := range names {
 		all = append(all, steerer.Object{Name: n})
