watcher: no stale lists from a store that may have come back from a copy

An instance that starts after the store has come back from a copy missed changes for good: upstreams that drain, configurations, evacuations.

Cause: its first list is a stale one and may show the store as it was before the return. Its revision is taken for the store's, which issues it again for other changes. Watches from it skip the changes below, and answers below it are dropped as outdated.

A stale list is used only if the store names no era; otherwise a second list, which is not stale, follows. Also, a stale list counts from its oldest page.

--- a/hornbeamd/watcher/watcher.go
+++ b/hornbeamd/watcher/watcher.go
@@ -261,14 +261,17 @@
 			return 0, err
 		}
 		switch err := w.checkEra(page); {
-		case errors.Is(err, errStaleEra) && stale:
-			// The next list is not stale.
+		case stale && page.Era != 0:
+			// The store may have been restored since the time of the list. It would then
+			// issue the list's revision again, for other changes. The next list is not
+			// stale.
 			return 0, errEraChanged
 		case errors.Is(err, errStaleEra), err != nil && after != "":
 			return 0, err
 		}
-		if after == "" {
-			// Changes made between two pages are repeated by the watch.
+		if after == "" || page.Revision < revision {
+			// The watch repeats changes made between two pages. A later page of a stale
+			// list may be older than the first.
 			revision = page.Revision
 		}
 		all = append(all, page.Objects...)
--- a/hornbeamd/watcher/watcher_test.go
+++ b/hornbeamd/watcher/watcher_test.go
@@ -80,6 +80,13 @@
 			"[list  stale list a stale watch 5 watch 9]",
 			"[listed a b at 5 changed c at 9]",
 		},
+		{
+			"watches from the oldest page",
+			Options{Enabled: true, PollTimeout: time.Second},
+			[]answer{{page(0, 9, "a", objects("a")), nil}, {page(0, 7, "", objects("b")), nil}},
+			"[list  stale list a stale watch 7]",
+			"[listed a b at 7]",
+		},
 		{
 			"starts from a known revision",
 			Options{Enabled: true, Revision: 4, PollTimeout: time.Second},
@@ -106,9 +113,15 @@
 		},
 		{
 			"begins a list again when the store comes back between two pages",
+			Options{Enabled: true, Revision: 4, Era: 1, PollTimeout: time.Second},
+			[]answer{{Page{}, ErrCompacted}, {page(1, 9, "a", objects("a")), nil}, {page(2, 5, "", objects("b")), nil}, {page(2, 6, "", objects("c")), nil}},
+			"[watch 4 list list a list watch 6]", "[listed c at 6 in era 2]",
+		},
+		{
+			"does not use a stale list of a store that may have come back from a copy",
 			Options{Enabled: true, PollTimeout: time.Second},
-			[]answer{{page(1, 9, "a", objects("a")), nil}, {page(2, 5, "", objects("b")), nil}, {page(2, 6, "", objects("c")), nil}},
-			"[list  stale list a stale list watch 6]", "[listed c at 6 in era 2]",
+			[]answer{{page(1, 9, "", objects("a")), nil}, {page(1, 8, "", objects("b")), nil}},
+			"[list  stale list watch 8]", "[listed b at 8]",
 		},
 		{
 			"does not take a stale list of an earlier era",
