connector: find dead connections to the store within 2 s

It found them dead after 3 s: changes of that time were late.

Cause: the interval of keep-alive probes was set to 0.5 s. The kernel counts whole seconds, and the library rounds up: 1 s idle and two probes make 3 s. One probe after 1 s makes 2 s.

Whether users saw this is suspected, not shown.

--- a/core/connector/connector.go
+++ b/core/connector/connector.go
@@ -80,9 +80,9 @@
 
 func (e dialError) Unwrap() error { return e.error }
 
-// keepAlive detects within about 2 s that a connection on which a watch waits is
-// dead.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2}
+// keepAlive detects within 2 s that a connection on which a watch waits is dead. The
+// kernel counts whole seconds; shorter times are rounded up.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 1}
 
 func dial(address string, timeout time.Duration) (net.Conn, error) {
 	if timeout <= 0 || timeout > dialTimeout {
