pooler, forwarder: reset the connection of an abandoned request

Upstreams got requests 2.7 to 3 s after they had said that they leave (DRAIN), or after the evacuation of their domain (EVAC), 6 to 8 s after the request had been sent and answered by another upstream.

Cause: a request that is sent while the links are cut stays in the kernel's buffer. It is then sent elsewhere, and its connection is closed. A regular close goes on to deliver what is in the buffer, with growing pauses, until after the end of the cut. Class: work that outlives the decision to drop it. The check of the upstream's state right before the write cannot see this.

The connection of an exchange that does not end is now reset, which drops the bytes. hornbeamd's own pool and its hedged requests did the same and do so no more.

--- a/hornbeamd/forwarder/hedge.go
+++ b/hornbeamd/forwarder/hedge.go
@@ -154,7 +154,7 @@
 	res.exchange.release()
 }
 
-// attach sets the connection that cancel closes.
+// attach sets the connection that cancel resets.
 func (h *hedge) attach(c *pooler.Conn) {
 	if h == nil {
 		return
@@ -163,11 +163,11 @@
 	defer h.mu.Unlock()
 	h.conn = c
 	if h.cancelled {
-		_ = c.Close()
+		c.Reset()
 	}
 }
 
-// detach keeps cancel from closing a connection that others may use from now
+// detach keeps cancel from resetting a connection that others may use from now
 // on.
 func (h *hedge) detach() {
 	if h == nil {
@@ -183,6 +183,6 @@
 	defer h.mu.Unlock()
 	h.cancelled = true
 	if h.conn != nil {
-		_ = h.conn.Close()
+		h.conn.Reset()
 	}
 }
--- a/hornbeamd/forwarder/pool.go
+++ b/hornbeamd/forwarder/pool.go
@@ -147,9 +147,9 @@
 	}
 }
 
-// discard closes a connection, which cancels the request on it.
+// discard resets a connection, which cancels the request on it.
 func (p *connPool) discard(c *pooler.Conn) {
-	_ = c.Close()
+	c.Reset()
 	p.uncount()
 }
 
--- a/hornbeamd/pooler/conn.go
+++ b/hornbeamd/pooler/conn.go
@@ -87,6 +87,16 @@
 	return err == nil && c.err == syscall.EAGAIN
 }
 
+// Reset closes the connection and drops the bytes that have not been delivered. After
+// a regular close, the kernel would still deliver them when a network partition ends.
+func (c *Conn) Reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// It fails only if the connection is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // PeerClosed reports whether the peer has closed the connection.
 func PeerClosed(nc net.Conn) bool {
 	raw := rawConn(nc)
--- a/hornbeamd/pooler/pool.go
+++ b/hornbeamd/pooler/pool.go
@@ -163,11 +163,12 @@
 	p.idle = append(p.idle, c)
 }
 
-// Discard closes a connection, which cancels the request in progress on it.
+// Discard resets a connection, which cancels the request in progress on it.
 func (p *Pool) Discard(c *Conn) {
+	c.Reset()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closeConnLocked(c)
+	p.openConns--
 }
 
 // SetPeerIdleTimeout sets how long the peer keeps idle connections.
