soaker: bursts of faults with time bounds checked between them

The soak did not find late changes. Three reasons:

- Any fault of one instance suspended the time bounds of all, 3 s before and after.
With a fault each half second, they hardly ever held.
Now a fault of an instance, or of its connections, suspends its own bounds only; they are judged by what the instance was like in the 3 s before the request.
- The store of the soak answered stale reads with its present state.
They are 2 s old now, also across a return from a copy.
- It answered every call that it took.
Faults then come in bursts of 4 s with 10 s between them in which only configurations and upstreams change.

Requests count by when they reach an upstream that has left, not by when they run. TestDrains and TestEvacuationsKept play the new rules, ten cases instead of two.

--- a/hornbench/soaker/faults.go
+++ b/hornbench/soaker/faults.go
@@ -32,15 +32,16 @@
 // fault is one kind of disturbance. It begins at once and ends by itself.
 type fault struct {
 	name string
-	// unplanned faults suspend the time bounds while they last and shortly after.
-	unplanned bool
-	run       func(ctx context.Context, w *World, d time.Duration)
+	// storeAffected faults suspend the time bounds of all instances while they last and
+	// shortly after. Faults of one instance suspend only its own.
+	storeAffected bool
+	run           func(ctx context.Context, w *World, d time.Duration)
 }
 
 // faults are chosen by the seed.
 var faults = []fault{
-	{"instance paused", true, func(_ context.Context, w *World, d time.Duration) { w.anInstance().Pause(d) }},
-	{"instance killed", true, func(ctx context.Context, w *World, d time.Duration) {
+	{"instance paused", false, func(_ context.Context, w *World, d time.Duration) { w.anInstance().Pause(d) }},
+	{"instance killed", false, func(ctx context.Context, w *World, d time.Duration) {
 		i := w.anInstance()
 		i.Kill()
 		sleep(ctx, d/2)
@@ -55,11 +56,11 @@
 	{"store busy", true, storeFault(storeBusy)},
 	{"store loses answers", true, storeFault(storeLost)},
 	{"store slow", true, storeFault(storeSlow)},
-	{"store forgets its history", true, func(_ context.Context, w *World, _ time.Duration) { w.store.Compact() }},
-	{"store delayed", true, cutFault(proxyDelay)},
-	{"store silent", true, cutFault(proxySilent)},
-	{"store deaf", true, cutFault(proxyDeaf)},
-	{"store resets", true, cutFault(proxyReset)},
+	{"store forgets its history", false, func(_ context.Context, w *World, _ time.Duration) { w.store.Compact() }},
+	{"store delayed", false, cutFault(proxyDelay)},
+	{"store silent", false, cutFault(proxySilent)},
+	{"store deaf", false, cutFault(proxyDeaf)},
+	{"store resets", false, cutFault(proxyReset)},
 	{"upstream delayed", false, linkFault(proxyDelay)},
 	{"upstream silent", false, linkFault(proxySilent)},
 	{"upstream deaf", false, linkFault(proxyDeaf)},
@@ -110,23 +111,53 @@
 	}},
 }
 
-// returnFault lets the store come back from a copy that is some time old. It does
-// not suspend the bounds of what instances have already seen.
+// silentFault makes the store take calls without ever answering them. It often begins
+// right after a change, when all instances are about to call.
+func silentFault(ctx context.Context, w *World, d time.Duration) {
+	if w.number(2) == 0 {
+		w.configure(services[w.number(len(services))])
+		sleep(ctx, time.Duration(50+w.number(250))*time.Millisecond)
+	}
+	storeFault(storeSilent)(ctx, w, d)
+}
+
+// returnFault lets the store come back from a copy that is some time old. The time
+// bounds are suspended from its absence until the operator has repeated its writes.
+// The store may have forgotten the watches that wait, and an instance may start as it
+// returns.
 func returnFault(ctx context.Context, w *World, d time.Duration) {
 	if !w.returning.TryLock() {
 		return
 	}
 	defer w.returning.Unlock()
+	var restarted sync.WaitGroup
+	defer restarted.Wait()
 	w.store.Save()
 	sleep(ctx, d)
+	defer w.disturbStore(time.Now())
 	w.store.SetMode(storeBusy)
 	sleep(ctx, time.Duration(w.number(400))*time.Millisecond)
+	if w.options.Bursts && w.number(2) == 0 {
+		w.store.Forget()
+	}
 	w.store.Restore()
 	w.store.SetMode(storeUp)
+	if w.options.Bursts && w.number(2) == 0 {
+		restarted.Go(w.restart)
+	}
 	sleep(ctx, time.Duration(w.number(1000))*time.Millisecond)
 	w.rewrite()
 }
 
+// restart kills an instance and starts it at once.
+func (w *World) restart() {
+	w.signals.Lock()
+	defer w.signals.Unlock()
+	i := w.anInstance()
+	i.Kill()
+	w.note(i.Start())
+}
+
 // rewrite writes again what the operator has written; the upstreams do so
 // themselves. Registrations of upstreams that are gone expire.
 func (w *World) rewrite() {
@@ -203,6 +234,21 @@
 	}},
 }
 
+// burstFaults join the others if the soak has bursts.
+var burstFaults = []fault{
+	{"store takes calls without an answer", true, silentFault},
+}
+
+// plannedChanges are the faults that also occur between bursts.
+var plannedChanges = []string{"configuration moves", "upstream replaced"}
+
+const (
+	// burstTime is the length of a burst. calmBetweenTime follows it: the last faults
+	// end, the instances are in contact again, and the time bounds hold for a while.
+	burstTime       = 4 * time.Second
+	calmBetweenTime = 10 * time.Second
+)
+
 // modeFault puts something into a mode for the time of the fault.
 func modeFault[M any, T interface{ SetMode(M) }](pick func(*World) T, mode, usual M) func(context.Context, *World, time.Duration) {
 	return func(ctx context.Context, w *World, d time.Duration) {
@@ -272,7 +318,6 @@
 // lock of its own.
 func (w *World) disturb(ctx context.Context) {
 	var group sync.WaitGroup
-	var signals sync.Mutex
 	all := faults
 	if w.options.Extended {
 		all = slices.Concat(faults, extendedFaults, extendedFaults)
@@ -280,13 +325,20 @@
 	if w.options.Limits {
 		all = slices.Concat(all, limitFaults, limitFaults, limitFaults)
 	}
+	if w.options.Bursts {
+		all = slices.Concat(all, burstFaults, burstFaults)
+	}
+	changes := slices.DeleteFunc(slices.Clone(all), func(f fault) bool { return !slices.Contains(plannedChanges, f.name) })
 	for time.Now().Before(w.options.Until) && ctx.Err() == nil {
 		f := all[w.number(len(all))]
+		if w.options.Bursts && time.Since(w.began)%(burstTime+calmBetweenTime) > burstTime {
+			f = changes[w.number(len(changes))]
+		}
 		d := 300*time.Millisecond + time.Duration(w.number(3000))*time.Millisecond
 		group.Go(func() {
 			if f.name[:8] == "instance" {
-				signals.Lock()
-				defer signals.Unlock()
+				w.signals.Lock()
+				defer w.signals.Unlock()
 			}
 			w.play(ctx, f, d)
 		})
@@ -302,14 +354,40 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.faults = append(w.faults, fmt.Sprintf("%6.2f to %6.2f %s", from.Sub(w.began).Seconds(), time.Since(w.began).Seconds(), f.name))
-	if f.unplanned {
-		w.disturbed = append(w.disturbed, span{from.Add(-contactTime), time.Now().Add(contactTime)})
+	if f.storeAffected {
+		w.disturbed = append(w.disturbed, span{from, time.Now()})
 	}
 }
 
-// calm tells whether time bounds hold in a span of time.
-func (w *World) calm(from, to time.Time) bool {
-	return !overlap(w.disturbed, from, to)
+// disturbStore records that the store has been disturbed from a time until now.
+func (w *World) disturbStore(from time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.disturbed = append(w.disturbed, span{from, time.Now()})
+}
+
+// storeStable reports whether the store was undisturbed in a period and for
+// contactTime before it.
+func (w *World) storeStable(from, to time.Time) bool {
+	return !overlap(w.disturbed, from.Add(-contactTime), to)
+}
+
+// inContact reports whether time bounds hold for an instance in a period: the
+// instance, its connections to the store and the store itself were undisturbed in
+// it and for contactTime before it.
+func (w *World) inContact(i *Instance, from, to time.Time) bool {
+	since := from.Add(-contactTime)
+	return i != nil && w.storeStable(from, to) && i.undisturbed(since, to) && i.proxy.passed(since, to)
+}
+
+// instance returns the instance with a front address, or nil.
+func (w *World) instance(front string) *Instance {
+	for _, i := range w.instances {
+		if i.Front() == front {
+			return i
+		}
+	}
+	return nil
 }
 
 // errViolated marks a soak in which a promise was broken.
--- a/hornbench/soaker/fleet.go
+++ b/hornbench/soaker/fleet.go
@@ -36,7 +36,7 @@
 	stopping bool
 	// slowest is the longest planned stop so far.
 	slowest time.Duration
-	// disturbed has the times of pauses, kills and stops.
+	// disturbed has the times of pauses, kills, stops and starts.
 	disturbed []span
 }
 
@@ -94,6 +94,7 @@
 	i.mu.Lock()
 	i.process, i.done, i.stopping = cmd.Process, done, false
 	i.mu.Unlock()
+	i.disturb(time.Now())
 	go func() {
 		// The exit status of a killed process says nothing.
 		_ = cmd.Wait()
--- a/hornbench/soaker/report.go
+++ b/hornbench/soaker/report.go
@@ -78,9 +78,13 @@
 	if float64(served) < recovered*float64(asked) || asked == 0 {
 		r.Violations = append(r.Violations, fmt.Sprintf("recovery: %d of %d requests served after the last fault", served, asked))
 	}
-	r.Violations = append(r.Violations, w.drains()...)
-	r.Violations = append(r.Violations, w.answersHeard(all)...)
-	r.Violations = append(r.Violations, w.evacuationsKept()...)
+	sent := map[string]*Sent{}
+	for i := range all {
+		sent[all[i].ID] = &all[i]
+	}
+	r.Violations = append(r.Violations, w.drains(sent)...)
+	r.Violations = append(r.Violations, w.answersHeard(sent)...)
+	r.Violations = append(r.Violations, w.evacuationsKept(sent)...)
 	for _, i := range w.instances {
 		r.SlowestStop = max(r.SlowestStop, i.slowest)
 	}
@@ -130,7 +134,7 @@
 			last = n
 		}
 	}
-	if last < 0 || !w.calm(w.moves[last].at, run.At) {
+	if last < 0 || !w.inContact(w.instance(s.Instance), s.Start, run.At) {
 		return ""
 	}
 	for _, m := range w.moves[last:] {
@@ -153,11 +157,7 @@
 // answersHeard checks that each instance leaves upstreams that have told it so, and
 // gives those that have asked it for a pause some rest, and that all of them keep to
 // the limits that upstreams state.
-func (w *World) answersHeard(all []Sent) (broken []string) {
-	sent := map[string]*Sent{}
-	for i := range all {
-		sent[all[i].ID] = &all[i]
-	}
+func (w *World) answersHeard(sent map[string]*Sent) (broken []string) {
 	fronts := map[string]*Instance{}
 	for _, i := range w.instances {
 		fronts[i.Front()] = i
@@ -222,26 +222,21 @@
 
 // evacuationsKept checks that evacuated domains get nothing, also while the store
 // does not have their evacuation.
-func (w *World) evacuationsKept() (broken []string) {
+func (w *World) evacuationsKept(sent map[string]*Sent) (broken []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	domain := map[string]string{}
-	for _, u := range w.all {
-		domain[u.ID] = u.Domain
-	}
-	w.ledger.mu.Lock()
-	defer w.ledger.mu.Unlock()
 	for _, e := range w.evacuations {
 		end := e.to
 		if end.IsZero() {
 			end = time.Now()
 		}
-		for id, runs := range w.ledger.runs {
-			for _, run := range runs {
-				// A run may begin after a wait in the upstream's queue.
-				late := run.At.After(e.from.Add(evacTime+callerTime)) && run.At.Before(end)
-				if late && domain[run.Upstream] == e.domain && w.calm(e.from, run.At) {
-					broken = append(broken, fmt.Sprintf("%s: ran at %s %.1f s after %s was evacuated", id, run.Upstream, run.At.Sub(e.from).Seconds(), e.domain))
+		for _, u := range w.all {
+			if u.Domain != e.domain {
+				continue
+			}
+			for _, late := range w.lateArrivals(u, sent, e.from.Add(evacTime)) {
+				if late.at.Before(end) {
+					broken = append(broken, fmt.Sprintf("%s: reached %s %.1f s after %s was evacuated", late.id, u.ID, late.at.Sub(e.from).Seconds(), e.domain))
 				}
 			}
 		}
@@ -249,21 +244,36 @@
 	return broken
 }
 
-// drains checks that leaving upstreams got nothing new.
-func (w *World) drains() (broken []string) {
-	w.ledger.mu.Lock()
-	defer w.ledger.mu.Unlock()
+// drains checks that upstreams that have told the store that they leave get nothing
+// new. The store was not disturbed when it was told.
+func (w *World) drains(sent map[string]*Sent) (broken []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for _, u := range w.left {
 		left := u.Left()
-		for id, runs := range w.ledger.runs {
-			for _, run := range runs {
-				// A run may begin after a wait in the upstream's queue.
-				late := run.Upstream == u.ID && run.At.After(left.Add(drainTime+callerTime))
-				if late && w.calm(left, run.At) {
-					broken = append(broken, fmt.Sprintf("%s: ran at %s %.1f s after it had told that it leaves", id, u.ID, run.At.Sub(left).Seconds()))
-				}
-			}
+		if !w.storeStable(left, left.Add(time.Millisecond)) {
+			continue
+		}
+		for _, late := range w.lateArrivals(u, sent, left.Add(drainTime)) {
+			broken = append(broken, fmt.Sprintf("%s: reached %s %.1f s after it had told that it leaves", late.id, u.ID, late.at.Sub(left).Seconds()))
 		}
 	}
 	return broken
 }
+
+// lateArrivals returns the requests at an upstream that callers sent after a time to
+// instances for which time bounds held, over links that were undisturbed.
+func (w *World) lateArrivals(u *Upstream, sent map[string]*Sent, after time.Time) (late []arrival) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, a := range u.arrivals {
+		s := sent[a.id]
+		if s == nil || !s.Start.After(after) {
+			continue
+		}
+		if w.inContact(w.instance(s.Instance), s.Start, a.at) && u.proxy.passed(a.at.Add(-contactTime), a.at) {
+			late = append(late, a)
+		}
+	}
+	return late
+}
--- a/hornbench/soaker/soak.go
+++ b/hornbench/soaker/soak.go
@@ -28,6 +28,9 @@
 	Extended bool
 	// Limits adds upstreams that limit the rate of their requests.
 	Limits bool
+	// Bursts lets faults come in bursts, so that the time bounds are checked between
+	// them, and adds a store that takes calls without an answer.
+	Bursts bool
 	// Dir takes the logs of the instances. It is made if it is missing.
 	Dir string
 }
@@ -75,13 +78,15 @@
 	all []*Upstream
 	// moves has the times at which the routes moved to a service.
 	moves []move
-	// disturbed has the spans of time in which time bounds do not hold.
+	// disturbed has the periods in which the store was disturbed.
 	disturbed []span
 	faults    []string
 	// returning is held while the store comes back from a copy.
 	returning sync.Mutex
-	began     time.Time
-	next      int
+	// signals is held while an instance is paused, stopped or started.
+	signals sync.Mutex
+	began   time.Time
+	next    int
 }
 
 // move is a configuration that sends all requests to a service.
--- a/hornbench/soaker/soak_test.go
+++ b/hornbench/soaker/soak_test.go
@@ -59,10 +59,11 @@
 // TestJudge shows each broken promise to the checks.
 func TestJudge(t *testing.T) {
 	began := time.Now()
+	front := &Instance{IP: "i", proxy: &Proxy{}}
 	good := func() Sent {
 		body := answerBody("q")
 		return Sent{
-			ID: "q", Method: "POST", URI: "/once/q", Body: "b", Once: true, Start: began.Add(time.Minute), End: began.Add(time.Minute),
+			ID: "q", Instance: front.Front(), Method: "POST", URI: "/once/q", Body: "b", Once: true, Start: began.Add(time.Minute), End: began.Add(time.Minute),
 			Status: 200, Answer: body, Stamp: stamp("q", body), Echo: "q",
 		}
 	}
@@ -92,7 +93,7 @@
 			is := is.New(t)
 			s, runs := good(), []Run{run}
 			tt.edit(&s, &runs)
-			w := &World{ledger: &Ledger{runs: map[string][]Run{"q": runs}}, moves: []move{{began, "alpha"}}, began: began}
+			w := &World{ledger: &Ledger{runs: map[string][]Run{"q": runs}}, moves: []move{{began, "alpha"}}, began: began, instances: []*Instance{front}}
 			text := strings.Join(w.judge(&s), "; ")
 			is.True(strings.Contains(text, tt.want))
 			is.Equal(text == "", tt.want == "")
@@ -100,16 +101,42 @@
 	}
 }
 
-// TestDrains finds a request that ran at an upstream long after it had told that
-// it leaves, unless the time bounds did not hold.
+// TestDrains finds a request that reached an upstream long after it had told that it
+// leaves, unless the time bounds did not hold for the instance that sent it. Faults of
+// other instances make no difference.
 func TestDrains(t *testing.T) {
-	is := is.New(t)
-	left := time.Now()
-	u := &Upstream{ID: "u", left: left}
-	w := &World{ledger: &Ledger{runs: map[string][]Run{"q": {{Upstream: "u", At: left.Add(10 * time.Second)}}}}, left: []*Upstream{u}}
-	is.Equal(len(w.drains()), 1)
-	w.disturbed = []span{{left.Add(5 * time.Second), left.Add(6 * time.Second)}}
-	is.Equal(len(w.drains()), 0)
+	began := time.Now()
+	at := func(seconds float64) time.Time { return began.Add(time.Duration(seconds * float64(time.Second))) }
+	during := func(from, to float64) []span { return []span{{at(from), at(to)}} }
+	tests := []struct {
+		name                            string
+		store, instance, contact, other []span
+		link                            []span
+		start                           float64
+		want                            int
+	}{
+		{name: "late", start: 10, want: 1},
+		{name: "in time", start: 2},
+		{name: "store disturbed when it was told", store: during(-2, -1), start: 10},
+		{name: "store disturbed before", store: during(8, 9), start: 10},
+		{name: "store disturbed long before", store: during(5, 6), start: 10, want: 1},
+		{name: "instance paused before", instance: during(8, 9), start: 10},
+		{name: "instance paused long before", instance: during(5, 6), start: 10, want: 1},
+		{name: "instance cut off before", contact: during(8, 9), start: 10},
+		{name: "another instance paused", other: during(8, 9), start: 10, want: 1},
+		{name: "link to the upstream disturbed", link: during(8, 9), start: 10},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			u := &Upstream{ID: "u", Domain: "a-1", left: began, proxy: &Proxy{disturbed: tt.link}, arrivals: []arrival{{"q", at(tt.start + 0.1)}}}
+			i := &Instance{IP: "i", proxy: &Proxy{disturbed: tt.contact}, disturbed: tt.instance}
+			other := &Instance{IP: "j", proxy: &Proxy{}, disturbed: tt.other}
+			w := &World{left: []*Upstream{u}, instances: []*Instance{i, other}, disturbed: tt.store}
+			sent := map[string]*Sent{"q": {ID: "q", Instance: i.Front(), Start: at(tt.start)}}
+			is.Equal(len(w.drains(sent)), tt.want)
+		})
+	}
 }
 
 // TestAnswersHeard shows the checks an instance that goes on to use an upstream
@@ -143,29 +170,34 @@
 				u.arrivals = append(u.arrivals, arrival{s.ID, s.Start})
 			}
 			fronts := []*Instance{{IP: "i"}, {IP: "j"}}
+			sent := map[string]*Sent{}
 			for i := range tt.all {
 				// Callers name instances by their addresses.
 				tt.all[i].Instance = map[string]string{"i:1": fronts[0].Front(), "j:1": fronts[1].Front()}[tt.all[i].Instance]
+				sent[tt.all[i].ID] = &tt.all[i]
 			}
 			w := &World{all: []*Upstream{u}, instances: fronts}
-			is.Equal(len(w.answersHeard(tt.all)), tt.want)
+			is.Equal(len(w.answersHeard(sent)), tt.want)
 		})
 	}
 }
 
-// TestEvacuationsKept finds a request that ran in a domain long after it had been
+// TestEvacuationsKept finds a request that reached a domain long after it had been
 // evacuated.
 func TestEvacuationsKept(t *testing.T) {
 	is := is.New(t)
 	began := time.Now()
+	at := func(seconds int) time.Time { return began.Add(time.Duration(seconds) * time.Second) }
+	i := &Instance{IP: "i", proxy: &Proxy{}}
 	w := &World{
-		all:         []*Upstream{{ID: "u", Domain: "a-1"}},
-		ledger:      &Ledger{runs: map[string][]Run{"q": {{Upstream: "u", At: began.Add(8 * time.Second)}}}},
-		evacuations: []evacuation{{"a-1", span{began, began.Add(10 * time.Second)}}},
+		all:         []*Upstream{{ID: "u", Domain: "a-1", proxy: &Proxy{}, arrivals: []arrival{{"q", at(8)}}}},
+		evacuations: []evacuation{{"a-1", span{began, at(10)}}},
+		instances:   []*Instance{i},
 	}
-	is.Equal(len(w.evacuationsKept()), 1)
-	w.evacuations[0].to = began.Add(7 * time.Second)
-	is.Equal(len(w.evacuationsKept()), 0)
+	sent := map[string]*Sent{"q": {ID: "q", Instance: i.Front(), Start: at(8)}}
+	is.Equal(len(w.evacuationsKept(sent)), 1)
+	w.evacuations[0].to = at(7)
+	is.Equal(len(w.evacuationsKept(sent)), 0)
 }
 
 // TestRestore takes the store back to its copy: what was written since is gone, and
--- a/hornbench/soaker/store.go
+++ b/hornbench/soaker/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"maps"
 	"net/http"
 	"slices"
@@ -14,8 +15,12 @@
 	"time"
 )
 
-// historySize is the number of changes that the store keeps.
-const historySize = 400
+const (
+	// historySize is the number of changes that the store keeps.
+	historySize = 400
+	// staleTime is how old the answer to a stale read is.
+	staleTime = 2 * time.Second
+)
 
 // object is one object of the store.
 type object struct {
@@ -47,12 +52,19 @@
 	// era counts the returns from a copy.
 	era  int
 	copy *copied
+	// forgotten is closed when the store forgets the watches that wait.
+	forgotten chan struct{}
+	// past has the states of the last staleTime and the one before, oldest first.
+	past []copied
 }
 
-// copied is what the store can come back with.
+// copied is an earlier state of the store. The store can come back with it, and
+// answers stale reads with it.
 type copied struct {
 	objects  map[string]map[string]object
 	revision uint64
+	// until is when the next change came.
+	until time.Time
 }
 
 // storeMode says how the store treats calls of instances.
@@ -66,6 +78,8 @@
 	storeLost storeMode = "lost"
 	// storeSlow answers late.
 	storeSlow storeMode = "slow"
+	// storeSilent never answers the calls that come meanwhile.
+	storeSilent storeMode = "silent"
 )
 
 // slowTime is how late a slow store answers.
@@ -73,7 +87,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{objects: map[string]map[string]object{}, revision: 1, base: 1, wake: make(chan struct{}), mode: storeUp, era: 1}
+	return &Store{objects: map[string]map[string]object{}, revision: 1, base: 1, wake: make(chan struct{}), forgotten: make(chan struct{}), mode: storeUp, era: 1}
 }
 
 // SetMode changes how calls of instances are treated.
@@ -95,7 +109,24 @@
 func (s *Store) Save() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.copy = &copied{cloneObjects(s.objects), s.revision}
+	s.copy = &copied{objects: cloneObjects(s.objects), revision: s.revision}
+}
+
+// Forget makes the store forget the watches that wait, which are never answered.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.forgotten)
+	s.forgotten = make(chan struct{})
+}
+
+// keepPast keeps the state before a change, for stale reads. The store is locked.
+func (s *Store) keepPast() {
+	now := time.Now()
+	s.past = append(s.past, copied{cloneObjects(s.objects), s.revision, now})
+	for now.Sub(s.past[0].until) > staleTime {
+		s.past = s.past[1:]
+	}
 }
 
 // Restore takes the store back to its copy, as if nothing had been written since.
@@ -103,6 +134,7 @@
 func (s *Store) Restore() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.keepPast()
 	s.objects, s.revision = cloneObjects(s.copy.objects), s.copy.revision
 	s.history = slices.DeleteFunc(s.history, func(c change) bool { return c.object.Metadata.Revision > s.revision })
 	s.base = min(s.base, s.revision)
@@ -138,6 +170,24 @@
 	return nil
 }
 
+// Heartbeat writes the registration of an upstream, unless it differs from the
+// current one only by its count.
+func (s *Store) Heartbeat(id string, spec map[string]any) error {
+	s.mu.Lock()
+	old, exists := s.objects["servers"][id]
+	s.mu.Unlock()
+	if exists {
+		var known map[string]any
+		if err := json.Unmarshal(old.Spec, &known); err != nil {
+			return err
+		}
+		if fmt.Sprint(known["state"], known["born"]) == fmt.Sprint(spec["state"], float64(spec["born"].(int64))) {
+			return nil
+		}
+	}
+	return s.Put("servers", id, spec)
+}
+
 // Delete removes an object.
 func (s *Store) Delete(kind, name string) {
 	s.mu.Lock()
@@ -146,11 +196,13 @@
 	if !ok {
 		return
 	}
+	s.keepPast()
 	delete(s.objects[kind], name)
 	s.note(change{kind, o, true})
 }
 
 func (s *Store) write(kind, name string, spec json.RawMessage) object {
+	s.keepPast()
 	var o object
 	o.Metadata.Name, o.Spec = name, spec
 	if s.objects[kind] == nil {
@@ -206,6 +258,9 @@
 		return
 	case storeSlow:
 		time.Sleep(slowTime)
+	case storeSilent:
+		<-r.Context().Done()
+		return
 	}
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/-/objects/"), "/")
 	status, body, era := s.serveInEra(r, kind, name)
@@ -237,23 +292,32 @@
 	case r.Method == http.MethodGet && query.Has("watch"):
 		return s.watch(r, kind)
 	case r.Method == http.MethodGet:
-		return s.list(kind, query.Get("after"))
+		return s.list(kind, query.Get("after"), query.Get("allowStale") == "1")
 	case r.Method == http.MethodPost || r.Method == http.MethodPut:
 		return s.store(r, kind, name)
 	}
 	return http.StatusNotFound, nil
 }
 
-func (s *Store) list(kind, after string) (int, any) {
+// list answers a list. A stale one has the state of staleTime ago, also if the store
+// has come back from a copy since.
+func (s *Store) list(kind, after string, stale bool) (int, any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	objects, revision := s.objects, s.revision
+	if stale {
+		at := time.Now().Add(-staleTime)
+		if n := slices.IndexFunc(s.past, func(c copied) bool { return c.until.After(at) }); n >= 0 {
+			objects, revision = s.past[n].objects, s.past[n].revision
+		}
+	}
 	items := []object{}
-	for name, o := range s.objects[kind] {
+	for name, o := range objects[kind] {
 		if name > after {
 			items = append(items, o)
 		}
 	}
-	return http.StatusOK, map[string]any{"items": items, "hasMore": false, "currentRev": s.revision}
+	return http.StatusOK, map[string]any{"items": items, "hasMore": false, "currentRev": revision}
 }
 
 func (s *Store) store(r *http.Request, kind, name string) (int, any) {
@@ -289,6 +353,9 @@
 		return http.StatusBadRequest, nil
 	}
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	s.mu.Lock()
+	forgotten := s.forgotten
+	s.mu.Unlock()
 	for {
 		events, revision, wake, gone := s.since(kind, from)
 		if gone {
@@ -298,6 +365,9 @@
 			return http.StatusOK, map[string]any{"events": events, "currentRev": revision}
 		}
 		select {
+		case <-forgotten:
+			<-r.Context().Done()
+			return http.StatusOK, nil
 		case <-wake:
 		case <-r.Context().Done():
 			return http.StatusOK, nil
--- a/hornbench/soaker/upstream.go
+++ b/hornbench/soaker/upstream.go
@@ -166,7 +166,7 @@
 		state = "draining"
 	}
 	// The values are of types that always have a JSON form.
-	_ = u.store.Put("servers", u.ID, map[string]any{
+	_ = u.store.Heartbeat(u.ID, map[string]any{
 		"service": u.Service, "address": u.proxy.Address(), "zone": u.Domain, "version": "v1",
 		"maxConcurrency": u.Slots, "state": state, "coldLeftMs": 0, "callSeq": u.beats, "born": u.born,
 	})
