relayer: a refusal without an ID on a kept connection says nothing

Reported by operators of similar systems: a faulty upstream writes an earlier refusal once more on a kept connection. Callers were told that their request had not run although it ran (REFUSED), or it ran at a second upstream (TWICE).

Cause, also here: a refusal was believed whatever its request ID, if it had none. Refusals with the ID of another request were skipped already.

On a connection that has been used before, a response without an ID is now taken for a stray one, a refusal too.

Evidence: TestRepeatedRefusal, 3 of its 6 cases red before.

--- a/hornbeamd/relayer/exchange.go
+++ b/hornbeamd/relayer/exchange.go
@@ -317,10 +317,11 @@
 	status := x.response.StatusCode()
 	refused := x.info.NotRun || status == fasthttp.StatusMisdirectedRequest
 	switch {
-	case refused:
-		return nil
 	case len(x.info.RequestID) == 0 && !x.newConn:
+		// It may be an earlier response once more, a refusal too.
 		return errStray
+	case refused:
+		return nil
 	case status < 300 && !x.info.Signed:
 		return errUnsigned
 	}
