--- a/hornbeamd/relayer/refusal_test.go
+++ b/hornbeamd/relayer/refusal_test.go
@@ -68,7 +68,7 @@
 			t.Run(fmt.Sprint(name, " reset ", reset), func(t *testing.T) {
 				is := is.New(t)
 				cut := make(chan int, 1)
-				h := startHarness(t, startStub(t, "u1", func(s *upstreamStub, c net.Conn, r *http.Request, _ string) {
+				h := startHarness(t, startStub(t, "u1", func(_ *upstreamStub, c net.Conn, _ *http.Request, _ string) {
 					_, _ = fmt.Fprint(c, response[:<-cut])
 					if tcp, ok := c.(*net.TCPConn); ok && reset {
 						_ = tcp.SetLinger(0)
