relayer: runs may take twice the expected time before an exit

Cause: a request is refused if 1.25 times its expected run does not fit before the exit. Runs vary by more than that.

The factor is 2.

--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -208,7 +208,7 @@
 
 // exitRunFactor is how much longer than expected a run may take before the process
 // exits.
-const exitRunFactor = 1.25
+const exitRunFactor = 2
 
 // exitsBefore reports whether the process may exit before the end of a request.
 func (r *Relayer) exitsBefore(d *dispatcher.Decision, now int64) bool {
--- a/hornbeamd/runner/shutdown_test.go
+++ b/hornbeamd/runner/shutdown_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,14 +16,27 @@
 
 // TestNoRequestCutByExit guards against requests that are accepted late in a graceful
 // shutdown and run for longer than the process: their connections were closed without
-// an answer. They have to be refused as not run, so that callers go elsewhere.
+// an answer. They have to be refused as not run, so that callers go elsewhere. Runs may
+// take longer than those that the instance has seen.
 func TestNoRequestCutByExit(t *testing.T) {
+	for name, lateRunTime := range map[string]time.Duration{"usual runs": usualRunTime, "longer runs": usualRunTime * 8 / 5} {
+		t.Run(name, func(t *testing.T) { testNoRequestCutByExit(t, lateRunTime) })
+	}
+}
+
+// usualRunTime is the run time of the request before the shutdown.
+const usualRunTime = 1500 * time.Millisecond
+
+// testNoRequestCutByExit sends requests during a shutdown that run for lateRunTime.
+func testNoRequestCutByExit(t *testing.T, lateRunTime time.Duration) {
 	is := is.New(t)
-	const stop, runTime = 4 * time.Second, 1500 * time.Millisecond
+	const stop = 4 * time.Second
+	var runTime atomic.Int64
+	runTime.Store(int64(usualRunTime))
 	upstream, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		time.Sleep(runTime)
+		time.Sleep(time.Duration(runTime.Load()))
 		w.Header().Set("Id", q.Header.Get("Id"))
 		fmt.Fprint(w, "ran")
 	})}
@@ -35,7 +49,7 @@
 		Version:  1,
 		Services: []steerer.Service{{Name: "s", Conns: 50}},
 		Routes: []steerer.Route{{
-			Name: "r", Host: "h", Prefix: "/p/", Timeout: 5 * time.Second, Aim: runTime, Attempts: 1,
+			Name: "r", Host: "h", Prefix: "/p/", Timeout: 5 * time.Second, Aim: usualRunTime, Attempts: 1,
 			Parts: []steerer.WeightedService{{Service: "s", Weight: 1}},
 		}},
 	}})
@@ -43,6 +57,7 @@
 	waitForResponse(t, i.cfg.DirectoryAddress, "/", "200 true 1")
 	is.Equal(get(i.cfg.Self.Front, "/p/x"), "200 ran")
 
+	runTime.Store(int64(lateRunTime))
 	i.stop()
 	began := time.Now()
 	answers := make(chan string, 100)
