--- a/hornbench/soaker/soak_test.go
+++ b/hornbench/soaker/soak_test.go
@@ -34,6 +34,11 @@
 	// Instances did not read the limits that upstreams stated: 322 requests in 4 s where
 	// 29 were allowed.
 	{8001, Options{Instances: 5, Upstreams: 4, Callers: 16, Extended: true, Limits: true}, 12 * time.Second},
+	// All instances waited for watches that the store had taken without an answer, and
+	// used a configuration that had been replaced.
+	{12202, Options{Instances: 5, Upstreams: 4, Callers: 16, Extended: true, Bursts: true}, 12 * time.Second},
+	// The same; requests reached an upstream that had told the store that it leaves.
+	{12204, Options{Instances: 5, Upstreams: 4, Callers: 16, Extended: true, Bursts: true}, 12 * time.Second},
 }
 
 // TestSeeds runs real processes under faults for some seconds.
