--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -118,6 +118,7 @@
 		out = s.markAvailable(e.Now, e.Kind)
 		at := s.sync[e.Kind].position(e.Era, e.Revision)
 		if s.outdated(e.Kind, at) {
+			out = append(out, s.logOutdated(e.Kind, at))
 			break
 		}
 		out = append(out, s.applyList(e.Now, e.Kind, e.Objects, at)...)
@@ -130,6 +131,7 @@
 		out = s.markAvailable(e.Now, e.Kind)
 		at := s.sync[e.Kind].position(e.Era, e.Revision)
 		if s.outdated(e.Kind, at) || s.startsEra(e.Kind, at) {
+			out = append(out, s.logOutdated(e.Kind, at))
 			break
 		}
 		out = append(out, s.applyObjects(e.Now, e.Kind, e.Objects)...)
--- a/core/steerer/sync.go
+++ b/core/steerer/sync.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -213,6 +214,12 @@
 	return ss.known && at.Before(ss.synced)
 }
 
+// logOutdated reports an answer that changes nothing because of its position.
+func (s *State) logOutdated(k Kind, at Position) LogEvent {
+	known := s.sync[k].synced
+	return LogEvent{Type: "outdated", Subject: string(k), Cause: fmt.Sprintf("revision %d of era %d, known is revision %d of era %d", at.Revision, at.Era, known.Revision, known.Era)}
+}
+
 // startsEra reports whether a position is in a later era than the one known here,
 // because the store was restored from a backup. Changes cannot be applied across
 // eras; a complete list is needed.
--- a/hornbeamd/runner/metrics.go
+++ b/hornbeamd/runner/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -145,16 +146,28 @@
 	m.limitedSends.WithLabelValues(service, send).Inc()
 }
 
+// registerStoreSilence registers the gauge of the time since the store's last answer.
+func (m *metrics) registerStoreSilence(registry *prometheus.Registry, s instrumentedStore) {
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "horn_store_silence_seconds", Help: "Time since the store last answered a call.",
+	}, func() float64 { return time.Duration(s.now() - s.answeredAt.Load()).Seconds() }))
+}
+
 // instrumentedStore counts the calls to a Store by result.
 type instrumentedStore struct {
 	Store
 	calls *prometheus.CounterVec
+	// answeredAt is when the store last answered a call.
+	answeredAt *atomic.Int64
+	now        func() int64
 }
 
 func (s instrumentedStore) count(call string, err error) {
 	result := "answered"
 	if err != nil {
 		result = "failed"
+	} else {
+		s.answeredAt.Store(s.now())
 	}
 	s.calls.WithLabelValues(call, result).Inc()
 }
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -121,7 +121,9 @@
 	r.registry.MustRegister(collectors.NewGoCollector())
 	r.metrics = newMetrics(r.registry, cfg.DroppedLogLines)
 	r.metrics.registerGauges(r.registry, r.currentView)
-	r.cfg.Store = instrumentedStore{cfg.Store, r.metrics.storeCalls}
+	store := instrumentedStore{Store: cfg.Store, calls: r.metrics.storeCalls, answeredAt: new(atomic.Int64), now: r.now}
+	r.metrics.registerStoreSilence(r.registry, store)
+	r.cfg.Store = store
 	r.recoverer = guarder.Recoverer{Log: cfg.Log, OnPanic: func(kind string) { r.metrics.panics.WithLabelValues(kind).Inc() }}
 	r.relayer = relayer.New(relayer.Config{
 		Tables: &r.table, HeaderCodec: cfg.Dialect, Metrics: r.metrics, Log: cfg.Log, Now: r.now,
