--- a/hornbench/soaker/faults.go
+++ b/hornbench/soaker/faults.go
@@ -121,10 +121,9 @@
 	storeFault(storeSilent)(ctx, w, d)
 }
 
-// returnFault lets the store come back from a copy that is some time old. The time
-// bounds are suspended from its absence until the operator has repeated its writes.
-// The store may have forgotten the watches that wait, and an instance may start as it
-// returns.
+// returnFault lets the store come back from a copy that is some time old. It does not
+// suspend the time bounds. The store may have forgotten the watches that wait, and an
+// instance may start as it returns.
 func returnFault(ctx context.Context, w *World, d time.Duration) {
 	if !w.returning.TryLock() {
 		return
@@ -134,7 +133,6 @@
 	defer restarted.Wait()
 	w.store.Save()
 	sleep(ctx, d)
-	defer w.disturbStore(time.Now())
 	w.store.SetMode(storeBusy)
 	sleep(ctx, time.Duration(w.number(400))*time.Millisecond)
 	if w.options.Bursts && w.number(2) == 0 {
@@ -359,13 +357,6 @@
 	}
 }
 
-// disturbStore records that the store has been disturbed from a time until now.
-func (w *World) disturbStore(from time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.disturbed = append(w.disturbed, span{from, time.Now()})
-}
-
 // storeStable reports whether the store was undisturbed in a period and for
 // contactTime before it.
 func (w *World) storeStable(from, to time.Time) bool {
--- a/hornbench/soaker/report.go
+++ b/hornbench/soaker/report.go
@@ -261,17 +261,18 @@
 	return broken
 }
 
-// lateArrivals returns the requests at an upstream that callers sent after a time to
-// instances for which time bounds held, over links that were undisturbed.
+// lateArrivals returns the requests that reached an upstream after a time from instances
+// for which time bounds held. One that callers had sent before does not count if the
+// link to the upstream may have held it up.
 func (w *World) lateArrivals(u *Upstream, sent map[string]*Sent, after time.Time) (late []arrival) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for _, a := range u.arrivals {
 		s := sent[a.id]
-		if s == nil || !s.Start.After(after) {
+		if s == nil || !a.at.After(after) || !w.inContact(w.instance(s.Instance), s.Start, a.at) {
 			continue
 		}
-		if w.inContact(w.instance(s.Instance), s.Start, a.at) && u.proxy.passed(a.at.Add(-contactTime), a.at) {
+		if s.Start.After(after) || u.proxy.passed(a.at.Add(-contactTime), a.at) {
 			late = append(late, a)
 		}
 	}
--- a/hornbench/soaker/soak_test.go
+++ b/hornbench/soaker/soak_test.go
@@ -117,8 +117,9 @@
 		name                            string
 		store, instance, contact, other []span
 		link                            []span
-		start                           float64
-		want                            int
+		// start is when the caller sends the request, which takes transit to arrive.
+		start, transit float64
+		want           int
 	}{
 		{name: "late", start: 10, want: 1},
 		{name: "in time", start: 2},
@@ -129,12 +130,15 @@
 		{name: "instance paused long before", instance: during(5, 6), start: 10, want: 1},
 		{name: "instance cut off before", contact: during(8, 9), start: 10},
 		{name: "another instance paused", other: during(8, 9), start: 10, want: 1},
-		{name: "link to the upstream disturbed", link: during(8, 9), start: 10},
+		{name: "link to the upstream disturbed", link: during(8, 9), start: 10, want: 1},
+		{name: "late on the way", start: 2, transit: 1, want: 1},
+		{name: "held up on the way", link: during(2, 2.9), start: 2, transit: 1},
+		{name: "held up for long", link: during(1, 2), start: 2, transit: 8, want: 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			u := &Upstream{ID: "u", Domain: "a-1", left: began, proxy: &Proxy{disturbed: tt.link}, arrivals: []arrival{{"q", at(tt.start + 0.1)}}}
+			u := &Upstream{ID: "u", Domain: "a-1", left: began, proxy: &Proxy{disturbed: tt.link}, arrivals: []arrival{{"q", at(tt.start + tt.transit + 0.1)}}}
 			i := &Instance{IP: "i", proxy: &Proxy{disturbed: tt.contact}, disturbed: tt.instance}
 			other := &Instance{IP: "j", proxy: &Proxy{}, disturbed: tt.other}
 			w := &World{left: []*Upstream{u}, instances: []*Instance{i, other}, disturbed: tt.store}
