watcher: lost short polls show within 1.7 s, an outage ends at once

In systems with readers, the others learn of a change up to 0.9 s after a reader. A reader knew of it 2.2 to 3 s after the store's silence: its poll of 0.7 s had 1.5 s more to end, and it then waited for the poll of the watcher that tries the store.

The margin of a watch is 1 s, the time of a ping, and the first watch after a failed call is answered at once, with or without changes. That also makes the time of `regained` lines right, which the event StoreAvailable did before; it is gone, since it followed pings also while other calls went on failing.

Evidence: TestShortPollDuringSilence, 25 lengths of the silence, red before.

--- a/core/steerer/events.go
+++ b/core/steerer/events.go
@@ -74,12 +74,6 @@
 	Cause string
 }
 
-// StoreAvailable reports that the store answers again after a failed call for a kind.
-type StoreAvailable struct {
-	Now  int64
-	Kind Kind
-}
-
 // BeaconReceived carries the beacon of another instance. From is its source
 // address, at which the sender also receives beacons and serves changes.
 type BeaconReceived struct {
@@ -124,7 +118,6 @@
 func (Fetched) isEvent()          {}
 func (ChangesRequested) isEvent() {}
 func (StoreUnavailable) isEvent() {}
-func (StoreAvailable) isEvent()   {}
 func (BeaconReceived) isEvent()   {}
 func (Tick) isEvent()             {}
 func (SettingsChanged) isEvent()  {}
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -145,9 +145,6 @@
 	case StoreUnavailable:
 		now = e.Now
 		out = s.markUnavailable(e)
-	case StoreAvailable:
-		now = e.Now
-		out = s.markAvailable(e.Now, e.Kind)
 	case BeaconReceived:
 		now = e.Now
 		out = s.receiveBeacon(e)
--- a/hornbeamd/watcher/silence_test.go
+++ b/hornbeamd/watcher/silence_test.go
@@ -164,6 +164,11 @@
 // watchStore starts the watchers from a known revision, or from nothing if it is 0, and
 // calls test a second later.
 func watchStore(t *testing.T, revision uint64, prepare func(*silentStore), test func(*is.I, *watchedStore)) {
+	watchStoreWith(t, Options{Enabled: true, Revision: revision, Era: min(revision, 1), PollTimeout: 25 * time.Second}, prepare, test)
+}
+
+// watchStoreWith does the same with other options.
+func watchStoreWith(t *testing.T, o Options, prepare func(*silentStore), test func(*is.I, *watchedStore)) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, end := context.WithCancel(context.Background())
@@ -174,7 +179,7 @@
 		guard := &Availability{}
 		for _, k := range steerer.Kinds {
 			watcher := &Watcher{Kind: k, Source: w.silentStore, Now: func() int64 { return 1 }, Availability: guard, Prober: k == steerer.Instances, Emit: w.emit}
-			watcher.Update(Options{Enabled: true, Revision: revision, Era: min(revision, 1), PollTimeout: 25 * time.Second})
+			watcher.Update(o)
 			go func() { is.NoErr(watcher.Run(ctx)) }()
 		}
 		go func() { is.NoErr(guard.Run(ctx, w.silentStore)) }()
@@ -230,6 +235,25 @@
 	}
 }
 
+// TestShortPollDuringSilence does the same for a reader of a large system, from which
+// the other instances fetch the change. They take up to distributionTime for that.
+func TestShortPollDuringSilence(t *testing.T) {
+	const distributionTime = 900 * time.Millisecond
+	for silence := 500 * time.Millisecond; silence < 3*time.Second; silence += 100 * time.Millisecond {
+		t.Run(silence.String(), func(t *testing.T) {
+			o := Options{Enabled: true, Revision: 10, Era: 1, PollTimeout: 700 * time.Millisecond}
+			watchStoreWith(t, o, func(*silentStore) {}, func(is *is.I, w *watchedStore) {
+				w.set(func() { w.silent = true })
+				time.Sleep(silence)
+				w.set(func() { w.silent = false })
+				w.change(steerer.Configs)
+				time.Sleep(reconnectTime - distributionTime)
+				is.True(w.knows(steerer.Configs))
+			})
+		})
+	}
+}
+
 // TestForgottenWatches guards against changes that are not known in time because the
 // store has come back from a copy and never answers the watches that waited.
 func TestForgottenWatches(t *testing.T) {
--- a/hornbeamd/watcher/watcher.go
+++ b/hornbeamd/watcher/watcher.go
@@ -56,7 +56,7 @@
 	// listTimeout bounds one call of Source.List.
 	listTimeout = 1500 * time.Millisecond
 	// watchTimeoutMargin is added to the poll timeout for the response to arrive.
-	watchTimeoutMargin = 1500 * time.Millisecond
+	watchTimeoutMargin = time.Second
 	// batchDelay is the delay after a change. Further changes arrive in one batch,
 	// so that a series of changes costs few calls.
 	batchDelay = 250 * time.Millisecond
@@ -103,10 +103,7 @@
 	options  Options
 	// era is the latest known era of the store.
 	era uint64
-	// failed means that the last call failed.
-	failed bool
-
-	mu sync.Mutex
+	mu  sync.Mutex
 	// cancelCall cancels the pending watch call, which is a long poll if longPoll is
 	// set.
 	cancelCall context.CancelFunc
@@ -184,7 +181,7 @@
 		switch {
 		case err == nil:
 			w.Availability.markUp()
-			w.failed, pause = false, minBackoff
+			pause = minBackoff
 			continue
 		case ctx.Err() != nil:
 			return nil
@@ -197,7 +194,8 @@
 		if errors.Is(err, errStaleEra) {
 			stale = false
 		}
-		w.failed = true
+		// The next answer, which ends the outage, comes at once.
+		w.options.Confirm = true
 		w.Availability.markDown()
 		w.Emit(steerer.StoreUnavailable{Now: w.Now(), Kind: w.Kind, Cause: err.Error()})
 		pause = w.backOff(ctx, pause)
@@ -291,7 +289,9 @@
 func (w *Watcher) watch(ctx context.Context, revision uint64) (uint64, error) {
 	longPoll := !w.options.Confirm && w.options.PollTimeout > maxUnverifiedPoll
 	if longPoll {
-		if err := w.ping(ctx); err != nil {
+		// Otherwise only the end of the poll would show that the store has not taken the
+		// call.
+		if err := w.Availability.ping(ctx, w.Source); err != nil {
 			return revision, err
 		}
 	}
@@ -323,19 +323,6 @@
 	return max(revision, page.Revision), nil
 }
 
-// ping checks that the store answers, before a long poll. Otherwise only the end of the
-// poll would show that the store has not taken the call.
-func (w *Watcher) ping(ctx context.Context) error {
-	if err := w.Availability.ping(ctx, w.Source); err != nil {
-		return err
-	}
-	if w.failed {
-		w.failed = false
-		w.Emit(steerer.StoreAvailable{Now: w.Now(), Kind: w.Kind})
-	}
-	return nil
-}
-
 // checkEra records the era of a page. It returns errEraChanged for a new era and
 // errStaleEra for an earlier one than the known era.
 func (w *Watcher) checkEra(p Page) error {
--- a/hornbeamd/watcher/watcher_test.go
+++ b/hornbeamd/watcher/watcher_test.go
@@ -83,9 +83,9 @@
 		{
 			"watches from the oldest page",
 			Options{Enabled: true, PollTimeout: time.Second},
-			[]answer{{page(0, 9, "a", objects("a")), nil}, {page(0, 7, "", objects("b")), nil}},
-			"[list  stale list a stale watch 7]",
-			"[listed a b at 7]",
+			[]answer{{page(0, 9, "a", objects("a")), nil}, {page(0, 7, "", objects("b")), nil}, {page(0, 9, "", nil), nil}},
+			"[list  stale list a stale watch 7 watch 9]",
+			"[listed a b at 7 changed at 9]",
 		},
 		{
 			"starts from a known revision",
