forwarder: TestRepeat reads the clock when it sends

Traced: all cases took their time of the first send when the test began, 0.6 s ahead, of which 0.5 s is the allowed clock skew. A case that begins 0.1 s later sends for a time before its instances had records, and unknown is then the right answer. With 0.2 s before each case it fails each time; with the time taken at the send it passes. The checks are the same.

--- a/hornbeamd/forwarder/repeat_test.go
+++ b/hornbeamd/forwarder/repeat_test.go
@@ -44,21 +44,21 @@
 		first, second int
 		attempt       string
 		mute          int
-		sent          string
+		sent          func() string
 		outcome       string
 		body          string
 		runs          int
 	}{
-		{"same instance", 0, 0, "2", -1, firstSentNow(), "ran", "first", 1},
-		{"same instance, marked as first attempt", 0, 0, "1", -1, firstSentNow(), "ran", "first", 1},
-		{"same entry instance, marked as first attempt", 1, 1, "1", -1, firstSentNow(), "ran", "first", 1},
-		{"other entry instance", 1, 2, "2", -1, firstSentNow(), "ran", "first", 1},
-		{"slot holder as entry instance", 1, 0, "2", -1, firstSentNow(), "ran", "first", 1},
-		{"slot holder does not respond", 1, 2, "2", 0, firstSentNow(), "unknown", "", 1},
-		{"never seen", -1, 2, "2", -1, firstSentNow(), "ran", "first", 1},
-		{"never seen, another instance does not respond", -1, 2, "2", 1, firstSentNow(), "unknown", "", 0},
-		{"never seen, sent before the tables existed", -1, 2, "2", -1, "1000", "unknown", "", 0},
-		{"never seen, first send unknown", -1, 2, "2", -1, "0", "unknown", "", 0},
+		{"same instance", 0, 0, "2", -1, firstSentNow, "ran", "first", 1},
+		{"same instance, marked as first attempt", 0, 0, "1", -1, firstSentNow, "ran", "first", 1},
+		{"same entry instance, marked as first attempt", 1, 1, "1", -1, firstSentNow, "ran", "first", 1},
+		{"other entry instance", 1, 2, "2", -1, firstSentNow, "ran", "first", 1},
+		{"slot holder as entry instance", 1, 0, "2", -1, firstSentNow, "ran", "first", 1},
+		{"slot holder does not respond", 1, 2, "2", 0, firstSentNow, "unknown", "", 1},
+		{"never seen", -1, 2, "2", -1, firstSentNow, "ran", "first", 1},
+		{"never seen, another instance does not respond", -1, 2, "2", 1, firstSentNow, "unknown", "", 0},
+		{"never seen, sent before the tables existed", -1, 2, "2", -1, func() string { return "1000" }, "unknown", "", 0},
+		{"never seen, first send unknown", -1, 2, "2", -1, func() string { return "0" }, "unknown", "", 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -72,7 +72,7 @@
 			if tt.mute >= 0 {
 				nodes[tt.mute].unresponsive.Store(true)
 			}
-			got := sendRequest(nodes[tt.second].front, "POST", "/s/posting/", "x", "Horn-Id", "one", "Horn-Attempt", tt.attempt, "Horn-Sent", tt.sent)
+			got := sendRequest(nodes[tt.second].front, "POST", "/s/posting/", "x", "Horn-Id", "one", "Horn-Attempt", tt.attempt, "Horn-Sent", tt.sent())
 			is.Equal(got.outcome, tt.outcome)
 			if tt.outcome == "ran" {
 				is.Equal(got.body, tt.body)
