soaker, runner: one look-up of instances by address, one place for the gauge

The check of what answers say built a map of the instances by address, and the new checks of contact searched a list for each request. Both use fronts now. Behavior and checks are the same.

--- a/hornbeamd/runner/metrics.go
+++ b/hornbeamd/runner/metrics.go
@@ -146,11 +146,14 @@
 	m.limitedSends.WithLabelValues(service, send).Inc()
 }
 
-// registerStoreSilence registers the gauge of the time since the store's last answer.
-func (m *metrics) registerStoreSilence(registry *prometheus.Registry, s instrumentedStore) {
+// instrument returns a Store that counts its calls, and registers the gauge of the time
+// since the store's last answer.
+func (m *metrics) instrument(registry *prometheus.Registry, s Store, now func() int64) instrumentedStore {
+	answeredAt := new(atomic.Int64)
 	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "horn_store_silence_seconds", Help: "Time since the store last answered a call.",
-	}, func() float64 { return time.Duration(s.now() - s.answeredAt.Load()).Seconds() }))
+	}, func() float64 { return time.Duration(now() - answeredAt.Load()).Seconds() }))
+	return instrumentedStore{Store: s, calls: m.storeCalls, answeredAt: answeredAt, now: now}
 }
 
 // instrumentedStore counts the calls to a Store by result.
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -121,9 +121,7 @@
 	r.registry.MustRegister(collectors.NewGoCollector())
 	r.metrics = newMetrics(r.registry, cfg.DroppedLogLines)
 	r.metrics.registerGauges(r.registry, r.currentView)
-	store := instrumentedStore{Store: cfg.Store, calls: r.metrics.storeCalls, answeredAt: new(atomic.Int64), now: r.now}
-	r.metrics.registerStoreSilence(r.registry, store)
-	r.cfg.Store = store
+	r.cfg.Store = r.metrics.instrument(r.registry, cfg.Store, r.now)
 	r.recoverer = guarder.Recoverer{Log: cfg.Log, OnPanic: func(kind string) { r.metrics.panics.WithLabelValues(kind).Inc() }}
 	r.relayer = relayer.New(relayer.Config{
 		Tables: &r.table, HeaderCodec: cfg.Dialect, Metrics: r.metrics, Log: cfg.Log, Now: r.now,
--- a/hornbench/soaker/faults.go
+++ b/hornbench/soaker/faults.go
@@ -372,14 +372,16 @@
 	return i != nil && w.storeStable(from, to) && i.undisturbed(since, to) && i.proxy.passed(since, to)
 }
 
-// instance returns the instance with a front address, or nil.
-func (w *World) instance(front string) *Instance {
-	for _, i := range w.instances {
-		if i.Front() == front {
-			return i
+// fronts returns the instances by their front addresses, by which callers name them.
+// It is called after the soak, when the instances no longer change.
+func (w *World) fronts() map[string]*Instance {
+	if w.byFront == nil {
+		w.byFront = map[string]*Instance{}
+		for _, i := range w.instances {
+			w.byFront[i.Front()] = i
 		}
 	}
-	return nil
+	return w.byFront
 }
 
 // errViolated marks a soak in which a promise was broken.
--- a/hornbench/soaker/report.go
+++ b/hornbench/soaker/report.go
@@ -134,7 +134,7 @@
 			last = n
 		}
 	}
-	if last < 0 || !w.inContact(w.instance(s.Instance), s.Start, run.At) {
+	if last < 0 || !w.inContact(w.fronts()[s.Instance], s.Start, run.At) {
 		return ""
 	}
 	for _, m := range w.moves[last:] {
@@ -158,10 +158,7 @@
 // gives those that have asked it for a pause some rest, and that all of them keep to
 // the limits that upstreams state.
 func (w *World) answersHeard(sent map[string]*Sent) (broken []string) {
-	fronts := map[string]*Instance{}
-	for _, i := range w.instances {
-		fronts[i.Front()] = i
-	}
+	fronts := w.fronts()
 	for _, u := range w.all {
 		u.mu.Lock()
 		broken = append(broken, u.leftAlone(sent, fronts)...)
@@ -269,7 +266,7 @@
 	defer u.mu.Unlock()
 	for _, a := range u.arrivals {
 		s := sent[a.id]
-		if s == nil || !a.at.After(after) || !w.inContact(w.instance(s.Instance), s.Start, a.at) {
+		if s == nil || !a.at.After(after) || !w.inContact(w.fronts()[s.Instance], s.Start, a.at) {
 			continue
 		}
 		if s.Start.After(after) || u.proxy.passed(a.at.Add(-contactTime), a.at) {
--- a/hornbench/soaker/soak.go
+++ b/hornbench/soaker/soak.go
@@ -63,6 +63,8 @@
 	ledger    *Ledger
 	journal   *Journal
 	instances []*Instance
+	// byFront is the result of fronts.
+	byFront map[string]*Instance
 
 	mu        sync.Mutex
 	upstreams []*Upstream
