relayer: TestBufferedBytesAreBounded begins with one whole reservation

Cause: six reservations that grow at the same time may each be refused for what the others hold, before any of these is released. The test took for granted that one of them wins.

The first response now holds its reservation before the other five begin; these are refused, the bound is kept and one response is whole, as before.

--- a/hornbeamd/relayer/unending_test.go
+++ b/hornbeamd/relayer/unending_test.go
@@ -87,8 +87,13 @@
 	h.relayer.byteBudget.limit = limit
 	var group sync.WaitGroup
 	statuses := make(chan int, 6)
-	for range 6 {
-		group.Go(func() { statuses <- h.do("GET", "/once/large", "").status })
+	request := func() { statuses <- h.do("GET", "/once/large", "").status }
+	group.Go(request)
+	for h.relayer.byteBudget.used.Load() < large {
+		time.Sleep(time.Millisecond) // otherwise each of the six may be refused for what the others hold
+	}
+	for range 5 {
+		group.Go(request)
 	}
 	for len(statuses) < 5 {
 		time.Sleep(time.Millisecond) // only one of six fits
