relayer: log the request's digest when its connection is lost

The log could not tell whether the requests in progress at ending upstreams are repeats of one request: IDs differ with each attempt, and the affinity key is shared by many requests. The digest covers method, host, path, body, key and credentials.

--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"hornbeamstream.example/core/dispatcher"
+	"hornbeamstream.example/core/steerer"
 	"hornbeamstream.example/hornbeamd/pooler"
 )
 
@@ -41,9 +42,13 @@
 	req         dispatcher.Request
 	id          []byte
 	affinityKey []byte
-	start       int64
-	deadline    int64
-	isHead      bool
+	// caller identifies the caller as far as the request's header does.
+	caller []byte
+	// digestSum caches digest; 0 until it is computed.
+	digestSum steerer.Digest
+	start     int64
+	deadline  int64
+	isHead    bool
 	// pipelined reports whether the request is relayed before its turn on the
 	// connection.
 	pipelined bool
@@ -147,7 +152,7 @@
 		remaining = in.CallerTimeout - min(responseMargin, in.CallerTimeout/8)
 	}
 	c.deadline = c.start + int64(remaining)
-	c.affinityKey = in.Key
+	c.affinityKey, c.caller = in.Key, in.Caller
 	key := uint64(0)
 	if len(in.Key) > 0 && c.route.Sticky {
 		key = xxhash.Sum64(in.Key) ^ xxhash.Sum64String(c.route.Name) | 1
@@ -288,6 +293,9 @@
 	if errors.Is(err, errDeadline) {
 		c.last.status = fasthttp.StatusGatewayTimeout
 	}
+	if x.connLost(err) {
+		c.last.digest = c.digest()
+	}
 	done = c.handleResult(x, res, err)
 	settled = true
 	if !done {
--- /dev/null
+++ b/hornbeamd/relayer/digest.go
@@ -0,0 +1,24 @@
+package relayer
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"hornbeamstream.example/core/steerer"
+)
+
+// digest identifies what the caller asks for: repeats of a request have the same digest
+// although their IDs differ.
+func (c *call) digest() steerer.Digest {
+	if c.digestSum != 0 {
+		return c.digestSum
+	}
+	in := &c.ctx.Request.Header
+	d := xxhash.New()
+	for _, part := range [...][]byte{in.Method(), in.Host(), in.RequestURI(), c.caller, c.affinityKey, c.ctx.Request.Body()} {
+		// Write and WriteString of a Digest return no errors.
+		_, _ = d.Write(part)
+		_, _ = d.WriteString("\x00")
+	}
+	c.digestSum = steerer.Digest(d.Sum64() | 1)
+	return c.digestSum
+}
--- a/hornbeamd/relayer/exchange.go
+++ b/hornbeamd/relayer/exchange.go
@@ -385,6 +385,12 @@
 	return time.Duration(n) * time.Second
 }
 
+// connLost reports whether the exchange failed because its connection ended after the
+// request had been sent.
+func (x *exchange) connLost(err error) bool {
+	return x.sent && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE))
+}
+
 // isDialTimeout reports whether err is a timeout of a dial.
 func isDialTimeout(err error) bool {
 	var op *net.OpError
--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -27,6 +27,8 @@
 	// Key is the affinity key, which names the object of the request; empty if
 	// unknown.
 	Key []byte
+	// Caller identifies on whose behalf the request is sent; empty if unknown.
+	Caller []byte
 }
 
 // ResponseInfo is the data of a response header apart from its status.
--- a/hornbeamd/relayer/response.go
+++ b/hornbeamd/relayer/response.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"hornbeamstream.example/core/dispatcher"
+	"hornbeamstream.example/core/steerer"
 )
 
 // outcome describes how a request, or one exchange for it, ended. It is used
@@ -31,16 +32,23 @@
 	// to the upstream before.
 	keyKnown bool
 	cause    string
+	// digest is the request's digest if the connection to the upstream was lost, and 0
+	// otherwise.
+	digest steerer.Digest
 }
 
 // logFields returns the outcome as log key-value pairs, with times in
 // milliseconds.
 func (o *outcome) logFields() []any {
-	return []any{
+	fields := []any{
 		"outcome", o.label, "upstream", o.upstream, "domain", o.domain,
 		"expected", o.expected.Milliseconds(), "wait", o.wait.Milliseconds(),
 		"load", int(o.load), "report", o.reportAge.Milliseconds(), "cause", o.cause,
 	}
+	if o.digest != 0 {
+		fields = append(fields, "digest", o.digest.String())
+	}
+	return fields
 }
 
 // giveUp ends a request without another exchange. Only a request that has not
