--- a/hornbench/soaker/caller.go
+++ b/hornbench/soaker/caller.go
@@ -83,6 +83,8 @@
 	addresses []string
 	asked     time.Time
 	count     int
+	// popular lets the caller send requests that others send too.
+	popular bool
 }
 
 func newCaller(n int, region string, instances []*Instance, j *Journal, seed uint64) *caller {
@@ -131,12 +133,24 @@
 }
 
 func (c *caller) send(address string) {
-	c.count++
-	s := &Sent{ID: fmt.Sprintf("%s-%d", c.name, c.count), Instance: address, Method: "GET", Start: time.Now()}
-	s.URI = "/safe/" + s.ID + "?a=%2F"
+	id := fmt.Sprintf("%s-%d", c.name, c.count+1)
+	s := &Sent{Method: http.MethodGet, URI: "/safe/" + id + "?a=%2F"}
 	if c.random.IntN(2) == 0 {
-		s.Once, s.Method, s.URI, s.Body = true, "POST", "/once/"+s.ID, "body of "+s.ID
+		s.Once, s.Method, s.URI, s.Body = true, http.MethodPost, "/once/"+id, "body of "+id
+	}
+	key := strconv.Itoa(c.random.IntN(40))
+	if c.popular && !s.Once {
+		if uri, ok := popularRequest(c.random); ok {
+			s.URI, key = uri, "popular"
+		}
 	}
+	c.exchange(s, address, key)
+}
+
+// exchange sends a request to an instance and keeps what comes back.
+func (c *caller) exchange(s *Sent, address, key string) {
+	c.count++
+	s.ID, s.Instance, s.Start = fmt.Sprintf("%s-%d", c.name, c.count), address, time.Now()
 	c.journal.begin(s)
 	q, a := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(q)
@@ -149,7 +163,7 @@
 	q.UseHostHeader = true
 	q.Header.Set("X-Request-Id", s.ID)
 	q.Header.Set("X-Deadline-Ms", strconv.Itoa(int(callerTime.Milliseconds())))
-	q.Header.Set("Cookie", "X-Affinity-Key="+strconv.Itoa(c.random.IntN(40)))
+	q.Header.Set("Cookie", "X-Affinity-Key="+key)
 	err := c.client(address).DoDeadline(q, a, s.Start.Add(callerTime))
 	c.journal.end(s, func() {
 		if err != nil {
--- a/hornbench/soaker/report.go
+++ b/hornbench/soaker/report.go
@@ -68,7 +68,7 @@
 		r.Requests++
 		r.Outcomes[s.Status]++
 		r.Violations = append(r.Violations, w.judge(&s)...)
-		if s.Start.After(end.Add(recoverTime - calmTime)) {
+		if !isCrashing(s.URI) && s.Start.After(end.Add(recoverTime-calmTime)) {
 			asked++
 			if s.Status == http.StatusOK {
 				served++
@@ -85,6 +85,7 @@
 	r.Violations = append(r.Violations, w.drains(sent)...)
 	r.Violations = append(r.Violations, w.answersHeard(sent)...)
 	r.Violations = append(r.Violations, w.evacuationsKept(sent)...)
+	r.Violations = append(r.Violations, w.crashesContained(sent)...)
 	for _, i := range w.instances {
 		r.SlowestStop = max(r.SlowestStop, i.slowest)
 	}
--- a/hornbench/soaker/soak.go
+++ b/hornbench/soaker/soak.go
@@ -31,6 +31,9 @@
 	// Bursts lets faults come in bursts, so that the time bounds are checked between
 	// them, and adds a store that takes calls without an answer.
 	Bursts bool
+	// Crashes adds requests that crash the upstreams that run them, and upstreams that
+	// crash together.
+	Crashes bool
 	// Dir takes the logs of the instances. It is made if it is missing.
 	Dir string
 }
@@ -89,6 +92,9 @@
 	signals sync.Mutex
 	began   time.Time
 	next    int
+	// crashes has the times at which upstreams crashed by the request that crashed them.
+	crashes map[string][]time.Time
+	closed  bool
 }
 
 // move is a configuration that sends all requests to a service.
@@ -126,6 +132,7 @@
 	w := &World{
 		options: o, random: rand.New(rand.NewPCG(o.Seed, 7)), store: NewStore(),
 		ledger: &Ledger{}, journal: &Journal{}, began: time.Now(), evacuated: map[string]bool{},
+		crashes: map[string][]time.Time{},
 	}
 	defer w.close()
 	if err = w.start(ctx); err != nil {
@@ -135,11 +142,21 @@
 	var group errgroup.Group
 	for n := range o.Callers {
 		c := newCaller(n, domains[domainNames[n%len(domainNames)]], w.instances, w.journal, o.Seed)
+		c.popular = o.Crashes
 		group.Go(func() error {
 			c.run(done)
 			return nil
 		})
 	}
+	if o.Crashes {
+		for n := range crashingRequests {
+			c := newCaller(o.Callers+n, domains[domainNames[0]], w.instances, w.journal, o.Seed)
+			group.Go(func() error {
+				c.repeat(crashingRequest(n), done)
+				return nil
+			})
+		}
+	}
 	w.disturb(ctx)
 	sleep(ctx, calmTime)
 	close(done)
@@ -192,7 +209,7 @@
 	w.next++
 	id := fmt.Sprintf("%s-%02d", service, w.next)
 	w.mu.Unlock()
-	u, err := startUpstream(id, service, domain, 6, w.store, w.ledger)
+	u, err := startUpstream(id, service, domain, 6, w.store, w.ledger, w.crash)
 	if err != nil {
 		return err
 	}
@@ -239,6 +256,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.closed = true
 	for _, u := range w.upstreams {
 		u.Stop(true)
 	}
--- a/hornbench/soaker/soak_test.go
+++ b/hornbench/soaker/soak_test.go
@@ -18,12 +18,15 @@
 	"github.com/matryer/is"
 )
 
-// seeds are soaked in CI: one of the usual size, and each that ever failed.
-var seeds = []struct {
+// soakSeed is a soak in CI.
+type soakSeed struct {
 	seed    uint64
 	options Options
 	length  time.Duration
-}{
+}
+
+// seeds are soaked in CI: one of the usual size, and each that ever failed.
+var seeds = []soakSeed{
 	{4242, Options{Instances: 4, Upstreams: 3, Callers: 8}, 6 * time.Second},
 	{510, Options{Instances: 4, Upstreams: 4, Callers: 12, Extended: true}, 8 * time.Second},
 	// A refusal with a pause did not come through a link that was cut one way; the
@@ -42,7 +45,19 @@
 }
 
 // TestSeeds runs real processes under faults for some seconds.
-func TestSeeds(t *testing.T) {
+func TestSeeds(t *testing.T) { soakSeeds(t, seeds) }
+
+// crashSeeds have requests that crash the upstreams that run them.
+var crashSeeds = []soakSeed{
+	// 13 and 13 arrivals after the third crash, and 98 of 1762 requests served at the end.
+	{16001, Options{Instances: 5, Upstreams: 4, Callers: 16, Extended: true, Limits: true, Bursts: true, Crashes: true}, 12 * time.Second},
+}
+
+// TestCrashingRequests guards against requests that are sent to further upstreams after
+// three have crashed when they ran them.
+func TestCrashingRequests(t *testing.T) { soakSeeds(t, crashSeeds) }
+
+func soakSeeds(t *testing.T, seeds []soakSeed) {
 	is := is.New(t)
 	binary := filepath.Join(t.TempDir(), "hornplatform")
 	out, err := exec.Command("go", "build", "-o", binary, "hornbeamstream.example/platform").CombinedOutput()
--- a/hornbench/soaker/upstream.go
+++ b/hornbench/soaker/upstream.go
@@ -96,6 +96,9 @@
 	left   time.Time
 	beats  uint64
 	ending chan struct{}
+	stop   sync.Once
+	// onCrash crashes the upstream because of a request.
+	onCrash func(u *Upstream, uri string)
 	// pauseUntil is the end of the pause that it asks for.
 	pauseUntil time.Time
 	// said has the requests whose answers said that it leaves, asked those that
@@ -117,14 +120,14 @@
 }
 
 // startUpstream starts an upstream that registers itself until Stop.
-func startUpstream(id, service, domain string, slots int, s *Store, l *Ledger) (u *Upstream, err error) {
+func startUpstream(id, service, domain string, slots int, s *Store, l *Ledger, onCrash func(*Upstream, string)) (u *Upstream, err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("upstream %s: %w", id, err)
 		}
 	}()
 	u = &Upstream{
-		ID: id, Service: service, Domain: domain, Slots: slots, store: s, ledger: l, mode: upstreamGood,
+		ID: id, Service: service, Domain: domain, Slots: slots, store: s, ledger: l, mode: upstreamGood, onCrash: onCrash,
 		born: time.Now().UnixMilli(), free: make(chan struct{}, slots), ending: make(chan struct{}),
 		said: map[string]bool{}, asked: map[string]pause{},
 	}
@@ -219,10 +222,12 @@
 
 // Stop ends the upstream. With crash, its registration stays and expires later.
 func (u *Upstream) Stop(crash bool) {
-	close(u.ending)
-	// Connections that end are what a stop is about.
-	_ = u.server.Close()
-	u.proxy.Close()
+	u.stop.Do(func() {
+		close(u.ending)
+		// Connections that end are what a stop is about.
+		_ = u.server.Close()
+		u.proxy.Close()
+	})
 	if !crash {
 		u.store.Delete("servers", u.ID)
 	}
@@ -277,6 +282,10 @@
 	defer u.leave()
 	mode, load := u.state()
 	u.ledger.add(id, Run{u.ID, u.Service, r.Method, r.RequestURI, string(body), time.Now()})
+	if isCrashing(r.RequestURI) {
+		u.onCrash(u, r.RequestURI)
+		panic(http.ErrAbortHandler)
+	}
 	work := workTime
 	if mode == upstreamSlow {
 		work *= 10
