relayer, runner: a stop takes no late request that may outlast it

Cause: a request was accepted if twice the expected run would end before the exit. An upstream that does not answer in that time kept it until the exit. The stop has a file of its own.

--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -190,7 +190,7 @@
 			c.giveUp(outcome{label: string(d.Reason), retryAfter: d.RetryAfter, expected: d.Expected, wait: d.Wait, load: d.Load, reportAge: d.ReportAge})
 			return
 		}
-		if r.exitsBefore(&d, c.req.Now) {
+		if r.exitsBefore(c, &d, c.req.Now) {
 			d.Done(&c.req, dispatcher.Canceled, 0, c.req.Now)
 			c.recordDelivery(false)
 			c.giveUp(outcome{label: "shutting down"})
--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -128,10 +128,11 @@
 	idleLimits sync.Map // service name to *pooler.IdleLimit
 
 	draining atomic.Bool
-	// exitAt is when the process exits, 0 if that is not known.
-	exitAt      atomic.Int64
-	callerConns connTracker
-	byteBudget  byteBudget
+	// exitAt is when the process exits, 0 if that is not known. longRunsUntil is until
+	// when requests are accepted that may run for longer.
+	exitAt, longRunsUntil atomic.Int64
+	callerConns           connTracker
+	byteBudget            byteBudget
 	// crashChecks has a *crashCheck for each *dispatcher.Upstream that may have crashed.
 	crashChecks sync.Map
 }
@@ -214,18 +215,33 @@
 // progress. From then on no request is rerouted or started before its turn.
 func (r *Relayer) StartDrain() { r.draining.Store(true) }
 
-// SetExitTime sets when the process exits. Requests that are expected to run for longer
-// are refused, so that their callers go elsewhere.
-func (r *Relayer) SetExitTime(at int64) { r.exitAt.Store(at) }
+// SetExitTime sets when the process exits. Requests that may run for longer are refused, so
+// that their callers go elsewhere. Until longRunsUntil, requests that may be repeated are
+// accepted if they are expected to end in time, later and for other requests only if their
+// deadlines are before the exit.
+func (r *Relayer) SetExitTime(at, longRunsUntil int64) {
+	r.longRunsUntil.Store(longRunsUntil)
+	r.exitAt.Store(at)
+}
 
-// exitRunFactor is how much longer than expected a run may take before the process
-// exits.
-const exitRunFactor = 2
+const (
+	// exitRunFactor is how much longer than expected a run may take before the process
+	// exits.
+	exitRunFactor = 2
+	// exitResponseTime is reserved before the exit for a response at the deadline.
+	exitResponseTime = 100 * time.Millisecond
+)
 
 // exitsBefore reports whether the process may exit before the end of a request.
-func (r *Relayer) exitsBefore(d *dispatcher.Decision, now int64) bool {
+func (r *Relayer) exitsBefore(c *call, d *dispatcher.Decision, now int64) bool {
 	at := r.exitAt.Load()
-	return at != 0 && now+int64(exitRunFactor*float64(d.ExpectedCold)) > at
+	switch {
+	case at == 0 || c.deadline+int64(exitResponseTime) <= at:
+		return false
+	case !c.route.Idempotent || now >= r.longRunsUntil.Load():
+		return true
+	}
+	return now+int64(exitRunFactor*float64(d.ExpectedCold)) > at
 }
 
 // Maintain closes idle connections of callers and the pools of removed
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -79,13 +79,6 @@
 	pauseThreshold = 1500 * time.Millisecond
 	// eventQueueSize is the capacity of the control goroutine's event queue.
 	eventQueueSize = 256
-	// closeIdleShare is the fraction of the graceful shutdown period after which
-	// idle connections are closed, closeListenerShare the fraction after which no
-	// new connections are accepted.
-	closeIdleShare, closeListenerShare = 0.5, 0.75
-	// exitMargin is the end of the shutdown period that is reserved for the exit of
-	// the process.
-	exitMargin = 600 * time.Millisecond
 )
 
 // Runner runs one instance.
@@ -431,30 +424,3 @@
 	}
 	return nil
 }
-
-// shutdown stops the instance gracefully. It first announces that the instance
-// leaves, so that callers move to other instances, while it still serves. It then
-// closes idle connections, later the listener, and waits for requests in progress.
-func (r *Runner) shutdown(front net.Listener) {
-	start, timeout := time.Now(), r.currentView().Bounds.Stop
-	deadline := start.Add(timeout - exitMargin)
-	at := func(share float64) time.Time {
-		return start.Add(time.Duration(share * float64(timeout)))
-	}
-	r.events <- steerer.ShutdownStarted{Now: r.now()}
-	r.relayer.StartDrain()
-	r.relayer.SetExitTime(r.now() + int64(timeout-exitMargin))
-	time.Sleep(time.Until(at(closeIdleShare)))
-	r.relayer.CloseIdleConnections()
-	time.Sleep(time.Until(at(closeListenerShare)))
-	_ = front.Close()
-	for time.Now().Before(deadline) {
-		r.relayer.CloseIdleConnections()
-		if r.relayer.ActiveConns() == 0 {
-			// The end of a response may still be in a kernel buffer.
-			time.Sleep(tickInterval)
-			return
-		}
-		time.Sleep(tickInterval / 2)
-	}
-}
