--- a/core/dispatcher/flow_control.go
+++ b/core/dispatcher/flow_control.go
@@ -85,13 +85,21 @@
 	return at, reason, ok
 }
 
+// Upstream returns the latest Upstream of an incarnation, or nil if it is unknown.
+func (b *Builder) Upstream(i steerer.Incarnation) *Upstream {
+	if f := b.flows[i]; f != nil {
+		return f.upstream
+	}
+	return nil
+}
+
 // ApplyRateLimit records an observation of an upstream's limit that another instance made
 // at the given time. An unknown incarnation is ignored: as long as the limit is in
 // force, the other instance repeats the observation.
 func (b *Builder) ApplyRateLimit(i steerer.Incarnation, o steerer.RateLimitState, at, now int64) RateLimitChange {
-	f := b.flows[i]
-	if f == nil {
+	u := b.Upstream(i)
+	if u == nil {
 		return RateLimitChange{}
 	}
-	return f.upstream.applyLimit(o, at, now)
+	return u.applyLimit(o, at, now)
 }
--- a/core/steerer/clone.go
+++ b/core/steerer/clone.go
@@ -33,6 +33,7 @@
 	c.recoveredAt = maps.Clone(s.recoveredAt)
 	c.tombstones = maps.Clone(s.tombstones)
 	c.rateLimits = maps.Clone(s.rateLimits)
+	c.coldObservations = maps.Clone(s.coldObservations)
 	c.quarantine.list = s.quarantine.list.Clone()
 	c.quarantine.stored = maps.Clone(s.quarantine.stored)
 	c.quarantine.writeAt = maps.Clone(s.quarantine.writeAt)
--- a/core/steerer/fuzz_test.go
+++ b/core/steerer/fuzz_test.go
@@ -14,6 +14,7 @@
 	f.Add(`{"n":"","r":true}`)
 	f.Add(`{"n":"near","q":[{"i":"u1","b":1,"f":true,"v":4.2,"a":9},{"i":"","v":-1e308,"a":-9223372036854775808}]}`)
 	f.Add(`{"n":"near","r":true,"x":[{"d":"0000000000000007","c":[{"u":1,"a":-9223372036854775808},{"u":4294967295,"a":9223372036854775807}],"f":true,"a":-1}]}`)
+	f.Add(`{"n":"near","r":true,"c":[{"i":"u1","b":1,"c":2000},{"i":"","b":-1,"c":9223372036854775807}]}`)
 	f.Fuzz(func(t *testing.T, text string) {
 		var b Beacon
 		if json.Unmarshal([]byte(text), &b) != nil {
--- a/core/steerer/quarantine.go
+++ b/core/steerer/quarantine.go
@@ -255,11 +255,7 @@
 		most = maxReportsPerBeacon
 	}
 	for reports := range slices.Chunk(s.quarantine.list.Reports(now, most), maxReportsPerBeacon) {
-		b := Beacon{Name: s.Self.Name, Ready: s.ready(), Crashes: reports}
-		if s.config != nil {
-			b.Version = s.config.Version
-		}
-		out = append(out, SendBeacon{To: to, Beacon: b})
+		out = append(out, SendBeacon{To: to, Beacon: s.newBeacon(Beacon{Crashes: reports})})
 	}
 	return out
 }
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -70,6 +70,10 @@
 	rateLimits         map[string]rateLimitObservation
 	rateLimitChangedAt int64
 	quarantine         quarantineState
+	// coldObservations has this instance's own recent observations by upstream ID,
+	// nextProbeAt is when the upstreams are probed next.
+	coldObservations map[string]coldObservation
+	nextProbeAt      int64
 	// anyHeld reports whether objects may be held that the store does not have.
 	anyHeld bool
 	// reregisterAt is when this instance registers again, or 0 if it need not.
@@ -96,18 +100,19 @@
 		firstListAt = int64(firstListDelay)
 	}
 	return &State{
-		firstListAt:     firstListAt,
-		Self:            self,
-		upstreams:       map[string]*upstream{},
-		evacuations:     map[string]int64{},
-		tombstones:      map[string]tombstone{},
-		rateLimits:      map[string]rateLimitObservation{},
-		quarantine:      quarantineState{stored: map[quarantiner.Digest]bool{}, writeAt: map[quarantiner.Digest]int64{}},
-		domainColdUntil: map[string]int64{},
-		peers:           map[string]*peer{},
-		sync:            newSyncStates(),
-		unavailable:     map[Kind]bool{},
-		recoveredAt:     map[Kind]int64{},
+		firstListAt:      firstListAt,
+		Self:             self,
+		upstreams:        map[string]*upstream{},
+		evacuations:      map[string]int64{},
+		tombstones:       map[string]tombstone{},
+		rateLimits:       map[string]rateLimitObservation{},
+		coldObservations: map[string]coldObservation{},
+		quarantine:       quarantineState{stored: map[quarantiner.Digest]bool{}, writeAt: map[quarantiner.Digest]int64{}},
+		domainColdUntil:  map[string]int64{},
+		peers:            map[string]*peer{},
+		sync:             newSyncStates(),
+		unavailable:      map[Kind]bool{},
+		recoveredAt:      map[Kind]int64{},
 	}
 }
 
@@ -171,6 +176,9 @@
 	case RequestAnswered:
 		now = e.Now
 		out = s.observeAnswer(e)
+	case UpstreamCold:
+		now = e.Now
+		out = s.observeCold(e)
 	case Resumed:
 		now = e.Now
 		out = s.resume(e.Now)
@@ -237,6 +245,7 @@
 	}
 	out = append(out, applyReports(e.Now, e.Beacon.RateLimits)...)
 	out = append(out, s.mergeQuarantine(e.Now, e.Beacon.Crashes)...)
+	out = append(out, applyColdReports(e.Now, e.Beacon.Cold)...)
 	out = append(out, s.fetchNewerConfig(e, p)...)
 	return append(out, s.fetchFromPeer(e.Now, p)...)
 }
@@ -273,6 +282,7 @@
 	out = append(out, s.releaseExpiredHolds(now)...)
 	out = append(out, s.reregister(now)...)
 	out = append(out, s.tickQuarantine(now)...)
+	out = append(out, s.probe(now)...)
 	out = append(out, s.assignWatches(now)...)
 	if now >= s.nextBeaconAt {
 		s.nextBeaconAt, s.lastBeaconAt = now+int64(beaconInterval), now
@@ -285,24 +295,35 @@
 // sendBeacons sends a beacon to the instances in the same region. Those in other
 // regions get one less often, unless the beacon has a sync status, leaving upstreams or
 // the start or end of a limit, or this instance shuts down. Reports of crashing requests
-// go to all.
+// and of cold upstreams go to all.
 func (s *State) sendBeacons(now int64) []Effect {
-	b := Beacon{Name: s.Self.Name, Ready: s.ready(), Sync: s.syncStatuses(now), Leaving: s.recentlyLeaving(now)}
+	b := s.newBeacon(Beacon{Sync: s.syncStatuses(now), Leaving: s.recentlyLeaving(now)})
 	b.RateLimits = s.rateLimitReports(now, maxLimitsPerBeacon-len(b.Leaving)/2)
-	if s.config != nil {
-		b.Version = s.config.Version
-	}
 	limitChanged := len(b.RateLimits) > 0 && now-s.rateLimitChangedAt < int64(limitUrgentTime)
 	everywhere := s.shuttingDown || len(b.Sync) > 0 || len(b.Leaving) > 0 || limitChanged || s.beaconRounds%remoteBeaconEvery == 0
-	to, all := make([]string, 0, len(s.peers)), make([]string, 0, len(s.peers))
+	all := s.beaconAddresses(true)
+	return slices.Concat([]Effect{SendBeacon{To: s.beaconAddresses(everywhere), Beacon: b}}, s.quarantineBeacons(now, all), s.coldBeacons(now, all))
+}
+
+// beaconAddresses returns the addresses of the other instances, of all regions if
+// everywhere is set.
+func (s *State) beaconAddresses(everywhere bool) []string {
+	to := make([]string, 0, len(s.peers))
 	for _, name := range slices.Sorted(maps.Keys(s.peers)) {
-		p := s.peers[name]
-		all = append(all, p.Beacon)
-		if everywhere || p.Region == s.Self.Region {
+		if p := s.peers[name]; everywhere || p.Region == s.Self.Region {
 			to = append(to, p.Beacon)
 		}
 	}
-	return append([]Effect{SendBeacon{To: to, Beacon: b}}, s.quarantineBeacons(now, all)...)
+	return to
+}
+
+// newBeacon returns a beacon with what each has.
+func (s *State) newBeacon(b Beacon) Beacon {
+	b.Name, b.Ready = s.Self.Name, s.ready()
+	if s.config != nil {
+		b.Version = s.config.Version
+	}
+	return b
 }
 
 // ready reports whether this instance can accept requests.
--- a/core/steerer/steerer_test.go
+++ b/core/steerer/steerer_test.go
@@ -302,6 +302,7 @@
 	maps.Copy(all, relayScenarios())
 	maps.Copy(all, eraScenarios())
 	maps.Copy(all, quarantineScenarios())
+	maps.Copy(all, coldScenarios())
 	for name, events := range all {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -355,6 +356,8 @@
 		return e.Now
 	case RequestAnswered:
 		return e.Now
+	case UpstreamCold:
+		return e.Now
 	}
 	return 0
 }
@@ -381,6 +384,8 @@
 		return fmt.Sprintf("%.1f limited %s born %d %+v at %.1f", float64(e.Now)/1e9, e.Incarnation.ID, e.Incarnation.Born, e.State, float64(e.At)/1e9)
 	case UpstreamCrashed:
 		return fmt.Sprintf("%.1f crashed %s born %d while it ran %v", float64(e.Now)/1e9, e.Incarnation.ID, e.Incarnation.Born, e.Digest)
+	case UpstreamCold:
+		return fmt.Sprintf("%.1f cold %s born %d until %.2f", float64(e.Now)/1e9, e.Incarnation.ID, e.Incarnation.Born, float64(e.Until)/1e9)
 	case RequestAnswered:
 		return fmt.Sprintf("%.1f answered %v", float64(e.Now)/1e9, e.Digest)
 	case Tick:
@@ -436,6 +441,9 @@
 	if len(b.RateLimits) > 0 {
 		text += fmt.Sprintf(" Limits:%+v", b.RateLimits)
 	}
+	if len(b.Cold) > 0 {
+		text += fmt.Sprintf(" Cold:%+v", b.Cold)
+	}
 	if len(b.Crashes) > 0 {
 		text += fmt.Sprintf(" Crashes:%+v", b.Crashes)
 	}
@@ -460,6 +468,10 @@
 		return "register"
 	case PublishQuarantine:
 		return fmt.Sprintf("refuse %v, suspect none %t", x.Set.Quarantined(), x.Set.Empty())
+	case Probe:
+		return fmt.Sprint("probe ", x.Upstreams)
+	case MarkCold:
+		return fmt.Sprintf("%s born %d is cold until %.2f", x.Incarnation.ID, x.Incarnation.Born, float64(x.Until)/1e9)
 	case WriteQuarantine:
 		return "write " + formatObjects([]Object{x.Object})
 	case Publish:
--- a/core/steerer/types.go
+++ b/core/steerer/types.go
@@ -55,6 +55,8 @@
 	// ColdRate is the number of requests per second that an upstream accepts during
 	// slow start, summed over all instances.
 	ColdRate float64
+	// HealthPath is the path of the health checks of its upstreams; empty if unknown.
+	HealthPath string
 }
 
 // Limits bounds the size of requests, the time to send their headers, and the time
@@ -120,6 +122,9 @@
 	RateLimits []RateLimitReport `json:"q,omitempty"`
 	// Crashes lists what the sender has observed of requests that crash upstreams.
 	Crashes []quarantiner.Report `json:"x,omitempty"`
+	// Cold lists upstreams that have said in the sender's health checks that they are
+	// cold.
+	Cold []ColdReport `json:"c,omitempty"`
 }
 
 // SyncStatus states that an instance has applied all changes of a kind up to a
--- a/hornbeamd/relayer/harness_test.go
+++ b/hornbeamd/relayer/harness_test.go
@@ -39,14 +39,21 @@
 	h.Set("Expect", upstream)
 }
 
+func (testCodec) WriteProbe(h *fasthttp.RequestHeader, id string) { h.Set("Id", id) }
+
 func (testCodec) ReadResponse(h *fasthttp.ResponseHeader) ResponseInfo {
 	pause, err := strconv.Atoi(string(h.Peek("Pause")))
 	if err != nil {
 		pause = 0
 	}
+	cold, err := strconv.Atoi(string(h.Peek("Cold")))
+	if err != nil {
+		cold = 0
+	}
 	limit, err := strconv.ParseFloat(string(h.Peek("Limit")), 64)
 	return ResponseInfo{
-		RateLimit: dispatcher.RateLimit{Stated: len(h.Peek("Limit")) > 0, Valid: err == nil, PerSecond: limit},
+		RateLimit:  dispatcher.RateLimit{Stated: len(h.Peek("Limit")) > 0, Valid: err == nil, PerSecond: limit},
+		UpstreamID: h.Peek("Upstream"), ColdLeft: time.Duration(cold) * time.Millisecond,
 		RequestID: h.Peek("Id"), NotRun: len(h.Peek("Notrun")) > 0, Signed: len(h.Peek("Sign")) > 0,
 		Leaving: len(h.Peek("Leaving")) > 0, Pause: time.Duration(pause) * time.Millisecond,
 	}
--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -37,6 +37,8 @@
 	// RequestID identifies the request that the response belongs to; empty if
 	// unknown.
 	RequestID []byte
+	// UpstreamID is the ID of the upstream that has answered a health check.
+	UpstreamID []byte
 	// NotRun reports that the upstream did not run the request and never will.
 	NotRun bool
 	// Signed reports whether the response bears the upstream's signature.
@@ -61,6 +63,8 @@
 	// WriteRequest sets the header fields that address one incarnation of an
 	// upstream and give it the remaining time.
 	WriteRequest(h *fasthttp.RequestHeader, upstream string, remaining time.Duration)
+	// WriteProbe sets the header fields of a health check with the given ID.
+	WriteProbe(h *fasthttp.RequestHeader, id string)
 	// ReadResponse returns the data of a response header. The result refers to
 	// h.
 	ReadResponse(h *fasthttp.ResponseHeader) ResponseInfo
@@ -135,6 +139,8 @@
 	byteBudget            byteBudget
 	// crashChecks has a *crashCheck for each *dispatcher.Upstream that may have crashed.
 	crashChecks sync.Map
+	// probes counts health checks.
+	probes atomic.Uint64
 }
 
 const (
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -340,6 +340,12 @@
 		r.relay.reply(x)
 	case steerer.ApplyRateLimit:
 		r.applyLimit(x)
+	case steerer.Probe:
+		r.probe(x)
+	case steerer.MarkCold:
+		if u := r.tableBuilder.Upstream(x.Incarnation); u != nil {
+			u.MarkCold(x.Until, r.now())
+		}
 	case steerer.PublishQuarantine:
 		r.quarantine.Store(x.Set)
 	case steerer.WriteQuarantine:
--- a/hornbeamd/runner/runner_test.go
+++ b/hornbeamd/runner/runner_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -161,8 +162,14 @@
 	return relayer.RequestInfo{ID: h.Peek("Id")}
 }
 func (plainDialect) WriteRequest(*fasthttp.RequestHeader, string, time.Duration) {}
+func (plainDialect) WriteProbe(h *fasthttp.RequestHeader, id string)             { h.Set("Id", id) }
+
 func (plainDialect) ReadResponse(h *fasthttp.ResponseHeader) relayer.ResponseInfo {
-	return relayer.ResponseInfo{RequestID: h.Peek("Id"), Signed: true}
+	cold, err := strconv.Atoi(string(h.Peek("Cold")))
+	if err != nil {
+		cold = 0
+	}
+	return relayer.ResponseInfo{RequestID: h.Peek("Id"), UpstreamID: h.Peek("Upstream"), Signed: true, ColdLeft: time.Duration(cold) * time.Millisecond}
 }
 func (plainDialect) RemoveSignature(*fasthttp.ResponseHeader) {}
 
