detector, forwarder: hornbeamd refuses requests that crash its upstreams

The check whether an upstream has ended moves from relayer to a package of its own. An instance of hornbeamd counts crashes of upstreams on its own slots and refuses the request as not run (reason quarantined), also when another instance sends it.

--- a/hornbeamd/forwarder/forwarder.go
+++ b/hornbeamd/forwarder/forwarder.go
@@ -87,12 +87,14 @@
 	hedge       bool
 	now         func() int64
 
-	pools     atomic.Pointer[map[poolKey]*connPool]
-	queues    atomic.Pointer[map[string]*waitQueue]
-	mu        sync.Mutex
-	dedup     *dedupTable
-	done      chan struct{}
-	closeOnce sync.Once
+	pools  atomic.Pointer[map[poolKey]*connPool]
+	queues atomic.Pointer[map[string]*waitQueue]
+	mu     sync.Mutex
+	dedup  *dedupTable
+	// quarantine has the requests that have crashed upstreams of this instance.
+	quarantine quarantine
+	done       chan struct{}
+	closeOnce  sync.Once
 }
 
 // New returns a Forwarder. Close stops its background work.
--- a/hornbeamd/forwarder/headers.go
+++ b/hornbeamd/forwarder/headers.go
@@ -90,6 +90,8 @@
 	ReasonOverloaded router.Reason = "busy"
 	// ReasonStarting means that this instance has no configuration yet.
 	ReasonStarting router.Reason = "starting"
+	// ReasonQuarantined means that the request has crashed upstreams.
+	ReasonQuarantined router.Reason = "quarantined"
 	// ReasonCallerGone means that the caller has closed its connection.
 	ReasonCallerGone router.Reason = "gone"
 	// ReasonBodyTruncated means that the caller's body ended early.
--- a/hornbeamd/forwarder/maintain.go
+++ b/hornbeamd/forwarder/maintain.go
@@ -31,6 +31,7 @@
 		case <-ticker.C:
 		}
 		f.maintainPools(f.now())
+		f.quarantine.expire(f.now())
 	}
 }
 
--- a/hornbeamd/forwarder/try.go
+++ b/hornbeamd/forwarder/try.go
@@ -2,12 +2,11 @@
 
 import (
 	"errors"
-	"io"
-	"syscall"
 	"time"
 
 	"hornbeamstream.example/core/limiter"
 	"hornbeamstream.example/core/router"
+	"hornbeamstream.example/hornbeamd/detector"
 )
 
 // tryTarget sends a request to an upstream whose slot has been taken. The slot
@@ -15,15 +14,22 @@
 func (f *Forwarder) tryTarget(c *call, choice router.Choice, e *dedupEntry) result {
 	t, service, key := choice.Target, c.req.Service.Name, c.key
 	p := f.pool(poolKey{t.Upstream, service, t.Address}, t.MaxConns)
+	if !f.quarantine.admits(c, f.now()) {
+		f.releaseSlot(service, t)
+		return result{outcome: OutcomeNotRun, reason: ReasonQuarantined}
+	}
 	x := acquireExchange()
 	x.request = c.appendUpstreamRequest(x.request[:0])
 	err := f.roundTrip(c, p, t.Path, x)
 	if err != nil {
+		if x.sent && detector.IsConnLost(err) {
+			f.quarantine.connLost(c, t, f.now)
+		}
 		res := f.failureResult(c, x, err)
 		if err != errHedgeWon || x.suspected {
 			f.countFailure(x, err, res)
 		}
-		f.releaseSlotLater(service, t, x.sent && !closedByPeer(err))
+		f.releaseSlotLater(service, t, x.sent && !detector.IsConnLost(err))
 		x.release()
 		return res
 	}
@@ -43,6 +49,9 @@
 		x.release()
 		return result{outcome: OutcomeNotRun, reason: ReasonRefused, retryable: true}
 	}
+	if x.header.StatusCode() < 500 {
+		f.quarantine.observeAnswer(c, f.now())
+	}
 	p.stats.ok.Add(1)
 	p.stats.latency.Add(x.firstByteAt - x.sentAt)
 	res := result{outcome: OutcomeRan, exchange: x, link: choice.Link}
@@ -57,13 +66,6 @@
 	return res
 }
 
-// closedByPeer reports whether err means that the other end closed the
-// connection and so is done with the request.
-func closedByPeer(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
-		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-}
-
 // releaseSlotLater releases a slot. After a cancellation it waits for
 // cancelGracePeriod, so that the upstream can notice it first.
 func (f *Forwarder) releaseSlotLater(service string, t *router.Target, cancelled bool) {
@@ -106,7 +108,7 @@
 	} else {
 		f.updateCredit(c, peer, x)
 	}
-	res.retryable = outcome == OutcomeNotRun && res.reason != router.DeadlineExceeded || outcome == OutcomeUnknown && !c.req.Service.AtMostOnce
+	res.retryable = outcome == OutcomeNotRun && res.reason != router.DeadlineExceeded && res.reason != ReasonQuarantined || outcome == OutcomeUnknown && !c.req.Service.AtMostOnce
 	x.closeConn()
 	x.release()
 	return res
@@ -137,6 +139,8 @@
 		return ReasonOverloaded
 	case string(ReasonStarting):
 		return ReasonStarting
+	case string(ReasonQuarantined):
+		return ReasonQuarantined
 	}
 	return ReasonExchangeFailed
 }
--- a/hornbeamd/relayer/exchange.go
+++ b/hornbeamd/relayer/exchange.go
@@ -15,6 +15,7 @@
 
 	"hornbeamstream.example/core/dispatcher"
 	"hornbeamstream.example/core/steerer"
+	"hornbeamstream.example/hornbeamd/detector"
 	"hornbeamstream.example/hornbeamd/pooler"
 )
 
@@ -393,7 +394,7 @@
 // connLost reports whether the exchange failed because its connection ended after the
 // request had been sent.
 func (x *exchange) connLost(err error) bool {
-	return x.sent && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE))
+	return x.sent && detector.IsConnLost(err)
 }
 
 // isDialTimeout reports whether err is a timeout of a dial.
--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -15,6 +15,7 @@
 	"hornbeamstream.example/core/dispatcher"
 	"hornbeamstream.example/core/quarantiner"
 	"hornbeamstream.example/core/steerer"
+	"hornbeamstream.example/hornbeamd/detector"
 	"hornbeamstream.example/hornbeamd/guarder"
 	"hornbeamstream.example/hornbeamd/pooler"
 )
@@ -137,8 +138,7 @@
 	exitAt, longRunsUntil atomic.Int64
 	callerConns           connTracker
 	byteBudget            byteBudget
-	// crashChecks has a *crashCheck for each *dispatcher.Upstream that may have crashed.
-	crashChecks sync.Map
+	crashes               detector.Detector[*dispatcher.Upstream]
 	// probes counts health checks.
 	probes atomic.Uint64
 }
