--- a/hornbeamd/relayer/probe.go
+++ b/hornbeamd/relayer/probe.go
@@ -12,8 +12,13 @@
 	"hornbeamstream.example/core/dispatcher"
 )
 
-// probeTimeout limits a health check.
-const probeTimeout = 400 * time.Millisecond
+const (
+	// probeTimeout limits a health check. It may have to wait for a slot behind other
+	// requests; a shorter one would give up its place in the queue.
+	probeTimeout = 1500 * time.Millisecond
+	// maxProbeBytes limits the body of the response to a health check.
+	maxProbeBytes = 16 << 10
+)
 
 var errNotProbed = errors.New("health check of another upstream or request")
 
@@ -63,6 +68,3 @@
 	reusable = conn.Reader.Buffered() == 0 && !response.ConnectionClose()
 	return info.ColdLeft, nil
 }
-
-// maxProbeBytes limits the body of the response to a health check.
-const maxProbeBytes = 16 << 10
--- a/hornbeamd/relayer/probe_test.go
+++ b/hornbeamd/relayer/probe_test.go
@@ -43,7 +43,7 @@
 		{"says nothing", answer(""), 0, false, 2},
 		{"is silent", func(s *upstreamStub, c net.Conn, r *http.Request, body string) {
 			if r.RequestURI == "/health" {
-				time.Sleep(2 * probeTimeout)
+				time.Sleep(probeTimeout + 500*time.Millisecond)
 				return
 			}
 			respondOK(s, c, r, body)
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -88,6 +89,9 @@
 	state        *steerer.State
 	tableBuilder dispatcher.Builder
 	table        atomic.Pointer[dispatcher.Table]
+	// probing has the number of health checks in progress, an *atomic.Int64 for each
+	// *dispatcher.Upstream.
+	probing sync.Map
 	// quarantine has the requests that must not be sent.
 	quarantine   atomic.Pointer[quarantiner.Set]
 	relayer      *relayer.Relayer
