--- a/core/quarantiner/list.go
+++ b/core/quarantiner/list.go
@@ -1,10 +1,10 @@
 // Package quarantiner decides which requests are no longer sent because they crash the
 // upstreams that run them. A request is quarantined after Threshold separate crashes
 // under it if no upstream has answered it since, unless a request that is in quarantine
-// explains the crashes. Instances exchange their observations as
-// reports; the order in which reports arrive and repeats of a report make no difference.
+// explains the crashes. Instances exchange their observations as reports, which may arrive
+// late, repeatedly and in any order.
 //
-// It uses neither the network nor a clock: callers pass the time, in nanoseconds on a
+// The package uses neither the network nor a clock: callers pass the time, in nanoseconds on a
 // monotonic clock.
 package quarantiner
 
