quarantiner: a request that may have crashed an upstream is not resent

Three upstreams had crashed within 250 ms, which count once, and the two crashes that were still missing cost two upstreams each, since a request is resent at once when a connection is lost. A request that may have crashed an upstream is no longer resent; before, only one that had crashed two.

--- a/core/quarantiner/set.go
+++ b/core/quarantiner/set.go
@@ -76,7 +76,8 @@
 // Admission is whether a request may be sent.
 type Admission struct {
 	Admitted bool
-	// Last reports that the request may be sent to one upstream only.
+	// Last reports that the request must not be sent again if the connection to its
+	// upstream is lost, because it may have crashed an upstream before.
 	Last bool
 	// RetryAfter is when to come back with a request that is not admitted.
 	RetryAfter time.Duration
@@ -93,7 +94,7 @@
 	case e == nil:
 		return Admission{Admitted: true}
 	case e.until == 0:
-		return Admission{Admitted: true, Last: e.crashes >= Threshold-1}
+		return Admission{Admitted: true, Last: true}
 	}
 	next := e.nextTrial.Load()
 	elapsed := now - next
--- a/hornbench/soaker/soak.go
+++ b/hornbench/soaker/soak.go
@@ -138,7 +138,8 @@
 	if err = w.start(ctx); err != nil {
 		return r, err
 	}
-	done := make(chan struct{})
+	// The crashing requests are faults and end with them, the callers go on.
+	done, faultsDone := make(chan struct{}), make(chan struct{})
 	var group errgroup.Group
 	for n := range o.Callers {
 		c := newCaller(n, domains[domainNames[n%len(domainNames)]], w.instances, w.journal, o.Seed)
@@ -152,12 +153,13 @@
 		for n := range crashingRequests {
 			c := newCaller(o.Callers+n, domains[domainNames[0]], w.instances, w.journal, o.Seed)
 			group.Go(func() error {
-				c.repeat(crashingRequest(n), done)
+				c.repeat(crashingRequest(n), faultsDone)
 				return nil
 			})
 		}
 	}
 	w.disturb(ctx)
+	close(faultsDone)
 	sleep(ctx, calmTime)
 	close(done)
 	// The callers return no errors.
