review: case 1, downloads fail for good after clients have left

The bytes of pipelined answers that arrive after their connection has closed are never released. Once the budget for buffered answers is used up, the process answers every download with 502 until it is restarted (rule Starved).

--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"hash/crc32"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -19,10 +21,14 @@
 	work                                   time.Duration
 	slots                                  int
 	born                                   int64
-	record                                 *record
-	free                                   chan struct{}
-	listener                               net.Listener
-	http                                   *http.Server
+	// spread is the relative spread of the work, answerBytes the length of the answers, 400
+	// if it is 0.
+	spread      float64
+	answerBytes int
+	record      *record
+	free        chan struct{}
+	listener    net.Listener
+	http        *http.Server
 
 	mu   sync.Mutex
 	runs map[string]int
@@ -114,8 +120,8 @@
 	u.runs[id]++
 	u.mu.Unlock()
 	u.record.line("run", "server", u.id, "service", u.service, "id", id, "method", r.Method, "path", r.RequestURI, "bytes", len(body))
-	time.Sleep(u.work)
-	answer := []byte(strings.Repeat("x", 400))
+	time.Sleep(time.Duration(float64(u.work) * (1 + u.spread*rand.NormFloat64())))
+	answer := []byte(strings.Repeat("x", cmp.Or(u.answerBytes, 400)))
 	w.Header().Set("X-Response-Stamp", stamp(u.id, id, answer))
 	_, _ = w.Write(answer)
 }
