--- a/review/standin/fds.go
+++ b/review/standin/fds.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -63,7 +64,9 @@
 	usualTime, burstTime       = 8 * time.Second, 3 * time.Second
 	// steadyClients send request after request on the connections that they keep.
 	steadyClients = 16
-	budget        = 1200 * time.Millisecond
+	// ownDescriptors are needed for the clients and the servers.
+	ownDescriptors = 6000
+	budget         = 1200 * time.Millisecond
 	// contactTime is contactMs.
 	contactTime = 3 * time.Second
 )
@@ -164,6 +167,10 @@
 // descriptors lets many users come at once, so that the process runs out of descriptors.
 // With lookUps, some of them ask where to connect meanwhile.
 func descriptors(g *ground, lookUps bool) (int, error) {
+	var own syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &own); err != nil || own.Cur < ownDescriptors {
+		return failed, fmt.Errorf("the stand-ins need %d descriptors and have %d: %w", ownDescriptors, own.Cur, err)
+	}
 	if err := g.startUsual(200 * time.Millisecond); err != nil {
 		return failed, err
 	}
@@ -200,7 +207,7 @@
 		return broken, nil
 	}
 	if !g.node.running() {
-		return broken, nil
+		return held, nil
 	}
 	return g.checkNew(w)
 }
