relayer: a health check names its upstream and can't run as a request

A health check carried a request ID but not the upstream that it was for. An upstream whose own health checks have another path took it for a request with an ID and ran it; the ID of the answering upstream was compared only after that.

Change: a health check names its upstream and has no request ID. Either is enough: another upstream answers 421, and one that ignores the name refuses a request without an ID as not run. A refusal without an identity says nothing. All other messages to upstreams are encoded in one place, which names the upstream on first sends, retries, hedges, early starts and reused connections; beacons and questions between instances change nothing at whoever gets them.

--- a/core/dispatcher/feedback.go
+++ b/core/dispatcher/feedback.go
@@ -62,7 +62,7 @@
 		// of a fault, but many of them are.
 		u.observe(now, 0, true)
 	case Unreachable, DialTimeout:
-		u.markUnreachable(now)
+		u.MarkUnreachable(now)
 		u.observe(now, 0, true)
 	case PauseRequested:
 		// The upstream has said how long the pause lasts, so nothing is estimated.
--- a/core/dispatcher/upstream.go
+++ b/core/dispatcher/upstream.go
@@ -268,8 +268,8 @@
 	}
 }
 
-// markUnreachable avoids the upstream with exponential backoff.
-func (u *Upstream) markUnreachable(now int64) {
+// MarkUnreachable avoids the upstream with exponential backoff.
+func (u *Upstream) MarkUnreachable(now int64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if now < u.downUntil {
@@ -281,6 +281,14 @@
 	u.warm = recentKeys{}
 }
 
+// Unreachable reports whether the upstream is being avoided because it could not be
+// reached.
+func (u *Upstream) Unreachable(now int64) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return now < u.downUntil
+}
+
 // recentKeys is a set of the keys that an upstream has run recently, in two
 // generations of up to recentKeysSize keys.
 type recentKeys struct{ current, previous map[uint64]struct{} }
--- a/hornbeamd/relayer/harness_test.go
+++ b/hornbeamd/relayer/harness_test.go
@@ -39,7 +39,9 @@
 	h.Set("Expect", upstream)
 }
 
-func (testCodec) WriteProbe(h *fasthttp.RequestHeader, id string) { h.Set("Id", id) }
+func (testCodec) WriteProbe(h *fasthttp.RequestHeader, upstream string) {
+	h.Set("Expect", upstream)
+}
 
 func (testCodec) ReadResponse(h *fasthttp.ResponseHeader) ResponseInfo {
 	pause, err := strconv.Atoi(string(h.Peek("Pause")))
--- a/hornbeamd/relayer/probe.go
+++ b/hornbeamd/relayer/probe.go
@@ -1,10 +1,8 @@
 package relayer
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
-	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -20,9 +18,18 @@
 	maxProbeBytes = 16 << 10
 )
 
-var errNotProbed = errors.New("health check of another upstream or request")
+var (
+	// errUnidentified means that it is unknown who has answered a health check.
+	errUnidentified = errors.New("response to another request, or a refusal without the ID of an upstream")
+	// errGone means that another upstream has the address now.
+	errGone = errors.New("upstream is not at its address any more")
+)
 
-// Probe sends a health check to an upstream and returns how long it stays cold.
+// Probe sends a health check to an upstream and returns how long it stays cold. The
+// check names the upstream but has no request ID, so no upstream runs it as a request:
+// the address may belong to an upstream of another service, whose health checks have
+// another path. An answer of another upstream says nothing but that the expected one has
+// left, which is then avoided like an unreachable one.
 func (r *Relayer) Probe(u *dispatcher.Upstream, path string) (coldLeft time.Duration, err error) {
 	defer func() {
 		if err != nil {
@@ -46,13 +53,12 @@
 	if err = conn.SetDeadline(time.Now().Add(probeTimeout)); err != nil {
 		return 0, err
 	}
-	id := "probe-" + strconv.FormatUint(r.probes.Add(1), 10)
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI(path)
 	request.Header.SetHost(u.Address)
-	r.cfg.HeaderCodec.WriteProbe(&request.Header, id)
+	r.cfg.HeaderCodec.WriteProbe(&request.Header, u.ID)
 	if _, err = request.WriteTo(conn); err != nil {
 		return 0, err
 	}
@@ -60,11 +66,29 @@
 		return 0, err
 	}
 	info := r.cfg.HeaderCodec.ReadResponse(&response.Header)
-	// A response to an earlier request on the connection, or of another upstream that has
-	// the address now, says nothing.
-	if len(info.RequestID) > 0 && !bytes.Equal(info.RequestID, []byte(id)) || string(info.UpstreamID) != u.ID {
-		return 0, errNotProbed
+	if err = checkProbed(u.ID, response.StatusCode(), info); err != nil {
+		if errors.Is(err, errGone) {
+			u.MarkUnreachable(r.cfg.Now())
+		}
+		return 0, err
 	}
 	reusable = conn.Reader.Buffered() == 0 && !response.ConnectionClose()
 	return info.ColdLeft, nil
 }
+
+// checkProbed returns an error unless a response to a health check is the upstream's.
+func checkProbed(upstream string, status int, info ResponseInfo) error {
+	switch {
+	case status == fasthttp.StatusMisdirectedRequest:
+		return errGone
+	case len(info.RequestID) > 0:
+		// A late response to an earlier request on the connection.
+		return errUnidentified
+	case string(info.UpstreamID) == upstream:
+		return nil
+	case info.NotRun && len(info.UpstreamID) == 0:
+		// The queue of whoever has the address is full.
+		return errUnidentified
+	}
+	return errGone
+}
--- a/hornbeamd/relayer/probe_test.go
+++ b/hornbeamd/relayer/probe_test.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -8,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"hornbeamstream.example/core/steerer"
 )
 
 // TestProbe checks what a health check tells, and that a connection on which it has failed
@@ -41,6 +44,13 @@
 		}, 0, false, 2},
 		{"closes", answer("Upstream: u1\r\nCold: 7\r\nConnection: close\r\n"), 7 * time.Millisecond, true, 2},
 		{"says nothing", answer(""), 0, false, 2},
+		{"misdirected", func(s *upstreamStub, c net.Conn, r *http.Request, body string) {
+			if r.Header.Get("Expect") != "u1" || r.RequestURI == "/health" {
+				_, _ = fmt.Fprint(c, "HTTP/1.1 421 X\r\nUpstream: u2\r\nCold: 9\r\nContent-Length: 0\r\n\r\n")
+				return
+			}
+			respondOK(s, c, r, body)
+		}, 0, false, 2},
 		{"is silent", func(s *upstreamStub, c net.Conn, r *http.Request, body string) {
 			if r.RequestURI == "/health" {
 				time.Sleep(probeTimeout + 500*time.Millisecond)
@@ -62,3 +72,29 @@
 		})
 	}
 }
+
+// TestProbeRunsNowhere guards against a health check that runs as a request. While the store
+// is down, the address of an upstream that has ended may go to another service's upstream,
+// whose health checks have another path and which runs each request that has an ID.
+func TestProbeRunsNowhere(t *testing.T) {
+	is := is.New(t)
+	stub := startStub(t, "u2", func(s *upstreamStub, c net.Conn, r *http.Request, body string) {
+		switch expected := r.Header.Get("Expect"); {
+		case expected != "" && expected != s.id:
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 421 X\r\nUpstream: %s\r\nContent-Length: 0\r\n\r\n", s.id)
+		case r.Header.Get("Id") == "":
+			_, _ = fmt.Fprint(c, "HTTP/1.1 400 X\r\nNotrun: 1\r\nContent-Length: 0\r\n\r\n")
+		default:
+			respondOK(s, c, r, body)
+		}
+	})
+	h := startHarness(t, stub)
+	// The registration is that of the upstream which had the address before.
+	h.publish(func(v *steerer.View) { v.Upstreams[0].ID = "u1" })
+	u := h.tables.Load().Pool("s").Upstreams[0]
+	_, err := h.relayer.Probe(u, "/health")
+	is.True(errors.Is(err, errGone))
+	is.True(u.Unreachable(h.now()))
+	is.Equal(stub.runCount(), 0)
+	is.True(stub.seen[0].Header.Get("Expect") == "u1" && stub.seen[0].Header.Get("Id") == "")
+}
--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -64,8 +64,9 @@
 	// WriteRequest sets the header fields that address one incarnation of an
 	// upstream and give it the remaining time.
 	WriteRequest(h *fasthttp.RequestHeader, upstream string, remaining time.Duration)
-	// WriteProbe sets the header fields of a health check with the given ID.
-	WriteProbe(h *fasthttp.RequestHeader, id string)
+	// WriteProbe sets the header fields that address a health check to one incarnation
+	// of an upstream. It must not set a request ID.
+	WriteProbe(h *fasthttp.RequestHeader, upstream string)
 	// ReadResponse returns the data of a response header. The result refers to
 	// h.
 	ReadResponse(h *fasthttp.ResponseHeader) ResponseInfo
@@ -139,8 +140,6 @@
 	callerConns           connTracker
 	byteBudget            byteBudget
 	crashes               detector.Detector[*dispatcher.Upstream]
-	// probes counts health checks.
-	probes atomic.Uint64
 }
 
 const (
--- a/hornbeamd/runner/probe.go
+++ b/hornbeamd/runner/probe.go
@@ -12,7 +12,7 @@
 	table := r.table.Load()
 	for _, i := range x.Upstreams {
 		u := r.tableBuilder.Upstream(i)
-		if u == nil || u.Closed() {
+		if u == nil || u.Closed() || u.Unreachable(r.now()) {
 			continue
 		}
 		if pool := table.Pool(u.Service); pool != nil && pool.HealthPath != "" {
--- a/hornbeamd/runner/runner_test.go
+++ b/hornbeamd/runner/runner_test.go
@@ -162,7 +162,9 @@
 	return relayer.RequestInfo{ID: h.Peek("Id")}
 }
 func (plainDialect) WriteRequest(*fasthttp.RequestHeader, string, time.Duration) {}
-func (plainDialect) WriteProbe(h *fasthttp.RequestHeader, id string)             { h.Set("Id", id) }
+func (plainDialect) WriteProbe(h *fasthttp.RequestHeader, upstream string) {
+	h.Set("Expect", upstream)
+}
 
 func (plainDialect) ReadResponse(h *fasthttp.ResponseHeader) relayer.ResponseInfo {
 	cold, err := strconv.Atoi(string(h.Peek("Cold")))
