--- a/hornbeamd/runner/runner_test.go
+++ b/hornbeamd/runner/runner_test.go
@@ -163,7 +163,7 @@
 }
 func (plainDialect) WriteRequest(*fasthttp.RequestHeader, string, time.Duration) {}
 func (plainDialect) WriteProbe(h *fasthttp.RequestHeader, upstream string) {
-	h.Set("Expect", upstream)
+	h.Set("Expected", upstream)
 }
 
 func (plainDialect) ReadResponse(h *fasthttp.ResponseHeader) relayer.ResponseInfo {
