relayer: bounds on the memory, connections and descriptors that callers can use

Callers saw: the process ended with all their requests.

Cause: each connection may hold a body of the largest size, which was read whole by the HTTP server, in a buffer of twice its size, and copied for each send; nothing counted them. Nothing bounded the callers' connections below the limit of descriptors; accepting failed for good (front address) or ended the process (look-ups) on the first EMFILE. Bytes of responses that arrive after their connection has closed were never released.

Change: one counter for the bytes of requests and responses, from the first byte, in a share of the machine's memory. Bodies are received in segments by the handler, passed on without a copy, and dropped in favor of others while they have not been passed on: stalled ones first, then idle connections, then the largest. A body over the limit is refused from its header, a stalled one after 10 s. What a connection holds is swapped out once, whichever path comes first. Bounds on callers' connections and on those for look-ups; a shortage of descriptors delays accepting. The old tests of the response budget hold; one waits now until the response has been written, because small responses are counted too.

The tests fix memory and descriptors, no times.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 DEPLOY ?= kasa
 FUZZTIME ?= 5s
 
-.PHONY: all build test unit lint format bench fuzz demo generate ablations
+.PHONY: all build test unit crowd lint format bench fuzz demo generate ablations
 
 all: build
 
@@ -15,7 +15,7 @@
 	go build -o bin/ ./hornbeamd ./hornctl ./hornbench
 	$(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)
 
-test: lint unit
+test: lint unit crowd
 
 # The tests that KNOWN-RED.txt names are left out; the file is printed.
 RED := $(shell sed -n 's/^test: *\([A-Za-z0-9_]*\)$$/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd '|')
@@ -25,6 +25,11 @@
 	@if [ -e KNOWN-RED.txt ]; then cat KNOWN-RED.txt; fi
 	go test -race -timeout 9m $(if $(RED),-skip '^($(RED))$$') $(PACKAGES)
 
+# These tests start processes and bound their memory, so each runs alone.
+crowd:
+	go vet -tags crowd ./platform
+	go test -tags crowd -count 1 -p 1 -timeout 9m $(if $(RED),-skip '^($(RED))$$') -run '^TestCrowd' ./platform
+
 lint:
 	@cd tools && GOWORK=off go build -o ../bin/ mvdan.cc/gofumpt github.com/mgechev/revive
 	@unformatted="$$(bin/gofumpt -l $(SOURCES))"; \
--- a/core/loader/tuning.go
+++ b/core/loader/tuning.go
@@ -23,11 +23,15 @@
 	// same for requests that must not run twice.
 	ReuseSeconds       float64 `yaml:"reuse"`
 	UnsafeReuseSeconds float64 `yaml:"proven"`
+	// StallSeconds is the longest time between two bytes of a request's body, MinPace
+	// the least number of its bytes per second, from 5 s after its start on.
+	StallSeconds float64 `yaml:"stall"`
+	MinPace      int     `yaml:"pace"`
 }
 
 // DefaultTuning returns the settings that apply without a file.
 func DefaultTuning() Tuning {
-	return Tuning{MetricsPort: 9464, LogLinesPerSecond: 200, DetailLinesPerSecond: 60, LookupTTLSeconds: 2, ReuseSeconds: 10, UnsafeReuseSeconds: 4}
+	return Tuning{MetricsPort: 9464, LogLinesPerSecond: 200, DetailLinesPerSecond: 60, LookupTTLSeconds: 2, ReuseSeconds: 10, UnsafeReuseSeconds: 4, StallSeconds: 10, MinPace: 1024}
 }
 
 // ParseTuning decodes the settings from YAML; name is the file name in errors.
@@ -72,6 +76,8 @@
 		{"lookup", t.LookupTTLSeconds, 0.5, 60, " seconds"},
 		{"reuse", t.ReuseSeconds, 0, 3600, " seconds"},
 		{"proven", t.UnsafeReuseSeconds, 0, 3600, " seconds"},
+		{"stall", t.StallSeconds, 0.1, 3600, " seconds"},
+		{"pace", float64(t.MinPace), 1, 1 << 30, " bytes a second"},
 	} {
 		if f.value < f.low || f.value > f.high {
 			report(f.key, "%g must be between %g and %g%s", f.value, f.low, f.high, f.unit)
--- a/hornbeamd/relayer/body.go
+++ b/hornbeamd/relayer/body.go
@@ -3,40 +3,9 @@
 import (
 	"errors"
 	"io"
-	"sync/atomic"
 )
 
-const (
-	// defaultMaxBufferedBytes is the default of Config.MaxBufferedBytes.
-	defaultMaxBufferedBytes = 64 << 20
-	// uncountedBytes is the part of each response body that is not counted, so
-	// that small responses still pass when large ones have used up the budget.
-	uncountedBytes = 64 << 10
-)
-
-var (
-	errBudgetExceeded   = errors.New("too many response bytes buffered")
-	errResponseTooLarge = errors.New("response body too large")
-)
-
-// byteBudget limits the bytes of response bodies that are buffered at the same
-// time.
-type byteBudget struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// reserve adds n bytes to the bytes in use. It reports whether they are within
-// the limit; otherwise nothing is reserved.
-func (b *byteBudget) reserve(n int64) bool {
-	if b.used.Add(n) <= b.limit {
-		return true
-	}
-	b.used.Add(-n)
-	return false
-}
-
-func (b *byteBudget) release(n int64) { b.used.Add(-n) }
+var errResponseTooLarge = errors.New("response body too large")
 
 // body is a response body that is being read.
 type body struct {
@@ -44,6 +13,8 @@
 	data       []byte
 	// reserved is the number of bytes reserved from byteBudget.
 	reserved int64
+	// maxSize is the largest size that the buffer needs.
+	maxSize int
 }
 
 // read reads r until EOF. The size is the length of the body, or negative if
@@ -53,7 +24,14 @@
 	if size > maxResponseBytes {
 		return errResponseTooLarge
 	}
-	b.data = make([]byte, 0, min(max(size, 512)+1, uncountedBytes))
+	b.maxSize = maxResponseBytes
+	if size >= 0 {
+		// One more byte, so that the last read finds the end.
+		b.maxSize = size + 1
+	}
+	if err := b.resize(min(max(size, 512)+1, smallBytes)); err != nil {
+		return err
+	}
 	for {
 		if len(b.data) == cap(b.data) {
 			if err := b.grow(); err != nil {
@@ -74,19 +52,22 @@
 	}
 }
 
-// grow doubles the capacity.
+// grow doubles the capacity, but not beyond the announced size.
 func (b *body) grow() error {
 	size := cap(b.data)
 	if size >= maxResponseBytes {
 		return errResponseTooLarge
 	}
-	if counted := int64(2*size - uncountedBytes); counted > b.reserved {
-		if !b.byteBudget.reserve(counted - b.reserved) {
-			return errBudgetExceeded
-		}
-		b.reserved = counted
+	return b.resize(max(min(2*size, b.maxSize), size+1))
+}
+
+// resize reserves memory for the given capacity and sets it.
+func (b *body) resize(size int) error {
+	if !b.byteBudget.reserve(int64(size)-b.reserved, int64(size), nil) {
+		return errBudgetExceeded
 	}
-	b.data = append(make([]byte, 0, 2*size), b.data...)
+	b.reserved = int64(size)
+	b.data = append(make([]byte, 0, size), b.data...)
 	return nil
 }
 
--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -41,6 +41,7 @@
 	pool        *dispatcher.Pool
 	req         dispatcher.Request
 	id          []byte
+	body        requestBody
 	affinityKey []byte
 	// caller identifies the caller as far as the request's header does.
 	caller []byte
@@ -49,9 +50,8 @@
 	start     int64
 	deadline  int64
 	isHead    bool
-	// pipelined reports whether the request is relayed before its turn on the
-	// connection.
-	pipelined bool
+	// pipelined is set if the request is relayed before its turn on the connection.
+	pipelined *pipelined
 	// runs counts the exchanges that may have run the request, delivered those
 	// that may have reached an upstream, and sends all of them.
 	runs, delivered, sends int
@@ -88,7 +88,18 @@
 // is set, c is that connection.
 func (r *Relayer) handleTurn(ctx *fasthttp.RequestCtx, c *conn, isConn bool) {
 	if !isConn {
-		r.serve(ctx, false)
+		c = nil
+	}
+	start := r.cfg.Now()
+	body, err := r.receiveBody(ctx, c)
+	if err != nil {
+		failed := r.newCall(ctx, nil, start)
+		failed.id = r.cfg.HeaderCodec.ReadRequest(&ctx.Request.Header).ID
+		r.rejectBody(failed, err)
+		return
+	}
+	if !isConn {
+		r.serve(ctx, nil, body, start)
 		return
 	}
 	if !c.beginRequest() {
@@ -96,18 +107,24 @@
 		ctx.Response.SetConnectionClose()
 		return
 	}
-	if p := c.takePipelined(&ctx.Request.Header); p != nil {
+	if p := c.takePipelined(&r.byteBudget, &ctx.Request.Header); p != nil {
 		r.awaitPipelined(ctx, c, p)
 		return
 	}
 	r.startPipelined(ctx)
-	r.serve(ctx, false)
+	r.serve(ctx, nil, body, start)
+}
+
+// newCall returns the call for a request whose header arrived at the given time.
+func (r *Relayer) newCall(ctx *fasthttp.RequestCtx, p *pipelined, start int64) *call {
+	return &call{ctx: ctx, pipelined: p, start: start, codec: r.cfg.HeaderCodec, table: r.cfg.Tables.Load(), isHead: ctx.IsHead()}
 }
 
-// serve routes a request and responds to it. If pipelined is set, its turn on
-// the connection has not come yet.
-func (r *Relayer) serve(ctx *fasthttp.RequestCtx, pipelined bool) {
-	c := &call{ctx: ctx, pipelined: pipelined, start: r.cfg.Now(), codec: r.cfg.HeaderCodec, table: r.cfg.Tables.Load(), isHead: ctx.IsHead()}
+// serve routes a request and responds to it. If p is set, its turn on the connection has not
+// come yet. Start is when its header arrived.
+func (r *Relayer) serve(ctx *fasthttp.RequestCtx, p *pipelined, body requestBody, start int64) {
+	c := r.newCall(ctx, p, start)
+	c.body = body
 	defer func() {
 		if cause := recover(); cause != nil {
 			r.failAfterPanic(c, cause)
@@ -141,7 +158,7 @@
 	switch {
 	case !c.table.HasConfig():
 		return "starting"
-	case c.table.View.Stale, r.cfg.Heartbeat != nil && c.start-r.cfg.Heartbeat.Load() > int64(maxHeartbeatAge):
+	case c.table.View.Stale, r.cfg.Heartbeat != nil && r.cfg.Now()-r.cfg.Heartbeat.Load() > int64(maxHeartbeatAge):
 		return "stale"
 	}
 	return ""
@@ -433,7 +450,7 @@
 func (c *call) callerClosed() bool {
 	conn, ok := c.ctx.Conn().(*conn)
 	switch {
-	case ok && c.pipelined:
+	case ok && c.pipelined != nil:
 		// Only the goroutine of the request whose turn it is may read the
 		// connection.
 		return conn.peerClosed.Load()
--- a/hornbeamd/relayer/conn.go
+++ b/hornbeamd/relayer/conn.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"hornbeamstream.example/hornbeamd/acceptor"
 )
 
 const (
@@ -19,12 +21,17 @@
 	maxLingerBytes = 256 << 10
 )
 
-// listener wraps accepted TCP connections in conn.
-type listener struct{ net.Listener }
+// listener wraps accepted TCP connections in conn and tracks them.
+type listener struct {
+	net.Listener
+	tracker *connTracker
+}
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. A shortage of descriptors, or too many open connections,
+// delay it.
 func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	l.tracker.awaitRoom()
+	c, err := acceptor.Accept(l.Listener, l.tracker.onShortage)
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
 		return c, err
@@ -34,9 +41,25 @@
 		_ = tcp.Close()
 		return nil, rawErr
 	}
-	return &conn{TCPConn: tcp, raw: raw}, err
+	accepted := &conn{TCPConn: tcp, raw: raw, tracker: l.tracker}
+	l.tracker.add(accepted)
+	return accepted, err
 }
 
+// phase is what a caller's connection is used for.
+type phase uint8
+
+const (
+	// receiving means that a request is awaited on a new connection, or is arriving.
+	receiving phase = iota
+	// idle means that the next request is awaited.
+	idle
+	// serving means that a request has been received and is in progress.
+	serving
+	// ended means that the connection was closed in favor of others, or as idle.
+	ended
+)
+
 // conn is a caller's connection. It enforces the header timeout of the current
 // configuration, which fasthttp.Server does not know. Only the goroutine that
 // serves the connection uses it, except for closeIdle.
@@ -63,40 +86,100 @@
 	// peerClosed reports whether the caller has closed the connection.
 	peerClosed atomic.Bool
 
-	mu sync.Mutex
-	// inRequest reports whether a request is in progress, closedIdle whether the
-	// connection was closed while idle.
-	inRequest, closedIdle bool
-	// held is the number of reserved bytes of responses being written to this
-	// connection.
-	held int64
+	tracker *connTracker
+	// progressAt is when the connection became idle or the last byte of a request was
+	// received.
+	progressAt atomic.Int64
+	// held is the number of bytes reserved for the request in progress and its
+	// response. closed reports that they are no longer needed.
+	held   atomic.Int64
+	closed atomic.Bool
+	once   sync.Once
+
+	mu    sync.Mutex
+	phase phase
 }
 
-// beginRequest marks a request as in progress. It reports false if the
-// connection was closed as idle after the request had been read.
+// beginRequest marks the received request as in progress. It reports false if the
+// connection was closed in favor of others.
 func (c *conn) beginRequest() bool {
 	c.headerRead = false
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inRequest = !c.closedIdle
-	return c.inRequest
+	if c.phase == ended {
+		return false
+	}
+	c.phase = serving
+	return true
 }
 
-// addHeld adds reserved bytes of a response that is written to this connection.
-func (c *conn) addHeld(bytes int64) {
+// setPhase sets what the connection is used for, unless it has ended.
+func (c *conn) setPhase(p phase, now int64) {
+	c.progressAt.Store(now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.held += bytes
+	if c.phase != ended {
+		c.phase = p
+	}
 }
 
-// endRequest marks the request as finished. It returns the reserved bytes of
-// its response.
-func (c *conn) endRequest() (held int64) {
+// evicted reports whether the connection was closed in favor of others.
+func (c *conn) evicted() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inRequest = false
-	held, c.held = c.held, 0
-	return held
+	return c.phase == ended
+}
+
+// hold adds reserved bytes to those of the request in progress. They are released with the
+// others, or at once if the connection has ended. It reports whether it has not.
+func (c *conn) hold(b *byteBudget, bytes int64) bool {
+	c.held.Add(bytes)
+	if c.closed.Load() {
+		c.releaseHeld(b)
+		return false
+	}
+	return true
+}
+
+// releaseHeld releases the bytes of the request in progress.
+func (c *conn) releaseHeld(b *byteBudget) { b.release(c.held.Swap(0)) }
+
+// candidate returns the connection's state for the choice of one to close. It reports false
+// if the connection must not be closed.
+func (c *conn) candidate(now int64) (evictionCandidate, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := evictionCandidate{idle: c.phase == idle, quiet: time.Duration(now - c.progressAt.Load()), held: c.held.Load()}
+	return e, c.phase == idle || c.phase == receiving
+}
+
+// evict ends a connection on which no request is in progress at an upstream. It reports
+// whether it did. A request that is being received is answered if answer is set.
+func (c *conn) evict(b *byteBudget, answer bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.phase == idle && (c.readAheadLen.Load() > 0 || c.hasUnread()), c.phase != idle && c.phase != receiving:
+		return false
+	case c.phase == idle || !answer:
+		_ = c.TCPConn.Close()
+	default:
+		_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
+	}
+	c.phase = ended
+	c.closed.Store(true)
+	c.releaseHeld(b)
+	return true
+}
+
+// extendReadDeadline gives the caller time for further bytes.
+func (c *conn) extendReadDeadline(d time.Duration) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == ended {
+		return errEvicted
+	}
+	return c.TCPConn.SetReadDeadline(time.Now().Add(d))
 }
 
 // setHeaderDeadline sets the deadline for the rest of a header if one is
@@ -198,10 +281,10 @@
 func (c *conn) closeIdle() (done bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.inRequest || c.readAheadLen.Load() > 0 || c.hasUnread() {
+	if c.phase == serving || c.readAheadLen.Load() > 0 || c.hasUnread() {
 		return false
 	}
-	c.closedIdle = true
+	c.phase = ended
 	_ = c.TCPConn.Close()
 	return true
 }
@@ -213,12 +296,19 @@
 func (c *conn) Close() error {
 	c.peerClosed.Store(true)
 	if !c.hasUnread() || c.CloseWrite() != nil {
-		return c.TCPConn.Close()
+		return c.closeTCP()
 	}
 	_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTimeout))
 	go func() {
 		_, _ = io.CopyN(io.Discard, c.TCPConn, maxLingerBytes)
-		_ = c.TCPConn.Close()
+		_ = c.closeTCP()
 	}()
 	return nil
 }
+
+// closeTCP closes the connection and makes room for another one.
+func (c *conn) closeTCP() error {
+	err := c.TCPConn.Close()
+	c.once.Do(func() { c.tracker.remove(c) })
+	return err
+}
--- a/hornbeamd/relayer/conn_test.go
+++ b/hornbeamd/relayer/conn_test.go
@@ -17,6 +17,10 @@
 	"hornbeamstream.example/core/steerer"
 )
 
+func testTracker() *connTracker {
+	return &connTracker{now: func() int64 { return 1 }}
+}
+
 // TestCloseIdleKeepsConnWithUnreadRequest closes the idle connections when a
 // request has arrived on one of them but has not been read yet.
 func TestCloseIdleKeepsConnWithUnreadRequest(t *testing.T) {
@@ -27,11 +31,11 @@
 	open := func() (caller, server net.Conn) {
 		caller, err := net.Dial("tcp", ln.Addr().String())
 		is.NoErr(err)
-		server, err = listener{ln}.Accept()
+		server, err = listener{ln, testTracker()}.Accept()
 		is.NoErr(err)
 		return caller, server
 	}
-	tracker := &connTracker{now: func() int64 { return 1 }}
+	tracker := testTracker()
 	busyCaller, busyServer := open()
 	idleCaller, idleServer := open()
 	for _, c := range []net.Conn{busyServer, idleServer} {
@@ -62,7 +66,7 @@
 	caller, err := net.Dial("tcp", ln.Addr().String())
 	is.NoErr(err)
 	defer func() { _ = caller.Close() }()
-	server, err := listener{ln}.Accept()
+	server, err := listener{ln, testTracker()}.Accept()
 	is.NoErr(err)
 	h := startHarness(t, startStub(t, "u1", respondOK))
 	is.Equal(h.do("GET", "/once/x", "").status, 200) // leaves an idle connection to the upstream
@@ -85,7 +89,7 @@
 	defer func() { _ = ln.Close() }()
 	caller, err := net.Dial("tcp", ln.Addr().String())
 	is.NoErr(err)
-	server, err := listener{ln}.Accept()
+	server, err := listener{ln, testTracker()}.Accept()
 	is.NoErr(err)
 	_, err = fmt.Fprint(caller, "GET")
 	is.NoErr(err)
--- a/hornbeamd/relayer/conn_tracker.go
+++ b/hornbeamd/relayer/conn_tracker.go
@@ -8,15 +8,78 @@
 	"github.com/valyala/fasthttp"
 )
 
-// connTracker tracks which connections of callers are active, and since when
-// the others have been idle.
+// roomPollInterval is the time between two attempts to make room for a connection while a
+// request is in progress on each one.
+const roomPollInterval = 20 * time.Millisecond
+
+// connTracker tracks the callers' connections, which of them are active, and since when the
+// others have been idle.
 type connTracker struct {
-	now         func() int64
+	now func() int64
+	// limit is the number of open connections from which on others are closed or
+	// accepting is delayed; 0 for no limit.
+	limit int
+	// evict closes a connection in favor of a new one. It reports whether it did.
+	evict func() bool
+	// onShortage is called when a shortage of descriptors delays accepting.
+	onShortage func(error)
+
 	mu          sync.Mutex
+	open        map[*conn]struct{}
 	activeConns map[net.Conn]bool
 	idleSince   map[net.Conn]int64
 }
 
+// add adds an accepted connection.
+func (c *connTracker) add(nc *conn) {
+	nc.progressAt.Store(c.now())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open == nil {
+		c.open = map[*conn]struct{}{}
+	}
+	c.open[nc] = struct{}{}
+}
+
+// remove removes a connection that has been closed.
+func (c *connTracker) remove(nc *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, nc)
+}
+
+func (c *connTracker) openCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
+// awaitRoom waits until one more connection may be open.
+func (c *connTracker) awaitRoom() {
+	for c.limit > 0 && c.openCount() >= c.limit {
+		if c.evict == nil || !c.evict() {
+			time.Sleep(roomPollInterval)
+		}
+	}
+}
+
+// selectVictim returns the connection that precedes all others, nil if none may be closed.
+// Owner is left out.
+func (c *connTracker) selectVictim(owner *conn, precedes func(a, b evictionCandidate) bool, excluded map[*conn]bool) (victim *conn, best evictionCandidate) {
+	now := c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for nc := range c.open {
+		if nc == owner || excluded[nc] {
+			continue
+		}
+		if e, ok := nc.candidate(now); ok && (victim == nil || precedes(e, best)) {
+			victim, best = nc, e
+		}
+	}
+	return victim, best
+}
+
 func (c *connTracker) setConnState(nc net.Conn, s fasthttp.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/hornbeamd/relayer/digest.go
+++ b/hornbeamd/relayer/digest.go
@@ -14,11 +14,15 @@
 	}
 	in := &c.ctx.Request.Header
 	d := xxhash.New()
-	for _, part := range [...][]byte{in.Method(), in.Host(), in.RequestURI(), c.caller, c.affinityKey, c.ctx.Request.Body()} {
+	for _, part := range [...][]byte{in.Method(), in.Host(), in.RequestURI(), c.caller, c.affinityKey} {
 		// Write and WriteString of a Digest return no errors.
 		_, _ = d.Write(part)
 		_, _ = d.WriteString("\x00")
 	}
+	for _, s := range c.body.segments {
+		_, _ = d.Write(s)
+	}
+	_, _ = d.WriteString("\x00")
 	c.digestSum = quarantiner.Digest(d.Sum64() | 1)
 	return c.digestSum
 }
--- a/hornbeamd/relayer/exchange.go
+++ b/hornbeamd/relayer/exchange.go
@@ -158,19 +158,20 @@
 	if limited {
 		x.relayer.cfg.Metrics.LimitedSend(x.call.pool.Name, x.call.sends > 1)
 	}
-	encoded := x.call.encoded(x.target.ID, remaining)
+	header := x.call.encodedHeader(x.target.ID, remaining)
 	if err := x.conn.SetWriteDeadline(time.Now().Add(remaining)); err != nil {
 		return err
 	}
-	if len(encoded) <= pooler.MinSendBufferBytes {
-		n, err := x.conn.Write(encoded)
+	if len(header)+x.call.body.size <= pooler.MinSendBufferBytes {
+		n, err := x.conn.Write(x.call.body.appendTo(header))
 		x.sent = n > 0
 		return err
 	}
 	x.sent = true
 	x.writeDone = make(chan error, 1)
+	buffers := append(net.Buffers{header}, x.call.body.segments...)
 	go func(conn net.Conn) {
-		_, err := conn.Write(encoded)
+		_, err := buffers.WriteTo(conn)
 		x.writeDone <- err
 	}(x.conn.Conn)
 	return nil
--- a/hornbeamd/relayer/harness_test.go
+++ b/hornbeamd/relayer/harness_test.go
@@ -71,6 +71,7 @@
 func (noMetrics) Dialed(string)                             {}
 func (noMetrics) UpstreamSignal(string, string)             {}
 func (noMetrics) LimitedSend(string, bool)                  {}
+func (noMetrics) CallerEvicted(string)                      {}
 
 // upstreamStub is an upstream whose handler writes raw bytes, so that it can
 // violate the protocol. It records the requests that it has run.
@@ -180,11 +181,19 @@
 }
 
 func startHarness(t *testing.T, stubs ...*upstreamStub) *harness {
+	t.Helper()
+	return startHarnessWith(t, func(*Config) {}, stubs...)
+}
+
+// startHarnessWith starts a harness with other settings.
+func startHarnessWith(t *testing.T, edit func(*Config), stubs ...*upstreamStub) *harness {
 	t.Helper()
 	is := is.New(t)
 	h := &harness{began: time.Now(), stubs: stubs}
 	h.builder = dispatcher.Builder{Self: steerer.Instance{Name: "i", Domain: "a", Region: "r"}, Regions: map[string]string{"a": "r"}, Bounds: steerer.Bounds{ColdSlack: 5}}
-	h.relayer = New(Config{Tables: &h.tables, Quarantine: &h.quarantine, HeaderCodec: testCodec{}, Metrics: noMetrics{}, Log: logr.Discard(), Now: h.now, ReuseAge: 10 * time.Second, NonIdempotentReuseAge: 4 * time.Second})
+	cfg := Config{Tables: &h.tables, Quarantine: &h.quarantine, HeaderCodec: testCodec{}, Metrics: noMetrics{}, Log: logr.Discard(), Now: h.now, ReuseAge: 10 * time.Second, NonIdempotentReuseAge: 4 * time.Second}
+	edit(&cfg)
+	h.relayer = New(cfg)
 	h.publish()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
--- a/hornbeamd/relayer/pipeline.go
+++ b/hornbeamd/relayer/pipeline.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -41,6 +42,27 @@
 type pipelined struct {
 	ctx  *fasthttp.RequestCtx
 	done chan struct{}
+	// held is the number of bytes reserved for the response until its turn comes.
+	held atomic.Int64
+	// dropped reports that the turn of the response never comes.
+	dropped atomic.Bool
+}
+
+// hold adds reserved bytes of the response. They are released at once if its turn never comes.
+func (p *pipelined) hold(b *byteBudget, bytes int64) {
+	p.held.Add(bytes)
+	if p.dropped.Load() {
+		b.release(p.held.Swap(0))
+	}
+}
+
+// dropPipelined releases the bytes of the responses whose turn never comes.
+func (c *conn) dropPipelined(b *byteBudget) {
+	for _, p := range c.pipelined {
+		p.dropped.Store(true)
+		b.release(p.held.Swap(0))
+	}
+	c.pipelined = nil
 }
 
 // startPipelined starts the requests that follow the current one. It starts
@@ -66,7 +88,7 @@
 		c.pipelined = append(c.pipelined, p)
 		go func() {
 			defer close(p.done)
-			r.serve(p.ctx, true)
+			r.serve(p.ctx, p, requestBody{}, r.cfg.Now())
 		}()
 	}
 }
@@ -75,7 +97,7 @@
 // its response.
 func (r *Relayer) pollPipelined(c *call) {
 	caller, ok := c.ctx.Conn().(*conn)
-	if !ok || c.pipelined {
+	if !ok || c.pipelined != nil {
 		return
 	}
 	if caller.pollClosed() {
@@ -109,13 +131,14 @@
 // takePipelined returns the pipelined request with the given header, or nil. If
 // the first one does not match, fasthttp has split the headers differently and
 // all are dropped.
-func (c *conn) takePipelined(h *fasthttp.RequestHeader) *pipelined {
+func (c *conn) takePipelined(b *byteBudget, h *fasthttp.RequestHeader) *pipelined {
 	if len(c.pipelined) == 0 {
 		return nil
 	}
 	p := c.pipelined[0]
 	if !p.matches(h) {
-		c.boundaryLost, c.pipelined = true, nil
+		c.boundaryLost = true
+		c.dropPipelined(b)
 		return nil
 	}
 	c.pipelined = c.pipelined[1:]
@@ -141,7 +164,8 @@
 		r.startPipelined(ctx)
 		select {
 		case <-p.done:
-			p.ctx.Response.CopyTo(&ctx.Response)
+			passResponse(&ctx.Response, &p.ctx.Response)
+			c.hold(&r.byteBudget, p.held.Swap(0))
 			return
 		case <-poll.C:
 			if c.pollClosed() {
@@ -150,3 +174,10 @@
 		}
 	}
 }
+
+// passResponse passes a response on without copying its body.
+func passResponse(to, from *fasthttp.Response) {
+	from.Header.CopyTo(&to.Header)
+	to.SkipBody = from.SkipBody
+	to.SetBodyRaw(from.Body())
+}
--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -4,6 +4,7 @@
 package relayer
 
 import (
+	"cmp"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -89,6 +90,9 @@
 	// LimitedSend records a request sent to an upstream that limits its rate. Repeat
 	// reports whether it had been sent to an upstream before.
 	LimitedSend(service string, repeat bool)
+	// CallerEvicted records a caller's connection that was closed in favor of others:
+	// "bytes" or "connections" were short.
+	CallerEvicted(shortage string)
 }
 
 // Config holds the dependencies and settings of a Relayer.
@@ -118,9 +122,15 @@
 	OnRequestAnswered func(d quarantiner.Digest)
 	// Guard recovers panics.
 	Guard guarder.Recoverer
-	// MaxBufferedBytes limits the bytes of responses that are buffered at the
-	// same time, not counting a small part of each. 0 sets the default.
-	MaxBufferedBytes int64
+	// MaxHeldBytes limits the bytes of requests and responses that are held at the
+	// same time. 0 sets the default.
+	MaxHeldBytes int64
+	// MaxCallerConns limits the open connections of callers; 0 means no limit.
+	MaxCallerConns int
+	// BodyStallTimeout limits the time between two bytes of a request's body,
+	// MinBodyPace is the least number of its bytes per second. 0 sets the defaults.
+	BodyStallTimeout time.Duration
+	MinBodyPace      int
 	// ReuseAge is how long ago an upstream connection may last have been active
 	// to be reused, NonIdempotentReuseAge the same for non-idempotent requests.
 	ReuseAge, NonIdempotentReuseAge time.Duration
@@ -140,24 +150,31 @@
 	callerConns           connTracker
 	byteBudget            byteBudget
 	crashes               detector.Detector[*dispatcher.Upstream]
+	// shortageLoggedAt is when a shortage of connections was last logged.
+	shortageLoggedAt atomic.Int64
 }
 
 const (
 	// maxHeaderBytes limits the header of a request.
 	maxHeaderBytes = 20 << 10
-	// maxBodyBytes limits the body of a request.
+	// maxBodyBytes limits the body of a request if the configuration sets no limit.
 	maxBodyBytes = 64 << 20
 	// writeBufferBytes is the size of the buffer for responses.
 	writeBufferBytes = 8 << 10
 	// headerTimeout limits the wait for the first request on a new connection,
-	// and for a complete header if the configuration sets no limit. bodyTimeout
-	// limits the wait for the body, defaultIdleTimeout the wait for the next
-	// request if the configuration sets no limit, and writeTimeout the writing
-	// of a response.
+	// and for a complete header if the configuration sets no limit. bodyStartTimeout
+	// limits the wait for the first part of a body.
+	// defaultIdleTimeout limits the wait for the next request if the configuration
+	// sets no limit, and writeTimeout the writing of a response.
 	headerTimeout      = 10 * time.Second
-	bodyTimeout        = 30 * time.Second
+	bodyStartTimeout   = 2 * headerTimeout
 	defaultIdleTimeout = 120 * time.Second
 	writeTimeout       = 30 * time.Second
+	// defaultBodyStallTimeout and defaultMinBodyPace are the defaults of Config.
+	defaultBodyStallTimeout = 10 * time.Second
+	defaultMinBodyPace      = 1 << 10
+	// shortageLogInterval is the time between two log lines about the same shortage.
+	shortageLogInterval = time.Second
 )
 
 // New returns a Relayer.
@@ -168,7 +185,7 @@
 		ErrorHandler:                 writeParseError,
 		ReadBufferSize:               maxHeaderBytes,
 		WriteBufferSize:              writeBufferBytes,
-		MaxRequestBodySize:           maxBodyBytes,
+		StreamRequestBody:            true,
 		ReadTimeout:                  headerTimeout,
 		HeaderReceived:               r.requestConfig,
 		IdleTimeout:                  defaultIdleTimeout,
@@ -181,11 +198,10 @@
 		ConnState:                    r.setConnState,
 		Logger:                       discardLogger{},
 	}
-	r.callerConns.now = cfg.Now
-	r.byteBudget.limit = cfg.MaxBufferedBytes
-	if r.byteBudget.limit <= 0 {
-		r.byteBudget.limit = defaultMaxBufferedBytes
-	}
+	r.callerConns = connTracker{now: cfg.Now, limit: cfg.MaxCallerConns, evict: r.evictForConn, onShortage: r.logShortage}
+	r.byteBudget.limit, r.byteBudget.evict = cmp.Or(cfg.MaxHeldBytes, defaultMaxHeldBytes), r.evictForBytes
+	r.cfg.BodyStallTimeout = cmp.Or(cfg.BodyStallTimeout, defaultBodyStallTimeout)
+	r.cfg.MinBodyPace = cmp.Or(cfg.MinBodyPace, defaultMinBodyPace)
 	return r
 }
 
@@ -197,18 +213,80 @@
 	return steerer.Limits{}
 }
 
-// requestConfig returns the limits for the body of a request whose header has
-// arrived.
-func (r *Relayer) requestConfig(*fasthttp.RequestHeader) fasthttp.RequestConfig {
-	size := r.limits().BodyBytes
-	if size <= 0 {
-		size = maxBodyBytes
+// bodyTooLargeField marks a request whose announced body is too large. No caller can send a
+// field with this name, because it has spaces.
+const bodyTooLargeField = "body too large"
+
+// requestConfig returns the limits for the first part of the body of a request whose header
+// has arrived, which the server reads before it calls the handler. The handler reads the
+// rest. If the announced body is too large, the server reads nothing of it.
+func (r *Relayer) requestConfig(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	limit := r.maxBodyBytes()
+	if h.ContentLength() > limit {
+		h.SetContentLength(0)
+		h.Set(bodyTooLargeField, "1")
+	}
+	return fasthttp.RequestConfig{ReadTimeout: bodyStartTimeout, MaxRequestBodySize: limit}
+}
+
+// evictForBytes drops the body of a request that is being received, or closes an idle
+// connection. It reports whether it did. Owner is the connection of a body that needs more
+// memory; it keeps what it has unless it holds the most.
+func (r *Relayer) evictForBytes(owner *conn) bool {
+	victim, e := r.callerConns.selectVictim(owner, evictionCandidate.precedesForBytes, nil)
+	if victim == nil || e.rank() == 0 {
+		return false
+	}
+	if owner != nil {
+		own, _ := owner.candidate(r.cfg.Now())
+		own.quiet = 0
+		if own.precedesForBytes(e) {
+			return false
+		}
+	}
+	if victim.evict(&r.byteBudget, true) {
+		r.recordEviction("bytes")
+	}
+	return true
+}
+
+// evictForConn closes the connection of a caller in favor of a new one. It reports whether
+// it did.
+func (r *Relayer) evictForConn() bool {
+	busy := map[*conn]bool{}
+	for {
+		victim, _ := r.callerConns.selectVictim(nil, evictionCandidate.precedesForConns, busy)
+		if victim == nil {
+			return false
+		}
+		if victim.evict(&r.byteBudget, false) {
+			r.callerConns.remove(victim)
+			r.recordEviction("connections")
+			return true
+		}
+		// A request has just arrived on it.
+		busy[victim] = true
+	}
+}
+
+func (r *Relayer) recordEviction(shortage string) {
+	r.cfg.Metrics.CallerEvicted(shortage)
+	r.logShortageOf(shortage, "connections of callers are closed in favor of others")
+}
+
+// logShortage logs that accepting is delayed.
+func (r *Relayer) logShortage(err error) { r.logShortageOf("descriptors", err.Error()) }
+
+// logShortageOf logs a shortage, at most once in shortageLogInterval.
+func (r *Relayer) logShortageOf(what, cause string) {
+	now, last := r.cfg.Now(), r.shortageLoggedAt.Load()
+	if (last == 0 || now-last >= int64(shortageLogInterval)) && r.shortageLoggedAt.CompareAndSwap(last, now) {
+		r.cfg.Log.Info("shortage", "what", what, "cause", cause, "held", r.byteBudget.used.Load(), "connections", r.callerConns.openCount())
 	}
-	return fasthttp.RequestConfig{ReadTimeout: bodyTimeout, MaxRequestBodySize: size}
 }
 
 // Serve serves requests on the connections that ln accepts.
-func (r *Relayer) Serve(ln net.Listener) error { return r.http.Serve(listener{ln}) }
+func (r *Relayer) Serve(ln net.Listener) error { return r.http.Serve(listener{ln, &r.callerConns}) }
 
 // ActiveConns returns the number of connections with a request in progress. A
 // request is in progress until its whole response has been handed to the
@@ -277,8 +355,16 @@
 	if !ok {
 		return
 	}
-	if s == fasthttp.StateIdle || s == fasthttp.StateClosed {
-		r.byteBudget.release(caller.endRequest())
+	switch s {
+	case fasthttp.StateActive:
+		caller.setPhase(receiving, r.cfg.Now())
+	case fasthttp.StateIdle:
+		caller.releaseHeld(&r.byteBudget)
+		caller.setPhase(idle, r.cfg.Now())
+	case fasthttp.StateClosed:
+		caller.closed.Store(true)
+		caller.releaseHeld(&r.byteBudget)
+		caller.dropPipelined(&r.byteBudget)
 	}
 	caller.setHeaderDeadline(s == fasthttp.StateActive, r.limits().HeadTime)
 }
--- a/hornbeamd/relayer/request.go
+++ b/hornbeamd/relayer/request.go
@@ -10,14 +10,13 @@
 	"hornbeamstream.example/hornbeamd/trimmer"
 )
 
-// encoded returns the request in wire format for an upstream.
-func (c *call) encoded(upstream string, remaining time.Duration) []byte {
+// encodedHeader returns the request's header in wire format for an upstream.
+func (c *call) encodedHeader(upstream string, remaining time.Duration) []byte {
 	var h fasthttp.RequestHeader
 	in := &c.ctx.Request.Header
 	h.SetNoDefaultContentType(true)
 	c.codec.WriteRequest(&h, upstream, remaining)
-	body := c.ctx.Request.Body()
-	b := make([]byte, 0, 512+len(body))
+	b := make([]byte, 0, 512)
 	b = append(b, in.Method()...)
 	b = append(b, ' ')
 	b = append(b, in.RequestURI()...)
@@ -32,11 +31,10 @@
 	for k, v := range h.All() {
 		b = trimmer.AppendField(b, k, v)
 	}
-	if len(body) > 0 || len(in.Peek(fasthttp.HeaderContentLength)) > 0 || in.IsPost() || in.IsPut() || in.IsPatch() {
-		b = trimmer.AppendField(b, []byte(fasthttp.HeaderContentLength), strconv.AppendInt(nil, int64(len(body)), 10))
+	if c.body.size > 0 || len(in.Peek(fasthttp.HeaderContentLength)) > 0 || in.IsPost() || in.IsPut() || in.IsPatch() {
+		b = trimmer.AppendField(b, []byte(fasthttp.HeaderContentLength), strconv.AppendInt(nil, int64(c.body.size), 10))
 	}
-	b = append(b, "\r\n"...)
-	return append(b, body...)
+	return append(b, "\r\n"...)
 }
 
 // host returns the host of a request in lower case, without the port.
--- a/hornbeamd/relayer/response.go
+++ b/hornbeamd/relayer/response.go
@@ -87,11 +87,7 @@
 		out.SkipBody = true
 	} else {
 		out.SetBodyRaw(x.body.data)
-		if caller, ok := c.ctx.Conn().(*conn); ok {
-			caller.addHeld(x.body.reserved)
-		} else {
-			x.body.byteBudget.release(x.body.reserved)
-		}
+		c.hold(x.body.byteBudget, x.body.reserved)
 		x.body = body{}
 	}
 	switch c.last.status {
@@ -104,6 +100,19 @@
 	}
 }
 
+// hold keeps the reserved bytes of the response until it has been written.
+func (c *call) hold(b *byteBudget, bytes int64) {
+	caller, ok := c.ctx.Conn().(*conn)
+	switch {
+	case !ok:
+		b.release(bytes)
+	case c.pipelined != nil:
+		c.pipelined.hold(b, bytes)
+	default:
+		caller.hold(b, bytes)
+	}
+}
+
 // refuse responds that the request has not run, and when to retry it.
 func (c *call) refuse(o outcome) {
 	out := &c.ctx.Response
@@ -177,8 +186,6 @@
 	switch {
 	case errors.As(err, &smallBuffer):
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		status = fasthttp.StatusRequestEntityTooLarge
 	case errors.As(err, &timeout) && timeout.Timeout():
 		status = fasthttp.StatusRequestTimeout
 	}
--- a/hornbeamd/relayer/unending_test.go
+++ b/hornbeamd/relayer/unending_test.go
@@ -62,7 +62,7 @@
 				is.True(time.Since(began) < 10*routeTimeout)
 				is.Equal(h.runs(), 1)
 				is.Equal(h.do("POST", "/once/good", "").status, 200)
-				is.Equal(h.relayer.byteBudget.used.Load(), int64(0))
+				h.awaitReleased(is)
 			})
 		}
 	}
@@ -118,7 +118,7 @@
 // TestBodyReader reads bodies of various sizes in pieces.
 func TestBodyReader(t *testing.T) {
 	is := is.New(t)
-	for _, size := range []int{0, 1, 511, 512, 513, uncountedBytes - 1, uncountedBytes, uncountedBytes + 1, 300 << 10} {
+	for _, size := range []int{0, 1, 511, 512, 513, smallBytes - 1, smallBytes, smallBytes + 1, 300 << 10} {
 		for _, known := range []int{-1, size} {
 			b := &body{byteBudget: &byteBudget{limit: 1 << 20}}
 			data := bytes.Repeat([]byte("abcde"), size/5+1)[:size]
--- a/hornbeamd/runner/metrics.go
+++ b/hornbeamd/runner/metrics.go
@@ -23,6 +23,7 @@
 	dials            *prometheus.CounterVec
 	upstreamRequests *prometheus.CounterVec
 	limitedSends     *prometheus.CounterVec
+	evictions        *prometheus.CounterVec
 	changes          *prometheus.CounterVec
 	storeCalls       *prometheus.CounterVec
 	panics           *prometheus.CounterVec
@@ -61,6 +62,9 @@
 		limitedSends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "horn_limited_sends_total", Help: "Requests sent to upstreams that limit their rate, first sends and repeats.",
 		}, []string{"service", "send"}),
+		evictions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "horn_callers_evicted_total", Help: "Connections of callers closed in favor of others, by what was short.",
+		}, []string{"short"}),
 		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "horn_changes_total", Help: "Changes of what the instance believes.",
 		}, []string{"what"}),
@@ -72,7 +76,7 @@
 		}, []string{"what"}),
 		labeledRoutes: map[string]bool{},
 	}
-	registry.MustRegister(m.requests, m.latency, m.sends, m.dials, m.upstreamRequests, m.limitedSends, m.changes, m.storeCalls, m.panics)
+	registry.MustRegister(m.requests, m.latency, m.sends, m.dials, m.upstreamRequests, m.limitedSends, m.evictions, m.changes, m.storeCalls, m.panics)
 	if dropped != nil {
 		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "horn_log_lines_dropped_total", Help: "Log lines dropped because of the bound on their rate.",
@@ -150,6 +154,9 @@
 	m.limitedSends.WithLabelValues(service, send).Inc()
 }
 
+// CallerEvicted implements relayer.Metrics.
+func (m *metrics) CallerEvicted(shortage string) { m.evictions.WithLabelValues(shortage).Inc() }
+
 // instrument returns a Store that counts its calls, and registers the gauge of the time
 // since the store's last answer.
 func (m *metrics) instrument(registry *prometheus.Registry, s Store, now func() int64) instrumentedStore {
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -21,6 +21,7 @@
 	"hornbeamstream.example/core/quarantiner"
 	"hornbeamstream.example/core/recorder"
 	"hornbeamstream.example/core/steerer"
+	"hornbeamstream.example/hornbeamd/acceptor"
 	"hornbeamstream.example/hornbeamd/exporter"
 	"hornbeamstream.example/hornbeamd/guarder"
 	"hornbeamstream.example/hornbeamd/relayer"
@@ -65,9 +66,15 @@
 	ReuseWindow, NonIdempotentReuseWindow time.Duration
 	// Clock is the clock of all parts of the instance.
 	Clock Clock
-	// MaxResponseMemory bounds the bytes of buffered responses; 0 means the
-	// default of relayer.Config.
-	MaxResponseMemory int64
+	// MaxHeldBytes bounds the bytes that are held for callers and upstreams,
+	// BodyStallTimeout the time between two bytes of a request's body, and MinBodyPace
+	// its bytes per second from below; 0 means the defaults of relayer.Config.
+	MaxHeldBytes     int64
+	BodyStallTimeout time.Duration
+	MinBodyPace      int
+	// MaxCallerConns bounds the open connections of callers, MaxLookupConns those to
+	// each address for look-ups and operators; 0 means no bound.
+	MaxCallerConns, MaxLookupConns int
 	// DroppedLogLines returns the number of dropped log lines.
 	DroppedLogLines func() uint64
 }
@@ -130,7 +137,8 @@
 		Tables: &r.table, Quarantine: &r.quarantine, HeaderCodec: cfg.Dialect, Metrics: r.metrics, Log: cfg.Log, Now: r.now,
 		OnUpstreamLeaving: r.upstreamLeaving, OnUpstreamLimited: r.upstreamLimited,
 		OnUpstreamCrashed: r.upstreamCrashed, OnRequestAnswered: r.requestAnswered,
-		ReuseAge: cfg.ReuseWindow, NonIdempotentReuseAge: cfg.NonIdempotentReuseWindow, Guard: r.recoverer, MaxBufferedBytes: cfg.MaxResponseMemory, Heartbeat: &r.lastControl,
+		ReuseAge: cfg.ReuseWindow, NonIdempotentReuseAge: cfg.NonIdempotentReuseWindow, Guard: r.recoverer, MaxHeldBytes: cfg.MaxHeldBytes,
+		MaxCallerConns: cfg.MaxCallerConns, BodyStallTimeout: cfg.BodyStallTimeout, MinBodyPace: cfg.MinBodyPace, Heartbeat: &r.lastControl,
 	})
 	r.relay = newRelay(r)
 	r.watchers = map[steerer.Kind]*watcher.Watcher{}
@@ -239,8 +247,11 @@
 		if err != nil {
 			return nil, err
 		}
-		s := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true, IdleTimeout: time.Minute}
-		group.Go(func() error { return s.Serve(ln) })
+		s := &fasthttp.Server{
+			Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true, DisablePreParseMultipartForm: true,
+			IdleTimeout: time.Minute, ReadTimeout: lookupTimeout, WriteTimeout: lookupTimeout, MaxRequestBodySize: maxLookupBytes,
+		}
+		group.Go(func() error { return s.Serve(r.bounded(ln)) })
 	}
 	if r.cfg.AdminAddress == "" {
 		return front, nil
@@ -252,10 +263,24 @@
 		return front, nil
 	}
 	admin := exporter.Admin{Registry: r.registry, Timeline: r.timeline, Status: r.status, Ready: func() bool { return r.currentView().Ready }}
-	group.Go(func() error { return admin.Server().Serve(ln) })
+	group.Go(func() error { return admin.Server().Serve(r.bounded(ln)) })
 	return front, nil
 }
 
+const (
+	// lookupTimeout limits the time in which a look-up or readiness check arrives, and
+	// that in which it is answered. maxLookupBytes limits its body, which is not used.
+	lookupTimeout  = 5 * time.Second
+	maxLookupBytes = 1 << 10
+)
+
+// bounded returns a listener with a bound on its open connections.
+func (r *Runner) bounded(ln net.Listener) net.Listener {
+	return &acceptor.Listener{Listener: ln, Max: r.cfg.MaxLookupConns, OnShortage: func(err error) {
+		r.cfg.Log.Info("shortage", "what", "descriptors", "address", ln.Addr().String(), "cause", err.Error())
+	}}
+}
+
 // UpdateSettings applies new bounds and regions of failure domains.
 func (r *Runner) UpdateSettings(bounds steerer.Bounds, regions map[string]string) {
 	r.events <- steerer.SettingsChanged{Now: r.now(), Bounds: bounds, Regions: regions}
