workspaces: keys, homes and allowances that all instances share

Cause: the configurations of two deployments have workspaces, which the product did not know: the caller's key reached upstreams, requests with unknown and revoked keys ran, homes and allowances were not kept.

Change: workspaces are part of the configuration; keys are looked up by digest; the key stays at the instance and the workspace's name is set where a header is encoded; homes of route and workspace both bind; an unknown key gets 401, or 503 while the configuration is unconfirmed. core/allocator keeps allowances: one collector for each region counts what all admit, each instance admits its part, and subtracts what the collector cannot know yet. hornctl workspaces, metrics, pages, design note with the ways weighed. Without workspaces nothing changes.

--- a/core/dispatcher/choose.go
+++ b/core/dispatcher/choose.go
@@ -47,6 +47,8 @@
 type Request struct {
 	Route *Route
 	Pool  *Pool
+	// Workspace is on whose behalf the request is sent, nil if it does not matter.
+	Workspace *Workspace
 	// Key is the hash of the requested object, 0 if unknown.
 	Key uint64
 	Now int64
@@ -357,8 +359,14 @@
 	return dst
 }
 
+// allowedRegion reports whether the request may run in the upstream's region. The homes of
+// the route and those of the workspace both bind.
 func (r *Request) allowedRegion(u *Upstream) bool {
-	return len(r.Route.Homes) == 0 || slices.Contains(r.Route.Homes, u.Region)
+	return isHome(r.Route.Homes, u) && (r.Workspace == nil || isHome(r.Workspace.Homes, u))
+}
+
+func isHome(homes []string, u *Upstream) bool {
+	return len(homes) == 0 || slices.Contains(homes, u.Region)
 }
 
 // score computes the costs of candidates. Their upstreams are assumed to have
--- a/core/dispatcher/table.go
+++ b/core/dispatcher/table.go
@@ -15,6 +15,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"hornbeamstream.example/core/allocator"
 	"hornbeamstream.example/core/limiter"
 	"hornbeamstream.example/core/steerer"
 )
@@ -27,6 +28,10 @@
 	// hosts holds the routes by host and path prefix.
 	hosts map[string]map[string]*Route
 	pools map[string]*Pool
+	// workspaces holds the workspaces by the digests of their keys, workspaceList all of
+	// them in the order of the configuration.
+	workspaces    map[keyDigest]*Workspace
+	workspaceList []*Workspace
 }
 
 // Route is a configured route with its pools and the estimated service time of its
@@ -76,6 +81,9 @@
 	slotLoads    map[string]*movingAverage
 	paths        map[string]*path
 	flows        map[steerer.Incarnation]*flowControl
+	shares       map[string]*allocator.Share
+	// workspaces has those of the latest table.
+	workspaces []*Workspace
 	// peers ranks the instances of the latest view. It was made from the instances
 	// peerList and the regions peerRegions.
 	peers       *peerSet
@@ -101,6 +109,7 @@
 		t.pools[s.Name] = b.buildPool(s)
 	}
 	b.placeUpstreams(t, now)
+	b.addWorkspaces(t)
 	for i := range v.Config.Routes {
 		r := b.buildRoute(t, &v.Config.Routes[i])
 		if t.hosts[r.Host] == nil {
@@ -126,6 +135,7 @@
 	b.slotLoads = map[string]*movingAverage{}
 	b.paths = map[string]*path{}
 	b.flows = map[steerer.Incarnation]*flowControl{}
+	b.shares = map[string]*allocator.Share{}
 }
 
 // updatePeers ranks the instances again if they have changed.
--- a/core/reporter/types.go
+++ b/core/reporter/types.go
@@ -19,6 +19,30 @@
 	// Members are all known instances, of all failure domains.
 	Members   []granter.Member `json:"members"`
 	Upstreams []Upstream       `json:"upstreams"`
+	// Workspaces are the customers with an allowance, as this instance sees them.
+	Workspaces []Workspace `json:"workspaces,omitempty"`
+}
+
+// Workspace is the use of a workspace's allowance.
+type Workspace struct {
+	Name string `json:"name"`
+	// Rate is the allowance in requests per second, Burst the number of requests that may
+	// run at once, Level the number left of these at all instances together.
+	Rate  float64 `json:"rate"`
+	Burst float64 `json:"burst"`
+	Level float64 `json:"level"`
+	// Demand is the rate of requests at all instances, OwnDemand that at this instance,
+	// Part this instance's part of the allowance.
+	Demand    float64 `json:"demand"`
+	OwnDemand float64 `json:"own"`
+	Part      float64 `json:"part"`
+	// Admitted and Refused count the requests at this instance since its start.
+	Admitted uint64 `json:"admitted"`
+	Refused  uint64 `json:"refused"`
+	// Basis says what the instance decides by: plenty, scarce, stale or alone.
+	Basis string `json:"basis"`
+	// Age is the age of the totals in milliseconds, -1 if there are none.
+	Age int64 `json:"age"`
 }
 
 // Upstream is the state of an upstream of which the instance holds parts.
--- a/core/steerer/events.go
+++ b/core/steerer/events.go
@@ -236,4 +236,7 @@
 	Bounds Bounds
 	// Regions maps each failure domain to its region.
 	Regions map[string]string
+	// ConfigUnconfirmed means that neither the store nor another instance confirms the
+	// configuration at the moment, so that there may be a newer one.
+	ConfigUnconfirmed bool
 }
--- a/core/steerer/objects.go
+++ b/core/steerer/objects.go
@@ -100,6 +100,7 @@
 		return nil
 	}
 	s.config, s.configName, s.configuredAt, s.dirty = c, o.Name, now, true
+	s.configureUsage()
 	return []Effect{LogEvent{Type: "configured", Subject: o.Name, Version: c.Version}}
 }
 
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -70,6 +70,7 @@
 	rateLimits         map[string]rateLimitObservation
 	rateLimitChangedAt int64
 	quarantine         quarantineState
+	usage              usageState
 	// coldObservations has this instance's own recent observations by upstream ID,
 	// nextProbeAt is when the upstreams are probed next.
 	coldObservations map[string]coldObservation
@@ -163,6 +164,9 @@
 	case SettingsChanged:
 		now = e.Now
 		s.Bounds, s.Regions, s.dirty = e.Bounds, e.Regions, true
+		if s.config != nil {
+			s.configureUsage()
+		}
 		out = []Effect{LogEvent{Type: "adjusted", Subject: s.Self.Name}}
 	case UpstreamLeaving:
 		now = e.Now
@@ -176,6 +180,9 @@
 	case RequestAnswered:
 		now = e.Now
 		out = s.observeAnswer(e)
+	case UsageSampled:
+		now = e.Now
+		out = s.sampleUsage(e)
 	case UpstreamCold:
 		now = e.Now
 		out = s.observeCold(e)
@@ -207,6 +214,9 @@
 		return nil
 	}
 	s.unavailable[e.Kind] = true
+	if e.Kind == Configs {
+		s.dirty = true
+	}
 	return []Effect{LogEvent{Type: "lost", Subject: string(e.Kind), Cause: e.Cause}}
 }
 
@@ -215,6 +225,9 @@
 		return nil
 	}
 	s.unavailable[k] = false
+	if k == Configs {
+		s.dirty = true
+	}
 	s.recoveredAt[k] = now
 	return []Effect{LogEvent{Type: "regained", Subject: string(k)}}
 }
@@ -246,6 +259,7 @@
 	out = append(out, applyReports(e.Now, e.Beacon.RateLimits)...)
 	out = append(out, s.mergeQuarantine(e.Now, e.Beacon.Crashes)...)
 	out = append(out, applyColdReports(e.Now, e.Beacon.Cold)...)
+	out = append(out, s.applyUsage(e, p)...)
 	out = append(out, s.fetchNewerConfig(e, p)...)
 	return append(out, s.fetchFromPeer(e.Now, p)...)
 }
@@ -333,6 +347,7 @@
 
 func (s *State) view(now int64) View {
 	v := View{Config: s.config, Ready: s.ready(), Stale: s.stale(), Self: s.Self, Peers: []Instance{s.Self}, Bounds: s.Bounds, Regions: s.Regions, PeersIncomplete: !s.sync[Instances].known || !s.selfListed}
+	v.ConfigUnconfirmed = s.unavailable[Configs] && !s.coveredByPeer(now, Configs)
 	for _, u := range s.upstreams {
 		if _, evacuated := s.evacuations[u.Domain]; u.Draining || evacuated || s.isTombstoned(&u.Upstream) {
 			continue
--- a/core/steerer/types.go
+++ b/core/steerer/types.go
@@ -44,6 +44,23 @@
 	Homes []string
 	// Parts lists the services that share the requests.
 	Parts []WeightedService
+	// Public means that requests need no key.
+	Public bool `json:",omitempty"`
+}
+
+// Workspace is a customer whose callers identify themselves by keys.
+type Workspace struct {
+	Name string
+	Keys []string
+	// Priority ranks the requests of the workspace; 0 is the most urgent. It replaces
+	// that of the route.
+	Priority int
+	// Rate is the number of requests per second that may run, of which Burst may run at
+	// once, summed over all instances. 0 for both means no limit.
+	Rate, Burst float64
+	// Homes lists the only regions in which requests may be executed. An empty list
+	// allows all.
+	Homes []string
 }
 
 // Service holds the settings that all upstreams of a service share.
@@ -72,6 +89,9 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Workspaces lists the customers. If there are any, requests need a key, except those
+	// on public routes.
+	Workspaces []Workspace `json:",omitempty"`
 }
 
 // Upstream is one incarnation of an upstream as described by its registration.
@@ -125,6 +145,8 @@
 	// Cold lists upstreams that have said in the sender's health checks that they are
 	// cold.
 	Cold []ColdReport `json:"c,omitempty"`
+	// Usage is the use of the workspaces' allowances.
+	Usage *UsageReport `json:"u,omitempty"`
 }
 
 // SyncStatus states that an instance has applied all changes of a kind up to a
@@ -152,6 +174,9 @@
 	Stop time.Duration
 	// LookupTime is how long callers may cache the answer to a look-up.
 	LookupTime time.Duration
+	// AllowanceSlack is the number of requests by which a workspace may exceed its
+	// allowance within a few seconds.
+	AllowanceSlack float64
 }
 
 // Kind identifies a collection of objects in the store.
--- a/core/steerer/validate.go
+++ b/core/steerer/validate.go
@@ -23,7 +23,35 @@
 			problems = append(problems, fmt.Errorf("route %q: %w", r.Name, err))
 		}
 	}
-	return errors.Join(problems...)
+	return errors.Join(append(problems, c.validateWorkspaces()...)...)
+}
+
+// validateWorkspaces returns the problems of the workspaces. None of them names a key.
+func (c *Config) validateWorkspaces() (problems []error) {
+	names, holders := map[string]bool{}, map[string]string{}
+	for i := range c.Workspaces {
+		w := &c.Workspaces[i]
+		report := func(format string, args ...any) {
+			problems = append(problems, fmt.Errorf("workspace %q: "+format, append([]any{w.Name}, args...)...))
+		}
+		if w.Name == "" || names[w.Name] {
+			report("it is unnamed or named twice")
+		}
+		names[w.Name] = true
+		if w.Rate < 0 || w.Burst < 0 {
+			report("the allowance is negative")
+		}
+		for n, key := range w.Keys {
+			switch holder, held := holders[key]; {
+			case key == "":
+				report("key %d is empty", n+1)
+			case held:
+				report("key %d belongs to workspace %q too", n+1, holder)
+			}
+			holders[key] = w.Name
+		}
+	}
+	return problems
 }
 
 func (r *Route) validate(services map[string]bool) error {
--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -67,7 +67,9 @@
 	// which is passed on if the request is not sent again.
 	holdsFailure bool
 	codec        HeaderCodec
-	last         outcome
+	// workspace is on whose behalf the request is sent, nil if that is not needed.
+	workspace *dispatcher.Workspace
+	last      outcome
 }
 
 // handle serves a request when its turn has come on its connection.
@@ -148,8 +150,13 @@
 		r.finish(c)
 		return
 	}
+	if !r.identify(c, in.Credential) {
+		r.finish(c)
+		return
+	}
 	c.prepare(in)
 	r.relay(c)
+	r.settleAllowance(c)
 	r.finish(c)
 }
 
@@ -178,7 +185,7 @@
 		key = xxhash.Sum64(in.Key) ^ xxhash.Sum64String(c.route.Name) | 1
 	}
 	c.pool = c.route.SelectPool(key, c.start)
-	c.req = dispatcher.Request{Route: c.route, Pool: c.pool, Key: key, Deadline: c.deadline}
+	c.req = dispatcher.Request{Route: c.route, Pool: c.pool, Workspace: c.workspace, Key: key, Deadline: c.deadline}
 }
 
 // relay sends the request to upstreams until it is answered or given up.
--- a/hornbeamd/relayer/harness_test.go
+++ b/hornbeamd/relayer/harness_test.go
@@ -31,10 +31,17 @@
 	if err != nil {
 		left = 0
 	}
-	return RequestInfo{ID: h.Peek("Id"), CallerTimeout: time.Duration(left) * time.Millisecond, Key: h.Peek("Key")}
+	return RequestInfo{ID: h.Peek("Id"), CallerTimeout: time.Duration(left) * time.Millisecond, Key: h.Peek("Key"), Credential: h.Peek("Credential")}
 }
 
-func (testCodec) WriteRequest(h *fasthttp.RequestHeader, upstream string, left time.Duration) {
+func (testCodec) IsIdentity(name []byte) bool {
+	return string(name) == "Credential" || string(name) == "Workspace"
+}
+
+func (testCodec) WriteRequest(h *fasthttp.RequestHeader, upstream, workspace string, left time.Duration) {
+	if workspace != "" {
+		h.Set("Workspace", workspace)
+	}
 	h.Set("Left", strconv.Itoa(int(left.Milliseconds())))
 	h.Set("Expect", upstream)
 }
--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -32,6 +32,8 @@
 	Key []byte
 	// Caller identifies on whose behalf the request is sent; empty if unknown.
 	Caller []byte
+	// Credential is the key of a workspace; empty if there is none.
+	Credential []byte
 }
 
 // ResponseInfo is the data of a response header apart from its status.
@@ -63,8 +65,12 @@
 	// ReadRequest returns the data of a request header. The result refers to h.
 	ReadRequest(h *fasthttp.RequestHeader) RequestInfo
 	// WriteRequest sets the header fields that address one incarnation of an
-	// upstream and give it the remaining time.
-	WriteRequest(h *fasthttp.RequestHeader, upstream string, remaining time.Duration)
+	// upstream, give it the remaining time, and name the workspace unless that is empty.
+	WriteRequest(h *fasthttp.RequestHeader, upstream, workspace string, remaining time.Duration)
+	// IsIdentity reports whether a caller's header field, named as fasthttp normalizes
+	// it, holds a credential or names a workspace. Where workspaces are configured, such
+	// a field is not passed on.
+	IsIdentity(name []byte) bool
 	// WriteProbe sets the header fields that address a health check to one incarnation
 	// of an upstream. It must not set a request ID.
 	WriteProbe(h *fasthttp.RequestHeader, upstream string)
--- a/hornbeamd/relayer/request.go
+++ b/hornbeamd/relayer/request.go
@@ -15,7 +15,8 @@
 	var h fasthttp.RequestHeader
 	in := &c.ctx.Request.Header
 	h.SetNoDefaultContentType(true)
-	c.codec.WriteRequest(&h, upstream, remaining)
+	c.codec.WriteRequest(&h, upstream, c.workspaceName(), remaining)
+	private := c.table.HasWorkspaces()
 	b := make([]byte, 0, 512)
 	b = append(b, in.Method()...)
 	b = append(b, ' ')
@@ -23,7 +24,7 @@
 	b = append(b, " HTTP/1.1\r\n"...)
 	connection := in.Peek(fasthttp.HeaderConnection)
 	for k, v := range in.All() {
-		if trimmer.IsHopByHop(k) || len(connection) > 0 && trimmer.IsConnectionOption(connection, k) || len(h.PeekBytes(k)) > 0 {
+		if trimmer.IsHopByHop(k) || len(connection) > 0 && trimmer.IsConnectionOption(connection, k) || len(h.PeekBytes(k)) > 0 || private && c.codec.IsIdentity(k) {
 			continue
 		}
 		b = trimmer.AppendField(b, k, v)
--- a/hornbeamd/relayer/response.go
+++ b/hornbeamd/relayer/response.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -118,8 +117,7 @@
 	out := &c.ctx.Response
 	out.Reset()
 	out.SetStatusCode(fasthttp.StatusServiceUnavailable)
-	retryAfter := max(o.retryAfter, minRetryAfter)
-	out.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	out.Header.Set(fasthttp.HeaderRetryAfter, formatRetryAfter(o.retryAfter))
 	out.Header.SetContentType("text/plain; charset=utf-8")
 	out.SetBodyString("The request has not run: " + o.label + ".\n")
 	o.status = fasthttp.StatusServiceUnavailable
@@ -154,7 +152,7 @@
 	status := c.ctx.Response.StatusCode()
 	r.cfg.Metrics.RequestDone(route, c.last.label, took)
 	r.cfg.Log.V(verbosity(status)).Info("request", append(c.last.logFields(),
-		"id", string(c.id), "route", route, "aim", aim.Milliseconds(), "known", c.last.keyKnown, "key", string(c.affinityKey), "version", version,
+		"id", string(c.id), "workspace", c.workspaceName(), "route", route, "aim", aim.Milliseconds(), "known", c.last.keyKnown, "key", string(c.affinityKey), "version", version,
 		"status", status, "sends", c.sends, "runs", c.runs, "took", took.Milliseconds())...)
 }
 
--- a/hornbeamd/relayer/unending_test.go
+++ b/hornbeamd/relayer/unending_test.go
@@ -144,9 +144,9 @@
 	return b.testCodec.ReadRequest(h)
 }
 
-func (b panicCodec) WriteRequest(h *fasthttp.RequestHeader, upstream string, left time.Duration) {
+func (b panicCodec) WriteRequest(h *fasthttp.RequestHeader, upstream, workspace string, left time.Duration) {
 	b.panicAt("address")
-	b.testCodec.WriteRequest(h, upstream, left)
+	b.testCodec.WriteRequest(h, upstream, workspace, left)
 }
 
 func (b panicCodec) ReadResponse(h *fasthttp.ResponseHeader) ResponseInfo {
--- a/hornbeamd/runner/metrics.go
+++ b/hornbeamd/runner/metrics.go
@@ -227,5 +227,6 @@
 	if v.Config != nil {
 		s.Version = v.Config.Version
 	}
+	s.Workspaces = r.workspaces()
 	return s, nil
 }
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"hornbeamstream.example/core/allocator"
 	"hornbeamstream.example/core/dispatcher"
 	"hornbeamstream.example/core/quarantiner"
 	"hornbeamstream.example/core/recorder"
@@ -113,6 +115,8 @@
 	recoverer    guarder.Recoverer
 	// reregister requests another registration.
 	reregister chan struct{}
+	// processStart identifies this run of the process.
+	processStart uint64
 	// lastControl is the time of the latest iteration of the control loop.
 	lastControl atomic.Int64
 }
@@ -127,10 +131,12 @@
 		registry:     prometheus.NewRegistry(),
 		timeline:     &recorder.Ring{},
 		reregister:   make(chan struct{}, 1),
+		processStart: rand.Uint64(),
 	}
 	r.registry.MustRegister(collectors.NewGoCollector())
 	r.metrics = newMetrics(r.registry, cfg.DroppedLogLines)
 	r.metrics.registerGauges(r.registry, r.currentView, &r.quarantine)
+	r.registry.MustRegister(workspaceCollector{r.workspaces})
 	r.cfg.Store = r.metrics.instrument(r.registry, cfg.Store, r.now)
 	r.recoverer = guarder.Recoverer{Log: cfg.Log, OnPanic: func(kind string) { r.metrics.panics.WithLabelValues(kind).Inc() }}
 	r.relayer = relayer.New(relayer.Config{
@@ -309,7 +315,7 @@
 func (r *Runner) runControl(ctx context.Context) error {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
-	lastMaintenance := int64(0)
+	lastMaintenance, lastSample := int64(0), int64(0)
 	effects := r.step(steerer.SettingsChanged{Now: r.now(), Bounds: r.cfg.Bounds, Regions: r.cfg.Regions})
 	for {
 		r.executeAll(effects)
@@ -330,7 +336,20 @@
 			r.executeAll(r.step(steerer.Resumed{Now: now}))
 		}
 		effects = r.step(e)
+		if now := r.now(); now-lastSample >= int64(allocator.ReportInterval) {
+			lastSample = now
+			effects = append(effects, r.sampleUsage(now)...)
+		}
+	}
+}
+
+// sampleUsage returns the effects of the use of the workspaces' allowances.
+func (r *Runner) sampleUsage(now int64) []steerer.Effect {
+	reports := r.tableBuilder.SampleUsage(now)
+	if len(reports) == 0 {
+		return nil
 	}
+	return r.step(steerer.UsageSampled{Now: now, Start: r.processStart, Reports: reports})
 }
 
 func (r *Runner) executeAll(effects []steerer.Effect) {
@@ -371,6 +390,8 @@
 		r.applyLimit(x)
 	case steerer.Probe:
 		r.probe(x)
+	case steerer.ApplyTotals:
+		r.tableBuilder.ApplyTotals(x.First, x.Totals, x.Instances, x.At)
 	case steerer.MarkCold:
 		if u := r.tableBuilder.Upstream(x.Incarnation); u != nil {
 			u.MarkCold(x.Until, r.now())
--- a/hornctl/commands/commands_test.go
+++ b/hornctl/commands/commands_test.go
@@ -236,6 +236,11 @@
 	for _, i := range instances {
 		i.status.Members = members
 	}
+	instances[0].status.Workspaces = []reporter.Workspace{
+		{Name: "choir", Rate: 40, Burst: 60, Level: 55, Demand: 24.5, OwnDemand: 0.25, Part: 0.0102, Admitted: 1200, Basis: "plenty", Age: 130},
+		{Name: "rowing-club", Rate: 5, Burst: 5, Level: -2, Demand: 31, OwnDemand: 0.5, Part: 0.0161, Admitted: 90, Refused: 400, Basis: "scarce", Age: 130},
+		{Name: "chess", Rate: 2, Burst: 4, Part: 0.0141, Basis: "alone", Age: -1},
+	}
 	return instances[0].status.Instance.Admin
 }
 
@@ -244,6 +249,8 @@
 func TestFleet(t *testing.T) {
 	compareTranscript(t, "fleet.golden", "--timeout 600ms --entry "+startFakeFleet(t, false, 7, 6), []step{
 		{"status", ExitOK},
+		{"workspaces", ExitOK},
+		{"workspaces --json", ExitOK},
 		{"ticket wait 6", ExitOK},
 		{"ticket wait 6 --json", ExitOK},
 		{"ticket wait 7", ExitFailed},
