--- a/hornbeamd/runner/runner_test.go
+++ b/hornbeamd/runner/runner_test.go
@@ -162,7 +162,7 @@
 	return relayer.RequestInfo{ID: h.Peek("Id")}
 }
 func (plainDialect) WriteRequest(*fasthttp.RequestHeader, string, string, time.Duration) {}
-func (plainDialect) IsIdentity([]byte) bool { return false }
+func (plainDialect) IsIdentity([]byte) bool                                              { return false }
 
 func (plainDialect) WriteProbe(h *fasthttp.RequestHeader, upstream string) {
 	h.Set("Expected", upstream)
