allocator, steerer, dispatcher: allowances are those of a window; load reports of four figures

(2) Load reports with a fourth figure, as upstreams on shared machines send, were dropped as malformed, so that the load of these upstreams was unknown. (3) A silent instance was assumed to use its usual, while it may use its whole part.

Change: an allowance is turned into a token bucket that grants most of the burst evenly over the window; a silent source counts with its part as it was when it fell silent. The fourth figure is how slow the upstream's machine is at the moment; it loses half of its weight in 150 ms.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -37,6 +37,9 @@
 	// minCounted is the number of tokens from which on an instance counts those that it
 	// may use, instead of admitting requests by chance.
 	minCounted = 2
+	// spareShare is the part of what an allowance can be exceeded by without harm that is
+	// given out as a burst.
+	spareShare = 0.25
 	// slackShare is the part of the slack of a bound that is given out, so that bounds
 	// of a few requests are used too.
 	slackShare = 0.25
@@ -52,6 +55,33 @@
 	Slack float64
 }
 
+// Allowance is a limit on the requests that run within each window: Rate times Window and
+// Burst. Over is the part, and Slack the number, by which more do no harm.
+type Allowance struct {
+	Rate, Burst float64
+	// Window is in seconds; 0 means that Rate and Burst are those of a token bucket.
+	Window      float64
+	Over, Slack float64
+}
+
+// burstShare is the part of a burst that an allowance grants evenly over its window.
+// Demand a little above the rate is then met all the time, not only after a pause.
+const burstShare = 0.8
+
+// Bound returns the token bucket that uses up an allowance without exceeding it by more than
+// what does no harm.
+func (a Allowance) Bound() Bound {
+	b := Bound{Rate: a.Rate, Burst: a.Burst, Slack: a.Slack}
+	if a.Window <= 0 || !b.Limited() {
+		return b
+	}
+	b.Rate += burstShare * a.Burst / a.Window
+	spare := (1-burstShare)*a.Burst + a.Over*(a.Rate*a.Window+a.Burst)
+	// The instances use up what they have as long as it is not known.
+	b.Burst = spareShare*spare + b.Rate*reportDelay.Seconds()
+	return b
+}
+
 // Limited reports whether there is a limit.
 func (b Bound) Limited() bool { return b.Rate > 0 || b.Burst > 0 }
 
--- a/core/allocator/ledger.go
+++ b/core/allocator/ledger.go
@@ -33,7 +33,9 @@
 	start   uint64
 	member  bool
 	heardAt int64
-	uses    []sourceUse
+	// silent reports whether it is assumed to admit its part of the rate.
+	silent bool
+	uses   []sourceUse
 }
 
 // sourceUse is the use of one bound by a source.
@@ -44,6 +46,9 @@
 	// assumed is the number of requests that are assumed to have been admitted since the
 	// last report.
 	assumed float64
+	// part is the source's part of the demand when it fell silent. It keeps to that,
+	// however much the demand rises.
+	part float64
 }
 
 // Configure sets the bounds. What is known of bounds with the same names is kept. Levels of
@@ -118,7 +123,7 @@
 			s.uses[i].Admitted = 0
 		}
 	}
-	s.heardAt = now
+	s.heardAt, s.silent = now, false
 	for k, r := range o.Reports {
 		u := &s.uses[o.First+k]
 		if u.known {
@@ -155,7 +160,10 @@
 		case silence >= int64(forgetTime):
 			delete(l.sources, name)
 		case silence >= int64(silenceTime):
-			l.assume(s, took, demands)
+			if !s.silent {
+				s.fallSilent(demands)
+			}
+			l.assume(s, took)
 		}
 	}
 	for i, b := range l.bounds {
@@ -165,15 +173,23 @@
 	}
 }
 
-// assume records what a silent source is assumed to admit within the given seconds: its
-// demand, or its part of the rate if that is less.
-func (l *Ledger) assume(s *source, took float64, demands []float64) {
+// fallSilent keeps the source's parts of the demands.
+func (s *source) fallSilent(demands []float64) {
+	s.silent = true
 	for i := range s.uses {
 		u := &s.uses[i]
-		if u.Demand <= 0 {
-			continue
+		u.part = 0
+		if u.Demand > 0 {
+			u.part = u.Demand / demands[i]
 		}
-		n := took * u.Demand * min(1, l.bounds[i].Rate/demands[i])
+	}
+}
+
+// assume records that a silent source uses up its part of the rate for the given seconds.
+func (l *Ledger) assume(s *source, took float64) {
+	for i := range s.uses {
+		u := &s.uses[i]
+		n := took * u.part * l.bounds[i].Rate
 		u.assumed += n
 		l.use(i, n, s.member)
 	}
--- a/core/dispatcher/upstream.go
+++ b/core/dispatcher/upstream.go
@@ -65,6 +65,8 @@
 	// otherLoad is the load from other instances at reportedAt.
 	otherLoad  float64
 	reportedAt int64
+	// slowness is that of the last load report.
+	slowness float64
 	// slowdown is the service time relative to the estimate for the route,
 	// failureRate the share of failed requests, both as of estimatedAt.
 	slowdown, failureRate float64
@@ -183,7 +185,7 @@
 	s := snapshot{
 		load:        float64(u.inflight.Load()) + u.otherLoadAt(now),
 		reportAge:   time.Duration(now - u.reportedAt),
-		slowdown:    1 + (u.slowdown-1)*decay,
+		slowdown:    max(1+(u.slowdown-1)*decay, u.slownessAt(now)),
 		failureRate: u.failureRate * decay,
 		down:        now < u.downUntil || u.doubtful.Load(),
 		warm:        key != 0 && u.warm.has(key),
@@ -194,6 +196,19 @@
 	return s
 }
 
+// slownessHalfLife is the half-life of what an upstream has said of its machine. Neighbors
+// come and go several times a second.
+const slownessHalfLife = 150 * time.Millisecond
+
+// slownessAt returns what the upstream's last report says of its machine's speed, which soon
+// says nothing any more; 0 if it says nothing. The caller must hold u.mu.
+func (u *Upstream) slownessAt(now int64) float64 {
+	if u.slowness <= 1 {
+		return 0
+	}
+	return 1 + (u.slowness-1)*math.Exp2(-float64(now-u.reportedAt)/float64(slownessHalfLife))
+}
+
 // otherLoadAt estimates the load from other instances. As the last report ages, the
 // estimate shifts to the mean load of the service's upstreams in the region. The
 // caller must hold u.mu.
@@ -225,7 +240,12 @@
 }
 
 // Load is an upstream's report of its running and waiting requests and its slots.
-type Load struct{ Running, Waiting, Slots int }
+type Load struct {
+	Running, Waiting, Slots int
+	// Slowness is how long work takes on the upstream's machine at the moment, relative to
+	// the usual; 0 if the upstream does not say.
+	Slowness float64
+}
 
 // report records a load report that came with an answer. The instance's own requests
 // in flight, which the report may count, are subtracted.
@@ -233,7 +253,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.otherLoad = max(0, float64(l.Running+l.Waiting)-float64(u.inflight.Load()))
-	u.reportedAt = now
+	u.slowness, u.reportedAt = l.Slowness, now
 	u.slotLoad.add(float64(l.Running+l.Waiting)/float64(max(1, l.Slots)), slotLoadWeight)
 }
 
--- a/core/dispatcher/workspace.go
+++ b/core/dispatcher/workspace.go
@@ -47,7 +47,7 @@
 			workspace.Share.SetSeed(xxhash.Sum64String(b.Self.Name + " " + w.Name))
 			b.shares[w.Name] = workspace.Share
 		}
-		workspace.Share.Limit(allocator.Bound{Rate: w.Rate, Burst: w.Burst, Slack: b.Bounds.AllowanceSlack}, len(t.View.Peers))
+		workspace.Share.Limit(b.Bounds.Allowance(&w).Bound(), len(t.View.Peers))
 		t.workspaceList = append(t.workspaceList, workspace)
 		for _, key := range w.Keys {
 			t.workspaces[sha256.Sum256([]byte(key))] = workspace
--- a/core/steerer/types.go
+++ b/core/steerer/types.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"hornbeamstream.example/core/allocator"
 	"hornbeamstream.example/core/quarantiner"
 )
 
@@ -126,6 +127,11 @@
 	Region string
 }
 
+// Allowance returns the allowance of a workspace.
+func (b *Bounds) Allowance(w *Workspace) allocator.Allowance {
+	return allocator.Allowance{Rate: w.Rate, Burst: w.Burst, Window: b.AllowanceWindow.Seconds(), Over: b.AllowanceOver, Slack: b.AllowanceSlack}
+}
+
 // Beacon is the heartbeat that an instance sends to the others several times a
 // second. Short JSON names keep the datagrams small.
 type Beacon struct {
@@ -174,9 +180,11 @@
 	Stop time.Duration
 	// LookupTime is how long callers may cache the answer to a look-up.
 	LookupTime time.Duration
-	// AllowanceSlack is the number of requests by which a workspace may exceed its
-	// allowance within a few seconds.
-	AllowanceSlack float64
+	// AllowanceWindow is the time in which a workspace may use its rate and its burst. It
+	// does no harm if it exceeds these by the part AllowanceOver and by AllowanceSlack
+	// requests.
+	AllowanceWindow               time.Duration
+	AllowanceOver, AllowanceSlack float64
 }
 
 // Kind identifies a collection of objects in the store.
--- a/core/steerer/usage.go
+++ b/core/steerer/usage.go
@@ -88,11 +88,12 @@
 	hash := xxhash.New()
 	bounds := make([]allocator.Named, 0, len(s.config.Workspaces))
 	limited := false
-	for _, w := range s.config.Workspaces {
+	for i := range s.config.Workspaces {
+		w := &s.config.Workspaces[i]
 		// Write and WriteString of a Digest return no errors.
 		_, _ = hash.WriteString(w.Name)
 		_, _ = hash.WriteString("\x00")
-		b := allocator.Bound{Rate: w.Rate, Burst: w.Burst, Slack: s.Bounds.AllowanceSlack}
+		b := s.Bounds.Allowance(w).Bound()
 		limited = limited || b.Limited()
 		bounds = append(bounds, allocator.Named{Name: w.Name, Bound: b})
 	}
