dispatcher: queues of upstreams that share their machines

The wait is computed with the upstream's slowness, and a neighbor that slows it is gone within half a second.

--- a/core/dispatcher/upstream.go
+++ b/core/dispatcher/upstream.go
@@ -174,6 +174,8 @@
 	// silence is the time since lastAnswer, 0 if no request is in flight.
 	silence time.Duration
 	down    bool
+	// sharesMachine reports whether the upstream says how slow its machine is.
+	sharesMachine bool
 	// warm reports whether this instance has sent the request's key recently.
 	warm bool
 }
@@ -189,6 +191,8 @@
 		failureRate: u.failureRate * decay,
 		down:        now < u.downUntil || u.doubtful.Load(),
 		warm:        key != 0 && u.warm.has(key),
+
+		sharesMachine: u.slowness > 0,
 	}
 	if u.inflight.Load() > 0 {
 		s.silence = time.Duration(now - u.lastAnswer)
