hornctl: explain tells where a request would go now, and why

Change: GET /explain of an instance on the users' platform, and hornctl explain. It weighs the candidates with the functions that Choose uses, without its side effects: routes, pools, shares, cold rates and moves between regions stay as they are.

No traffic path changes, except that the hash of an affinity key has a function of its own.

--- a/core/allocator/share.go
+++ b/core/allocator/share.go
@@ -85,17 +85,36 @@
 		return r, true
 	}
 	s.advance(now)
+	if r, ok = s.decide(now); !ok {
+		s.refused++
+		return r, false
+	}
+	s.count(now, 1)
+	s.admitted++
+	return r, true
+}
+
+// Preview returns what Take would, and counts nothing.
+func (s *Share) Preview(now int64) (r Refusal, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.grant.Bound.Limited() {
+		return r, true
+	}
+	s.advance(now)
+	return s.decide(now)
+}
+
+// decide returns whether a request may be admitted.
+func (s *Share) decide(now int64) (r Refusal, ok bool) {
 	allowed := s.grant.allowed(now)
 	used := 0.0
 	for _, n := range s.recent {
 		used += n
 	}
 	if used+1 > allowed && used+unit(s.seed^uint64(now/int64(reportDelay))) >= allowed && !s.byChance(now, used) {
-		s.refused++
 		return Refusal{s.retryAfter(now), s.grant.Basis(now), s.grant.Headroom}, false
 	}
-	s.count(now, 1)
-	s.admitted++
 	return r, true
 }
 
--- a/core/dispatcher/choose.go
+++ b/core/dispatcher/choose.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync/atomic"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Reason says why a request was refused.
@@ -85,6 +87,14 @@
 	RetryAfter time.Duration
 }
 
+// KeyHash returns the hash of an affinity key, 0 if the route's upstreams cache none.
+func (r *Route) KeyHash(key []byte) uint64 {
+	if len(key) == 0 || !r.Sticky {
+		return 0
+	}
+	return xxhash.Sum64(key) ^ xxhash.Sum64String(r.Name) | 1
+}
+
 // SelectPool returns the pool for a request of the route. Requests of one key
 // prefer the same pool as long as all pools keep their shares of the requests.
 func (r *Route) SelectPool(key uint64, now int64) *Pool {
--- a/core/reporter/types.go
+++ b/core/reporter/types.go
@@ -45,6 +45,57 @@
 	Age int64 `json:"age"`
 }
 
+// Question names a request of which GET /explain says where it would go. It holds no key of a
+// workspace.
+type Question struct {
+	Host, Path string
+	// AffinityKey names the object of the request; empty if unknown.
+	AffinityKey string
+	// Workspace is the name of a workspace; empty if the request has no key.
+	Workspace string
+}
+
+// Explanation says where an instance would send a request now, and why.
+type Explanation struct {
+	Instance string `json:"instance"`
+	Version  uint64 `json:"version"`
+	// Route and Service are those of the request; empty if there is none.
+	Route   string `json:"route"`
+	Service string `json:"service"`
+	// Workspace is the allowance, nil if there is none.
+	Workspace *Workspace `json:"workspace,omitempty"`
+	// Upstream is where the request would go; empty if it would be refused.
+	Upstream string `json:"upstream,omitempty"`
+	// Status and Reason are those of a refusal, RetryAfter its Retry-After in milliseconds.
+	Status     int    `json:"status,omitempty"`
+	Reason     string `json:"reason,omitempty"`
+	RetryAfter int64  `json:"retry,omitempty"`
+	// Candidates are the upstreams of the service, those that are weighed first.
+	Candidates []Candidate `json:"candidates,omitempty"`
+}
+
+// Candidate is an upstream as a decision sees it. Times are in milliseconds.
+type Candidate struct {
+	Name    string `json:"name"`
+	Domain  string `json:"domain"`
+	Verdict string `json:"verdict"`
+	// Cost is the expected latency with penalties; it and those that follow are 0 unless
+	// the upstream is weighed.
+	Cost     int64   `json:"cost"`
+	Expected int64   `json:"expected"`
+	Cold     int64   `json:"cold"`
+	Wait     int64   `json:"wait"`
+	Load     float64 `json:"load"`
+	// Age is the age of the load report.
+	Age      int64   `json:"age"`
+	Slowdown float64 `json:"slowdown"`
+	Failures float64 `json:"failures"`
+	Known    bool    `json:"known"`
+	// Warming is how long the upstream stays cold, Pause how long it wants no requests.
+	Warming int64 `json:"warming"`
+	Pause   int64 `json:"pause"`
+}
+
 // Upstream is the state of an upstream of which the instance holds parts.
 type Upstream struct {
 	Name    string `json:"name"`
--- a/hornbeamd/exporter/admin.go
+++ b/hornbeamd/exporter/admin.go
@@ -27,6 +27,8 @@
 	Timeline *recorder.Ring
 	// Status returns the status of this instance.
 	Status func(ctx context.Context) (reporter.Status, error)
+	// Explain returns where a request would go now; nil if the daemon cannot tell.
+	Explain func(q reporter.Question) reporter.Explanation
 	// Ready reports whether the instance has a configuration.
 	Ready func() bool
 }
@@ -37,6 +39,8 @@
 //	GET /health             200 while ready, 503 before the first configuration
 //	GET /status             reporter.Status as JSON
 //	GET /timeline?after=N   recorder.Event array as JSON, those after stamp N
+//	GET /explain?host=H&path=P[&key=K][&workspace=W]
+//	                        reporter.Explanation as JSON
 func (a Admin) Server() *fasthttp.Server {
 	metrics := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(a.Registry, promhttp.HandlerOpts{}))
 	return &fasthttp.Server{
@@ -52,6 +56,8 @@
 				a.status(ctx)
 			case "/timeline":
 				a.timeline(ctx)
+			case "/explain":
+				a.explain(ctx)
 			default:
 				ctx.Error("There is nothing at this path.", fasthttp.StatusNotFound)
 			}
@@ -90,6 +96,16 @@
 	writeJSON(ctx, a.Timeline.After(after))
 }
 
+func (a Admin) explain(ctx *fasthttp.RequestCtx) {
+	if a.Explain == nil {
+		ctx.Error("This daemon does not explain decisions.", fasthttp.StatusNotImplemented)
+		return
+	}
+	args := ctx.QueryArgs()
+	text := func(name string) string { return string(args.Peek(name)) }
+	writeJSON(ctx, a.Explain(reporter.Question{Host: text("host"), Path: text("path"), AffinityKey: text("key"), Workspace: text("workspace")}))
+}
+
 func writeJSON(ctx *fasthttp.RequestCtx, v any) {
 	body, err := json.Marshal(v)
 	if err != nil {
--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -4,7 +4,6 @@
 	"errors"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"hornbeamstream.example/core/dispatcher"
@@ -180,10 +179,7 @@
 	}
 	c.deadline = c.start + int64(remaining)
 	c.affinityKey, c.caller = in.Key, in.Caller
-	key := uint64(0)
-	if len(in.Key) > 0 && c.route.Sticky {
-		key = xxhash.Sum64(in.Key) ^ xxhash.Sum64String(c.route.Name) | 1
-	}
+	key := c.route.KeyHash(in.Key)
 	c.pool = c.route.SelectPool(key, c.start)
 	c.req = dispatcher.Request{Route: c.route, Pool: c.pool, Workspace: c.workspace, Key: key, Deadline: c.deadline}
 }
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -268,7 +268,7 @@
 		r.cfg.Log.Info("can't listen on the admin address; metrics are not served", "cause", err.Error())
 		return front, nil
 	}
-	admin := exporter.Admin{Registry: r.registry, Timeline: r.timeline, Status: r.status, Ready: func() bool { return r.currentView().Ready }}
+	admin := exporter.Admin{Registry: r.registry, Timeline: r.timeline, Status: r.status, Explain: r.explain, Ready: func() bool { return r.currentView().Ready }}
 	group.Go(func() error { return admin.Server().Serve(r.bounded(ln)) })
 	return front, nil
 }
--- a/hornctl/commands/commands.go
+++ b/hornctl/commands/commands.go
@@ -128,7 +128,7 @@
 		},
 		Commands: []*cli.Command{
 			p.checkCommand(), p.ticketCommand(), p.drainCommand(), p.shiftCommand(),
-			p.statusCommand(), p.workspacesCommand(), p.timelineCommand(), p.traceCommand(), p.lossesCommand(),
+			p.statusCommand(), p.workspacesCommand(), p.explainCommand(), p.timelineCommand(), p.traceCommand(), p.lossesCommand(),
 		},
 	}
 	rejectUnknownSubcommands(root)
--- a/hornctl/commands/commands_test.go
+++ b/hornctl/commands/commands_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -202,6 +203,10 @@
 		_ = json.NewEncoder(w).Encode(i.status)
 		return
 	}
+	if r.URL.Path == "/explain" {
+		_ = json.NewEncoder(w).Encode(fakeExplanation(r.URL.Query()))
+		return
+	}
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	fresh := slices.DeleteFunc(slices.Clone(i.events), func(e recorder.Event) bool { return e.Stamp <= after })
 	if i.oneEventPerResponse {
@@ -277,6 +282,38 @@
 	return len(b), nil
 }
 
+// fakeExplanation explains requests of the workspace choir; others are refused.
+func fakeExplanation(q url.Values) reporter.Explanation {
+	x := reporter.Explanation{Instance: "sofia-a-1", Version: 7, Route: "r-1"}
+	if q.Get("workspace") != "choir" {
+		x.Status, x.Reason = 401, "unknown workspace, or none named"
+		return x
+	}
+	x.Service, x.Upstream = "lookup", "lookup-2"
+	x.Workspace = &reporter.Workspace{Name: "choir", Rate: 40, Level: 55, Demand: 24.5, Basis: "plenty"}
+	x.Candidates = []reporter.Candidate{
+		{Name: "lookup-2", Domain: "sofia-a", Verdict: "chosen", Cost: 140, Expected: 120, Cold: 300, Wait: 20, Load: 3.2, Age: 250, Slowdown: 1.1, Known: true},
+		{Name: "lookup-1", Domain: "sofia-b", Verdict: "costs more", Cost: 2310, Expected: 310, Cold: 310, Load: 1, Age: 4000, Slowdown: 1, Failures: 0.25, Warming: 900},
+	}
+	for i := range 9 {
+		x.Candidates = append(x.Candidates, reporter.Candidate{Name: fmt.Sprint("lookup-", 3+i), Domain: "sofia-b", Verdict: "not for this key"})
+	}
+	x.Candidates[2].Verdict, x.Candidates[2].Pause = "paused", 1500
+	return x
+}
+
+// TestExplain prints explanations.
+func TestExplain(t *testing.T) {
+	compareTranscript(t, "explain.golden", "--timeout 600ms --entry "+startFakeFleet(t, false, 7, 6), []step{
+		{"explain --host h --path /p/ --key 17 --workspace choir", ExitOK},
+		{"explain --host h --path /p/ --workspace choir --all", ExitOK},
+		{"explain --host h --path /p/", ExitFailed},
+		{"explain --host h --path /p/ --json", ExitFailed},
+		{"explain --host h", ExitUsage},
+		{"--entry 127.0.0.1:1 explain --host h --path /p/", ExitUnreachable},
+	})
+}
+
 // TestTimelineFollow guards against events that are lost or repeated between
 // polls, and against a --follow that ends at --timeout.
 func TestTimelineFollow(t *testing.T) {
