--- a/hornbench/soaker/caller.go
+++ b/hornbench/soaker/caller.go
@@ -36,6 +36,8 @@
 	Err           string
 	Stamp, Answer string
 	Echo          string
+	// Key is the key of a workspace that was sent, nil for none.
+	Key *workspaceKey
 }
 
 // Journal has all requests. It is safe for concurrent use.
@@ -85,6 +87,8 @@
 	count     int
 	// popular lets the caller send requests that others send too.
 	popular bool
+	// pickKey returns the key of a request, nil if it needs none.
+	pickKey func(random *rand.Rand) *workspaceKey
 }
 
 func newCaller(n int, region string, instances []*Instance, j *Journal, seed uint64) *caller {
@@ -151,6 +155,9 @@
 func (c *caller) exchange(s *Sent, address, key string) {
 	c.count++
 	s.ID, s.Instance, s.Start = fmt.Sprintf("%s-%d", c.name, c.count), address, time.Now()
+	if c.pickKey != nil {
+		s.Key = c.pickKey(c.random)
+	}
 	c.journal.begin(s)
 	q, a := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(q)
@@ -164,6 +171,10 @@
 	q.Header.Set("X-Request-Id", s.ID)
 	q.Header.Set("X-Deadline-Ms", strconv.Itoa(int(callerTime.Milliseconds())))
 	q.Header.Set("Cookie", "X-Affinity-Key="+key)
+	if s.Key != nil {
+		q.Header.Set("Authorization", "Bearer "+s.Key.value)
+		q.Header.Set("X-Tenant", "forged")
+	}
 	err := c.client(address).DoDeadline(q, a, s.Start.Add(callerTime))
 	c.journal.end(s, func() {
 		if err != nil {
--- a/hornbench/soaker/soak.go
+++ b/hornbench/soaker/soak.go
@@ -34,6 +34,9 @@
 	// Crashes adds requests that crash the upstreams that run them, and upstreams that
 	// crash together.
 	Crashes bool
+	// Workspaces adds workspaces whose keys change with each configuration, one of them
+	// with an allowance that it exceeds all the time.
+	Workspaces bool
 	// Dir takes the logs of the instances. It is made if it is missing.
 	Dir string
 }
@@ -94,7 +97,9 @@
 	next    int
 	// crashes has the times at which upstreams crashed by the request that crashed them.
 	crashes map[string][]time.Time
-	closed  bool
+	// keys has all keys of workspaces that ever were, oldest first.
+	keys   []workspaceKey
+	closed bool
 }
 
 // move is a configuration that sends all requests to a service.
@@ -144,6 +149,7 @@
 	for n := range o.Callers {
 		c := newCaller(n, domains[domainNames[n%len(domainNames)]], w.instances, w.journal, o.Seed)
 		c.popular = o.Crashes
+		c.pickKey = w.pickKey
 		group.Go(func() error {
 			c.run(done)
 			return nil
@@ -152,6 +158,7 @@
 	if o.Crashes {
 		for n := range crashingRequests {
 			c := newCaller(o.Callers+n, domains[domainNames[0]], w.instances, w.journal, o.Seed)
+			c.pickKey = w.pickKey
 			group.Go(func() error {
 				c.repeat(crashingRequest(n), faultsDone)
 				return nil
@@ -234,7 +241,7 @@
 	for _, s := range services {
 		rows = append(rows, []any{s, "/healthz", 200, 1.0, 20.0})
 	}
-	w.config = map[string]any{
+	config := map[string]any{
 		"version": fmt.Sprintf("r%d", w.version),
 		"routes": map[string]any{
 			"columns": []string{"name", "host", "pathPrefix", "kind", "timeoutMs", "latencyTargetMs", "priority", "service", "attempts", "sticky", "homeRegions", "trafficSplit"},
@@ -243,6 +250,11 @@
 		"services": map[string]any{"columns": []string{"name", "healthPath", "maxConns", "coldStartS", "coldPerS"}, "rows": rows},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 5000},
 	}
+	if w.options.Workspaces {
+		w.rotateKeys()
+		config["tenants"] = w.tenants()
+	}
+	w.config = config
 	// The values are of types that always have a JSON form.
 	_ = w.store.Put("config", "main", w.config)
 	w.moves = append(w.moves, move{time.Now(), service})
--- a/hornbench/soaker/upstream.go
+++ b/hornbench/soaker/upstream.go
@@ -27,6 +27,10 @@
 	Upstream, Service string
 	Method, URI, Body string
 	At                time.Time
+	// Workspace is the workspace that the request names, HasKey reports whether it has a
+	// key.
+	Workspace string
+	HasKey    bool
 }
 
 // Ledger knows which upstreams have run which requests. It is safe for
@@ -281,7 +285,10 @@
 	}
 	defer u.leave()
 	mode, load := u.state()
-	u.ledger.add(id, Run{u.ID, u.Service, r.Method, r.RequestURI, string(body), time.Now()})
+	u.ledger.add(id, Run{
+		Upstream: u.ID, Service: u.Service, Method: r.Method, URI: r.RequestURI, Body: string(body), At: time.Now(),
+		Workspace: r.Header.Get("X-Tenant"), HasKey: r.Header.Get("Authorization") != "",
+	})
 	if isCrashing(r.RequestURI) {
 		u.onCrash(u, r.RequestURI)
 		panic(http.ErrAbortHandler)
