--- a/core/steerer/usage_test.go
+++ b/core/steerer/usage_test.go
@@ -1,8 +1,10 @@
 package steerer
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -156,6 +158,22 @@
 	}
 }
 
+// TestUsageBeaconFitsIntoDatagram encodes the largest usage report.
+func TestUsageBeaconFitsIntoDatagram(t *testing.T) {
+	is := is.New(t)
+	const maxDatagram = 1200 // of the receiver
+	reports := make([]allocator.Report, maxUsagePerBeacon)
+	for i := range reports {
+		reports[i] = allocator.Report{Admitted: 1 << 34, Demand: 1000}
+	}
+	data, err := json.Marshal(Beacon{Name: "front-plovdiv-b-12", Ready: true, Version: 1 << 20, Usage: &UsageReport{
+		Kind: MemberUsage, Tag: math.MaxUint64, Start: math.MaxUint64, First: 160, Data: allocator.AppendReports(nil, reports),
+	}})
+	is.NoErr(err)
+	is.True(len(data) <= maxDatagram)
+	t.Logf("%d bytes", len(data))
+}
+
 // TestUsageOfOtherWorkspaces ignores reports about another list of workspaces, and malformed
 // ones.
 func TestUsageOfOtherWorkspaces(t *testing.T) {
