relayer: a crashing request is recognized after its workspace's key has changed

Cause: the digest by which instances recognize repeats contains the caller's credential. Keys of a workspace change while a caller repeats its request.

Change: the digest contains the workspace's name instead. Requests of other workspaces, and those without one, stay apart as before; the soak's crashing callers belong to one workspace.

Measured: TestDigestOutlivesKeys fails without the change.

--- a/hornbeamd/relayer/digest.go
+++ b/hornbeamd/relayer/digest.go
@@ -13,8 +13,13 @@
 		return c.digestSum
 	}
 	in := &c.ctx.Request.Header
+	caller := c.caller
+	if c.workspace != nil {
+		// Its keys change.
+		caller = []byte(c.workspace.Name)
+	}
 	d := xxhash.New()
-	for _, part := range [...][]byte{in.Method(), in.Host(), in.RequestURI(), c.caller, c.affinityKey} {
+	for _, part := range [...][]byte{in.Method(), in.Host(), in.RequestURI(), caller, c.affinityKey} {
 		// Write and WriteString of a Digest return no errors.
 		_, _ = d.Write(part)
 		_, _ = d.WriteString("\x00")
--- a/hornbeamd/relayer/digest_test.go
+++ b/hornbeamd/relayer/digest_test.go
@@ -9,6 +9,9 @@
 
 	"github.com/go-logr/logr/funcr"
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"hornbeamstream.example/core/quarantiner"
 )
 
 // TestLostConnectionLogsDigest guards against log lines that do not show whether the
@@ -47,3 +50,22 @@
 	}
 	is.Equal(len(different), 4)
 }
+
+// TestDigestOutlivesKeys guards against a crashing request that is not recognized as a repeat
+// after its workspace's key has changed.
+func TestDigestOutlivesKeys(t *testing.T) {
+	is := is.New(t)
+	h := startHarness(t)
+	h.publish(withWorkspaces)
+	table := h.tables.Load()
+	digest := func(key string) quarantiner.Digest {
+		ctx := &fasthttp.RequestCtx{}
+		ctx.Request.SetRequestURI("/safe/x")
+		c := h.relayer.newCall(ctx, nil, h.now())
+		c.caller, c.workspace = []byte(key), table.Workspace([]byte(key))
+		return c.digest()
+	}
+	is.Equal(digest("key-1"), digest("key-2"))
+	is.True(digest("key-1") != digest("key-3")) // another workspace
+	is.True(digest("key-4") != digest("key-5")) // no workspace
+}
--- a/hornbench/soaker/soak.go
+++ b/hornbench/soaker/soak.go
@@ -149,7 +149,7 @@
 	for n := range o.Callers {
 		c := newCaller(n, domains[domainNames[n%len(domainNames)]], w.instances, w.journal, o.Seed)
 		c.popular = o.Crashes
-		c.pickKey = w.pickKey
+		c.pickKey = func(r *rand.Rand) *workspaceKey { return w.pickKey(r, workspaceNames) }
 		group.Go(func() error {
 			c.run(done)
 			return nil
@@ -158,7 +158,8 @@
 	if o.Crashes {
 		for n := range crashingRequests {
 			c := newCaller(o.Callers+n, domains[domainNames[0]], w.instances, w.journal, o.Seed)
-			c.pickKey = w.pickKey
+			// A request of another workspace is another request.
+			c.pickKey = func(r *rand.Rand) *workspaceKey { return w.pickKey(r, workspaceNames[:1]) }
 			group.Go(func() error {
 				c.repeat(crashingRequest(n), faultsDone)
 				return nil
--- a/hornbench/soaker/workspace.go
+++ b/hornbench/soaker/workspace.go
@@ -71,14 +71,15 @@
 	return map[string]any{"columns": []string{"name", "apiKeys", "priority", "ratePerS", "burst", "homeRegions"}, "rows": rows}
 }
 
-// pickKey returns a key, seldom one that is no longer valid. It returns nil without workspaces.
-func (w *World) pickKey(random *rand.Rand) *workspaceKey {
+// pickKey returns a key of one of the workspaces, seldom one that is no longer valid. It returns
+// nil without workspaces.
+func (w *World) pickKey(random *rand.Rand, names []string) *workspaceKey {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(w.keys) == 0 {
 		return nil
 	}
-	name := workspaceNames[random.IntN(len(workspaceNames))]
+	name := names[random.IntN(len(names))]
 	var all []int
 	for i, k := range w.keys {
 		if k.workspace == name && (k.to.IsZero() || random.IntN(10) == 0) {
