--- a/core/dispatcher/choose.go
+++ b/core/dispatcher/choose.go
@@ -2,10 +2,7 @@
 
 import (
 	"slices"
-	"sync/atomic"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Reason says why a request was refused.
@@ -87,75 +84,6 @@
 	RetryAfter time.Duration
 }
 
-// KeyHash returns the hash of an affinity key, 0 if the route's upstreams cache none.
-func (r *Route) KeyHash(key []byte) uint64 {
-	if len(key) == 0 || !r.Sticky {
-		return 0
-	}
-	return xxhash.Sum64(key) ^ xxhash.Sum64String(r.Name) | 1
-}
-
-// SelectPool returns the pool for a request of the route. Requests of one key
-// prefer the same pool as long as all pools keep their shares of the requests.
-func (r *Route) SelectPool(key uint64, now int64) *Pool {
-	if len(r.Pools) == 0 {
-		return nil
-	}
-	if len(r.Pools) == 1 {
-		return r.Pools[0].Pool
-	}
-	if key == 0 {
-		key = uint64(now) * hashMultiplier
-	}
-	i := r.poolIndex(key)
-	r.Pools[i].sent.add()
-	return r.Pools[i].Pool
-}
-
-// poolIndex picks a pool by the key's hash. If that pool is ahead of its share,
-// it picks the one furthest behind instead.
-func (r *Route) poolIndex(key uint64) int {
-	const maxLead = 3 // requests
-	total := 1.0
-	for i := range r.Pools {
-		total += r.Pools[i].sent.value()
-	}
-	point := unitHash(key * hashMultiplier)
-	picked, behind, maxDeficit := len(r.Pools)-1, 0, -1e18
-	sum := 0.0
-	for i := range r.Pools {
-		sum += r.Pools[i].share
-		if point < sum {
-			picked = min(picked, i)
-		}
-		if d := r.Pools[i].share*total - r.Pools[i].sent.value(); d > maxDeficit {
-			behind, maxDeficit = i, d
-		}
-	}
-	p := &r.Pools[picked]
-	if p.sent.value() > p.share*total+maxLead {
-		return behind
-	}
-	return picked
-}
-
-// decayingCounter counts requests. It is halved at counterLimit, so that old
-// requests lose weight.
-type decayingCounter struct{ n atomic.Int64 }
-
-// counterLimit is the count at which a counter is halved. The counters of a
-// route's pools are halved at different times and so equally often only on
-// average, which is accurate enough for their shares.
-const counterLimit = 4096
-
-func (c *decayingCounter) add() {
-	if n := c.n.Add(1); n >= counterLimit {
-		c.n.Store(n / 2)
-	}
-}
-
-func (c *decayingCounter) value() float64 { return float64(c.n.Load()) }
-
 // candidate is an upstream with its expected latency and cost, in nanoseconds.
 type candidate struct {
 	upstream       *Upstream
@@ -280,108 +208,6 @@
 	return time.Duration(float64(limit) * unitHash(r.Key^uint64(r.Now)))
 }
 
-// usable reports whether the upstream may take the request.
-func (r *Request) usable(u *Upstream) bool {
-	return (u.unrestricted() || u.Available(r.Now)) && r.allowedRegion(u) && !slices.Contains(r.Tried, u)
-}
-
-// candidate returns an upstream with its rank for the request's key. Ranks follow
-// rendezvous hashing: all instances compute the same order of upstreams for a key.
-func (r *Request) candidate(u *Upstream) candidate {
-	rank := (r.Key ^ u.seed) * hashMultiplier
-	rank ^= rank >> 29
-	return candidate{upstream: u, rank: rank * hashMultiplier}
-}
-
-// locality is the location of an upstream relative to this instance.
-type locality uint8
-
-const (
-	sameDomain locality = iota
-	sameRegion
-	otherRegion
-	localities
-)
-
-// locality returns the locality of an upstream. The failure domain matters only
-// for routes with large answers: a key that two domains use runs cold in each of
-// them.
-func (r *Request) locality(u *Upstream) locality {
-	switch {
-	case u.remote():
-		return otherRegion
-	case r.Route.Bulk && u.RTT == sameDomainRTT:
-		return sameDomain
-	}
-	return sameRegion
-}
-
-// replicas returns the number of upstreams of a locality that may cache the key.
-func (r *Request) replicas(l locality) int {
-	if l == sameRegion && !r.Route.Bulk {
-		return 2
-	}
-	return 1
-}
-
-// maxCandidates is the largest number of upstreams that may cache a key.
-const maxCandidates = int(localities) + 1
-
-// candidates appends the usable upstreams that may cache the key to dst: the ones
-// of highest rank in each locality, nearest locality first. Without a key all
-// usable upstreams are candidates.
-func (r *Request) candidates(dst []candidate) []candidate {
-	if r.Key == 0 {
-		return r.allUsable(dst)
-	}
-	if r.owned() {
-		return r.ownerCandidates(dst)
-	}
-	var first, second [localities]candidate
-	for _, u := range r.Pool.Upstreams {
-		if !r.usable(u) {
-			continue
-		}
-		c, l := r.candidate(u), r.locality(u)
-		switch {
-		case first[l].upstream == nil || c.rank > first[l].rank:
-			first[l], second[l] = c, first[l]
-		case second[l].upstream == nil || c.rank > second[l].rank:
-			second[l] = c
-		}
-	}
-	for l := range localities {
-		if first[l].upstream != nil {
-			dst = append(dst, first[l])
-		}
-		if second[l].upstream != nil && r.replicas(l) > 1 {
-			second[l].secondary = true
-			dst = append(dst, second[l])
-		}
-	}
-	return dst
-}
-
-// allUsable appends all usable upstreams to dst.
-func (r *Request) allUsable(dst []candidate) []candidate {
-	for _, u := range r.Pool.Upstreams {
-		if r.usable(u) {
-			dst = append(dst, r.candidate(u))
-		}
-	}
-	return dst
-}
-
-// allowedRegion reports whether the request may run in the upstream's region. The homes of
-// the route and those of the workspace both bind.
-func (r *Request) allowedRegion(u *Upstream) bool {
-	return isHome(r.Route.Homes, u) && (r.Workspace == nil || isHome(r.Workspace.Homes, u))
-}
-
-func isHome(homes []string, u *Upstream) bool {
-	return len(homes) == 0 || slices.Contains(homes, u.Region)
-}
-
 // score computes the costs of candidates. Their upstreams are assumed to have
 // cached the request's key even if this instance has not sent it, since other
 // instances may have.
--- a/core/dispatcher/explain.go
+++ b/core/dispatcher/explain.go
@@ -148,18 +148,3 @@
 
 // remaining returns the time from now until a point in time, 0 if it has passed.
 func remaining(until, now int64) time.Duration { return time.Duration(max(0, until-now)) }
-
-// PreviewPool returns the pool that SelectPool would return, and changes nothing. It returns
-// nil if the route has none.
-func (r *Route) PreviewPool(key uint64, now int64) *Pool {
-	switch len(r.Pools) {
-	case 0:
-		return nil
-	case 1:
-		return r.Pools[0].Pool
-	}
-	if key == 0 {
-		key = uint64(now) * hashMultiplier
-	}
-	return r.Pools[r.poolIndex(key)].Pool
-}
