--- a/hornbeamd/relayer/conn_test.go
+++ b/hornbeamd/relayer/conn_test.go
@@ -80,6 +80,37 @@
 	is.Equal(h.runs(), 1)
 }
 
+// TestNoSendAfterCallerLeft handles a request late, after its caller has given up and closed
+// the connection.
+func TestNoSendAfterCallerLeft(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = ln.Close() }()
+	h := startHarness(t, startStub(t, "u1", respondOK))
+	for _, leaves := range []bool{false, true} {
+		caller, err := net.Dial("tcp", ln.Addr().String())
+		is.NoErr(err)
+		defer func() { _ = caller.Close() }()
+		accepted, err := listener{ln, testTracker()}.Accept()
+		is.NoErr(err)
+		server := accepted.(*conn)
+		if leaves {
+			is.NoErr(caller.Close())
+			for until := time.Now().Add(10 * time.Second); !server.closedByPeer() && time.Now().Before(until); {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		ctx := &fasthttp.RequestCtx{}
+		ctx.Init2(server, nil, false)
+		ctx.Request.Header.SetHost("h")
+		ctx.Request.Header.Set("Id", "q1")
+		ctx.Request.SetRequestURI("/once/x")
+		h.relayer.handle(ctx)
+		is.Equal(h.runs(), 1) // the one of the caller that stayed
+	}
+}
+
 // TestCloseWithUnreadRequestSendsNoReset closes a connection with an unread
 // request after a response. The caller must receive the response and no reset.
 func TestCloseWithUnreadRequestSendsNoReset(t *testing.T) {
