--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -27,8 +27,8 @@
 	expiryTime = 3 * time.Second
 	// demandTime is the time constant of the average of the demand.
 	demandTime = 2 * time.Second
-	// silenceTime is the time without a report after which a source is assumed to go on
-	// as before, forgetTime that after which it is assumed to have ended.
+	// silenceTime is the time without a report after which a source is assumed to use up
+	// its part of the rate, forgetTime that after which it is assumed to have ended.
 	silenceTime = time.Second
 	forgetTime  = 30 * time.Second
 	// comfortShare is the part of a burst that must be left for single instances to
--- a/core/allocator/ledger.go
+++ b/core/allocator/ledger.go
@@ -145,8 +145,8 @@
 	}
 }
 
-// advance adds the tokens of the time since the last call, and assumes that silent sources
-// go on as before, but not beyond their parts.
+// advance adds the tokens of the time since the last call, and takes away those that silent
+// sources are assumed to use.
 func (l *Ledger) advance(now int64) {
 	took := time.Duration(now - l.at).Seconds()
 	if l.at == 0 || took <= 0 {
--- a/hornbeamd/relayer/conn.go
+++ b/hornbeamd/relayer/conn.go
@@ -94,7 +94,8 @@
 	// response. closed reports that they are no longer needed.
 	held   atomic.Int64
 	closed atomic.Bool
-	once   sync.Once
+	// removal makes room for another connection once.
+	removal sync.Once
 
 	mu    sync.Mutex
 	phase phase
@@ -317,6 +318,6 @@
 // closeTCP closes the connection and makes room for another one.
 func (c *conn) closeTCP() error {
 	err := c.TCPConn.Close()
-	c.once.Do(func() { c.tracker.remove(c) })
+	c.removal.Do(func() { c.tracker.remove(c) })
 	return err
 }
