dispatcher: no refusal by the wait at upstreams on shared machines

Change: the bound on the wait does not hold for upstreams that state how slow their machine is. What cannot be answered before its deadline is refused as before. Others are treated as before.

--- a/core/dispatcher/choose.go
+++ b/core/dispatcher/choose.go
@@ -89,8 +89,8 @@
 	upstream       *Upstream
 	cost           float64
 	wait, expected time.Duration
-	// usualWait is the wait if an upstream that shares its machine is as fast as usual.
-	usualWait time.Duration
+	// sharesMachine reports whether the upstream says how slow its machine is.
+	sharesMachine bool
 	// expectedCold is the expected latency if the key is not cached.
 	expectedCold time.Duration
 	// likelyWarm reports whether the upstream is assumed to have cached the key,
@@ -190,10 +190,10 @@
 // queueTooLong reports whether the wait for a slot alone exceeds the route's
 // latency aim. The request would be answered late, and so would all those queued
 // behind it. An aim shorter than a warm run cannot be met, so the warm service
-// time is the bound then. An upstream that is slowed by neighbors on its machine may be
-// as fast as ever a moment later, so its wait at the usual speed counts.
+// time is the bound then. The wait at an upstream that shares its machine with others
+// cannot be foreseen well enough, because its speed changes several times a second.
 func (r *Request) queueTooLong(c *candidate) bool {
-	return r.Route.Aim > 0 && c.usualWait > max(r.Route.Aim, time.Duration(r.Route.serviceTime.warm()))
+	return !c.sharesMachine && r.Route.Aim > 0 && c.wait > max(r.Route.Aim, time.Duration(r.Route.serviceTime.warm()))
 }
 
 // retryAfter returns the delay after which a slot is likely to be free, given the
@@ -238,10 +238,7 @@
 	}
 	wait := max(0, s.load+1-slots) / slots * serviceTime.mean() * slowdown
 	c.wait = time.Duration(wait)
-	c.usualWait = c.wait
-	if s.sharesMachine {
-		c.usualWait = time.Duration(wait / max(1, slowdown))
-	}
+	c.sharesMachine = s.sharesMachine
 	c.expected = u.RTT + time.Duration(wait+runTime*slowdown)
 	c.expectedCold = u.RTT + time.Duration(wait+serviceTime.cold()*slowdown)
 	c.cost = float64(c.expected)
