allocator: what a source admitted just before its first report counts

Callers saw nothing; a workspace got more than its allowance. All instances are restarted one after the other while the workspace sends seven times its usual.

Cause: a collector that starts knows the level, but not what the sources have admitted since their last reports; each change of a collector lost up to 0.8 s of them.

Change: the first report of a source takes away what it may have admitted within the delay of reports. A bucket grants 0.6 instead of 0.8 of the burst evenly over the window, so that what restarts lose fits.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -66,7 +66,7 @@
 
 // burstShare is the part of a burst that an allowance grants evenly over its window.
 // Demand a little above the rate is then met all the time, not only after a pause.
-const burstShare = 0.8
+const burstShare = 0.6
 
 // Bound returns the token bucket that uses up an allowance without exceeding it by more than
 // what does no harm.
--- a/core/allocator/ledger.go
+++ b/core/allocator/ledger.go
@@ -128,15 +128,24 @@
 		u := &s.uses[o.First+k]
 		if u.known {
 			l.use(o.First+k, float64(r.Admitted)-float64(u.Admitted)-u.assumed, s.member)
-		} else if before := l.sources[unheard]; before != nil {
-			// What the source admitted before is contained in the level.
-			left := &before.uses[o.First+k].Demand
-			*left = max(0, *left-r.Demand)
+		} else {
+			l.meet(o.First+k, r, s.member)
 		}
 		*u = sourceUse{Report: r, known: true}
 	}
 }
 
+// meet records the first report of a source. What it admitted long ago is contained in the
+// level that this collector started with, or makes no difference any more; what it admitted
+// within the delay of reports may not be.
+func (l *Ledger) meet(i int, r Report, member bool) {
+	l.use(i, min(float64(r.Admitted), min(r.Demand, l.bounds[i].Rate)*reportDelay.Seconds()), member)
+	if before := l.sources[unheard]; before != nil {
+		left := &before.uses[i].Demand
+		*left = max(0, *left-r.Demand)
+	}
+}
+
 // use records that a source has used tokens.
 func (l *Ledger) use(i int, n float64, member bool) {
 	l.levels[i] -= n
