dispatcher: workspaces are indexed once for each configuration

Found on reading the change: each new table, up to 20 a second, hashed all keys of all workspaces again (174 digests with 87 workspaces of two keys), though they change with the configuration only. The index is kept until the configuration changes; allowances are still set with each table, because they depend on the bounds and the number of instances. No behaviour changes: tests of dispatcher, steerer, relayer (identity, revocation, allowance, homes) and runner pass.

--- a/core/dispatcher/table.go
+++ b/core/dispatcher/table.go
@@ -82,8 +82,11 @@
 	paths        map[string]*path
 	flows        map[steerer.Incarnation]*flowControl
 	shares       map[string]*allocator.Share
-	// workspaces has those of the latest table.
-	workspaces []*Workspace
+	// workspaces has those of workspaceConfig, workspacesByKey the same by the digests of
+	// their keys.
+	workspaces      []*Workspace
+	workspacesByKey map[keyDigest]*Workspace
+	workspaceConfig *steerer.Config
 	// peers ranks the instances of the latest view. It was made from the instances
 	// peerList and the regions peerRegions.
 	peers       *peerSet
--- a/core/dispatcher/workspace.go
+++ b/core/dispatcher/workspace.go
@@ -38,8 +38,19 @@
 
 // addWorkspaces adds the view's workspaces to the table. Their shares outlive it.
 func (b *Builder) addWorkspaces(t *Table) {
-	all := t.View.Config.Workspaces
-	t.workspaces = make(map[keyDigest]*Workspace, 2*len(all))
+	if b.workspaceConfig != t.View.Config {
+		b.workspaceConfig = t.View.Config
+		b.indexWorkspaces(t.View.Config.Workspaces)
+	}
+	t.workspaces, t.workspaceList = b.workspacesByKey, b.workspaces
+	for _, w := range b.workspaces {
+		w.Share.Limit(b.Bounds.Allowance(&w.Workspace).Bound(), len(t.View.Peers))
+	}
+}
+
+// indexWorkspaces makes the workspaces of a configuration and finds them by their keys.
+func (b *Builder) indexWorkspaces(all []steerer.Workspace) {
+	b.workspaces, b.workspacesByKey = nil, make(map[keyDigest]*Workspace, 2*len(all))
 	for _, w := range all {
 		workspace := &Workspace{Workspace: w, Share: b.shares[w.Name]}
 		if workspace.Share == nil {
@@ -47,13 +58,11 @@
 			workspace.Share.SetSeed(xxhash.Sum64String(b.Self.Name + " " + w.Name))
 			b.shares[w.Name] = workspace.Share
 		}
-		workspace.Share.Limit(b.Bounds.Allowance(&w).Bound(), len(t.View.Peers))
-		t.workspaceList = append(t.workspaceList, workspace)
+		b.workspaces = append(b.workspaces, workspace)
 		for _, key := range w.Keys {
-			t.workspaces[sha256.Sum256([]byte(key))] = workspace
+			b.workspacesByKey[sha256.Sum256([]byte(key))] = workspace
 		}
 	}
-	b.workspaces = t.workspaceList
 	if len(b.shares) > len(all) {
 		for name := range b.shares {
 			if !slices.ContainsFunc(all, func(w steerer.Workspace) bool { return w.Name == name }) {
