relayer: a refused body is released before its refusal is written

Cause: the bytes of a body that is refused (413, 408, 503) stayed reserved until the response had been written and the connection had closed. A caller that reads slowly held them for up to 30 s, and whoever came next found less room than there was.

Change: they are released as soon as the body is given up.

Evidence: TestBodyRefusals checks after each refusal that nothing is reserved.

--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -93,6 +93,11 @@
 	start := r.cfg.Now()
 	body, err := r.receiveBody(ctx, c)
 	if err != nil {
+		if c != nil {
+			// The received part is needed no longer than this, however slowly the
+			// caller reads the response.
+			c.releaseHeld(&r.byteBudget)
+		}
 		failed := r.newCall(ctx, nil, start)
 		failed.id = r.cfg.HeaderCodec.ReadRequest(&ctx.Request.Header).ID
 		r.rejectBody(failed, err)
--- a/hornbeamd/relayer/memory_test.go
+++ b/hornbeamd/relayer/memory_test.go
@@ -159,6 +159,7 @@
 			is.NoErr(err)
 			is.True(strings.HasPrefix(string(data), fmt.Sprintf("HTTP/1.1 %d ", tt.status)))
 			is.True(strings.Contains(string(data), "Connection: close"))
+			is.Equal(h.relayer.byteBudget.used.Load(), int64(0))
 			is.Equal(h.runs(), 0)
 		})
 	}
