dispatcher: upstreams that have started or recovered ramp up

Cause: an upstream that was no longer cold got all requests for its keys at once, which ran cold together; while cold, requests of any key took its slow slots although others had the keys cached.

Each instance adjusts the share every 250 ms by the answers of all upstreams of the service in that failure domain: faster while the others are full, back after refusals.

--- a/core/dispatcher/candidates.go
+++ b/core/dispatcher/candidates.go
@@ -4,7 +4,7 @@
 
 // usable reports whether the upstream may take the request.
 func (r *Request) usable(u *Upstream) bool {
-	return (u.unrestricted() || u.Available(r.Now)) && r.allowedRegion(u) && !slices.Contains(r.Tried, u)
+	return (u.unrestricted() || u.Available(r.Now)) && r.allowedRegion(u) && !slices.Contains(r.Tried, u) && u.takes(r)
 }
 
 // candidate returns an upstream with its rank for the request's key. Ranks follow
@@ -49,6 +49,16 @@
 // maxCandidates is the largest number of upstreams that may cache a key.
 const maxCandidates = int(localities) + 1
 
+// allCandidates appends the candidates to dst, which must be empty. If there are none but
+// upstreams that ramp up, these take all keys.
+func (r *Request) allCandidates(dst []candidate) []candidate {
+	if found := r.candidates(dst); len(found) > 0 {
+		return found
+	}
+	r.ignoreRamps = true
+	return r.candidates(dst)
+}
+
 // candidates appends the usable upstreams that may cache the key to dst: the ones
 // of highest rank in each locality, nearest locality first. Without a key all
 // usable upstreams are candidates.
--- a/core/dispatcher/choose.go
+++ b/core/dispatcher/choose.go
@@ -58,6 +58,10 @@
 	// probing is the upstream that the request may be sent to as a probe of a
 	// network path that is down.
 	probing *Upstream
+	// ignoreRamps means that upstreams take all keys even if they ramp up.
+	ignoreRamps bool
+	// preview means that the decision is not carried out and must change nothing.
+	preview bool
 }
 
 // Decision is the result of Choose. If Upstream is nil, the request is refused.
@@ -109,7 +113,7 @@
 // decision's Done method after the exchange.
 func Choose(r *Request) Decision {
 	var buf [maxCandidates]candidate
-	candidates := r.candidates(buf[:0])
+	candidates := r.allCandidates(buf[:0])
 	if len(candidates) == 0 {
 		return r.noCandidate()
 	}
--- a/core/dispatcher/explain.go
+++ b/core/dispatcher/explain.go
@@ -25,6 +25,9 @@
 	// instance has used its share of its limit.
 	PausedUpstream  Verdict = "paused"
 	LimitedUpstream Verdict = "limited"
+	// RampingUp means that it has started or recovered and does not take the request's key
+	// yet.
+	RampingUp Verdict = "ramping up"
 	// ColdUpstream means that it is cold and this instance has used its share of its rate.
 	ColdUpstream Verdict = "cold"
 	// TooLate means that it would answer after the deadline, or that the queue is longer
@@ -64,7 +67,8 @@
 // Explain returns what Choose would decide now. It sends nothing and changes nothing: no
 // counter, no share and no estimate.
 func Explain(r *Request) (x Explanation) {
-	candidates := r.candidates(nil)
+	r.preview = true
+	candidates := r.allCandidates(nil)
 	r.score(candidates)
 	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
 	chosen := false
@@ -142,6 +146,8 @@
 		return PausedUpstream
 	case r.Now < u.limitOpensAt():
 		return LimitedUpstream
+	case !u.takes(r):
+		return RampingUp
 	}
 	return OtherKeys
 }
--- a/core/dispatcher/explain_test.go
+++ b/core/dispatcher/explain_test.go
@@ -14,7 +14,7 @@
 
 // explainTable returns a table with upstreams in each of the states that exclude one.
 func explainTable(now int64) (*Builder, *Table) {
-	b := &Builder{Self: steerer.Instance{Name: "i", Domain: "a", Region: "r1"}, Regions: map[string]string{"a": "r1", "b": "r2"}, Bounds: steerer.Bounds{ColdSlack: 5, AllowanceSlack: 20}}
+	b := &Builder{Self: steerer.Instance{Name: "i", Domain: "a", Region: "r1"}, Regions: map[string]string{"a": "r1", "b": "r2"}, Bounds: steerer.Bounds{ColdSlack: 5, AllowanceSlack: 20}, MinRampShare: rampShare}
 	upstream := func(id, domain string) steerer.Upstream {
 		return steerer.Upstream{ID: id, Service: "s", Address: id, Domain: domain, Slots: 2}
 	}
@@ -31,13 +31,17 @@
 	}
 	v.Upstreams[1].ColdUntil = now + int64(3*time.Second)
 	v.Upstreams = append(v.Upstreams, upstream("far", "b"))
+	b.Build(v, now)
+	v.Upstreams = append(v.Upstreams, upstream("new", "a"))
 	t := b.Build(v, now)
+	now += int64(time.Second) // the next request lets the share of the new one grow
 	all := map[string]*Upstream{}
 	for _, u := range t.Pool("s").Upstreams {
 		all[u.ID] = u
 	}
 	all["busy"].report(Load{Running: 2, Waiting: 6, Slots: 2}, now)
 	all["cold"].admitCold(now) // uses up its share
+	all["cold"].ramp.active.Store(false)
 	all["leaving"].MarkDraining()
 	all["limited"].ObserveRateLimit(RateLimit{Stated: true, Valid: true, PerSecond: 1}, now-1, now)
 	all["paused"].Pause(time.Second, now)
@@ -54,6 +58,7 @@
 		text += fmt.Sprintf("%s budget %+v spillover %+v moves %+v\n", p.Name, p.RetryBudget, p.spillover, b.moveLimiter)
 		for _, u := range p.Upstreams {
 			text += fmt.Sprintf("%s %d %d %d %v %v %v %+v %+v\n", u.ID, u.Inflight(), u.nextCold.Load(), u.downUntil, u.slowdown, u.failureRate, u.lastAnswer, u.flow.limit.spacedAt, u.path)
+			text += fmt.Sprintln(u.ramp.share(), u.ramp.steppedAt.Load())
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(b.counters)) {
@@ -91,7 +96,7 @@
 	}
 	is.Equal(verdicts, map[string]Verdict{
 		"free": Chosen, "slow": Costlier, "busy": TooLate, "cold": ColdUpstream, "far": NotHome,
-		"leaving": Leaving, "limited": LimitedUpstream, "paused": PausedUpstream,
+		"leaving": Leaving, "limited": LimitedUpstream, "new": RampingUp, "paused": PausedUpstream,
 	})
 	is.Equal(x.Upstreams[0].Upstream.ID, "free")
 	is.Equal(x.Reason, Reason(""))
--- a/core/dispatcher/feedback.go
+++ b/core/dispatcher/feedback.go
@@ -48,6 +48,7 @@
 	case DialTimeout:
 		u.path.recordDialTimeout(now)
 	}
+	u.ramp.observe(res, now)
 	switch res {
 	case Answered:
 		u.markReachable(r.Key)
@@ -64,6 +65,9 @@
 	case Unreachable, DialTimeout:
 		u.MarkUnreachable(now)
 		u.observe(now, 0, true)
+		if res == Unreachable {
+			u.ramp.start(now)
+		}
 	case PauseRequested:
 		// The upstream has said how long the pause lasts, so nothing is estimated.
 	case Canceled:
--- a/core/dispatcher/policies_test.go
+++ b/core/dispatcher/policies_test.go
@@ -14,6 +14,8 @@
 	tables   [][]*Table
 	// view, if set, edits the view that the instances get.
 	view func(v *steerer.View)
+	// minRampShare is that of the instances.
+	minRampShare float64
 	// gossipDelay is the time after which instances tell each other of limits, 0 if
 	// they do not.
 	gossipDelay time.Duration
@@ -65,6 +67,7 @@
 	}
 	for r := range p.builders {
 		for i, b := range p.builders[r] {
+			b.MinRampShare = p.minRampShare
 			p.tables[r][i] = b.Build(v, now)
 		}
 	}
--- a/core/dispatcher/simulation_test.go
+++ b/core/dispatcher/simulation_test.go
@@ -62,6 +62,8 @@
 	cachedKeys  []uint64
 	slowdown    float64
 	down        bool
+	// failing means that it accepts requests and fails all of them.
+	failing bool
 	// pausedUntil is the end of the pause that the upstream asks all instances for.
 	pausedUntil int64
 	// pauseSentAt is when each instance, by region and index, was first told of the
@@ -307,6 +309,8 @@
 	switch {
 	case u.down:
 		m.respond(q, Unreachable, now)
+	case u.failing:
+		m.respond(q, Failed, now)
 	case now < u.pausedUntil:
 		instance := [2]int{q.region, q.instance}
 		if at, ok := u.pauseSentAt[instance]; ok && now-at > int64(500*time.Millisecond) {
--- a/core/dispatcher/table.go
+++ b/core/dispatcher/table.go
@@ -71,6 +71,9 @@
 	Bounds steerer.Bounds
 	// Regions maps failure domains to their regions.
 	Regions map[string]string
+	// MinRampShare is the share of its keys that an upstream takes first when it has
+	// started or recovered, if its service has a slow start. 0 or 1 means all keys at once.
+	MinRampShare float64
 
 	upstreams    map[incarnationKey]*Upstream
 	budgets      map[string]*limiter.RetryBudget
@@ -79,9 +82,15 @@
 	serviceTimes map[string]*serviceTime
 	counters     map[string]*decayingCounter
 	slotLoads    map[string]*movingAverage
-	paths        map[string]*path
-	flows        map[steerer.Incarnation]*flowControl
-	shares       map[string]*allocator.Share
+	// settledLoads has the load per slot of the upstreams of each service that do not ramp
+	// up.
+	settledLoads map[string]*movingAverage
+	rampGroups   map[string]*rampGroup
+	// placed has the services that have had upstreams before.
+	placed map[string]bool
+	paths  map[string]*path
+	flows  map[steerer.Incarnation]*flowControl
+	shares map[string]*allocator.Share
 	// workspaces has those of workspaceConfig, workspacesByKey the same by the digests of
 	// their keys.
 	workspaces      []*Workspace
@@ -136,6 +145,9 @@
 	b.serviceTimes = map[string]*serviceTime{}
 	b.counters = map[string]*decayingCounter{}
 	b.slotLoads = map[string]*movingAverage{}
+	b.settledLoads = map[string]*movingAverage{}
+	b.rampGroups = map[string]*rampGroup{}
+	b.placed = map[string]bool{}
 	b.paths = map[string]*path{}
 	b.flows = map[steerer.Incarnation]*flowControl{}
 	b.shares = map[string]*allocator.Share{}
@@ -198,7 +210,13 @@
 		if upstream == nil {
 			region := b.Regions[u.Domain]
 			upstream = newUpstream(u, region, b.Self, getOrCreate(b.slotLoads, u.Service+" "+region), getOrCreate(b.paths, u.Domain))
-			upstream.flow = getOrCreate(b.flows, steerer.Incarnation{ID: u.ID, Born: u.Born})
+			incarnation := steerer.Incarnation{ID: u.ID, Born: u.Born}
+			known := b.flows[incarnation] != nil
+			upstream.flow = getOrCreate(b.flows, incarnation)
+			upstream.ramp.group = b.rampGroup(&p.Service, u.Domain)
+			if b.placed[u.Service] && !known {
+				upstream.ramp.start(now)
+			}
 			b.upstreams[key] = upstream
 		}
 		upstream.flow.absentSince, upstream.flow.upstream = 0, upstream
@@ -218,7 +236,9 @@
 		}
 	}
 	maps.DeleteFunc(b.flows, func(_ steerer.Incarnation, f *flowControl) bool { return f.expired(now) })
-	for _, p := range t.pools {
+	for name, p := range t.pools {
+		b.placed[name] = b.placed[name] || len(p.Upstreams) > 0
+		p.endRampsOfMost()
 		p.dropDoubtful()
 		p.regionCount = len(b.peerRegions)
 	}
--- a/core/dispatcher/upstream.go
+++ b/core/dispatcher/upstream.go
@@ -60,6 +60,7 @@
 	slotLoad *movingAverage
 	// path is the network path to the upstream's failure domain.
 	path *path
+	ramp ramp
 
 	mu sync.Mutex
 	// otherLoad is the load from other instances at reportedAt.
@@ -111,7 +112,13 @@
 	}
 	for {
 		old := u.coldUntil.Load()
-		if old >= until || u.coldUntil.CompareAndSwap(old, until) {
+		if old >= until {
+			return
+		}
+		if u.coldUntil.CompareAndSwap(old, until) {
+			if old <= now {
+				u.ramp.start(now)
+			}
 			return
 		}
 	}
@@ -258,7 +265,9 @@
 	defer u.mu.Unlock()
 	u.otherLoad = max(0, float64(l.Running+l.Waiting)-float64(u.inflight.Load()))
 	u.slowness, u.reportedAt = l.Slowness, now
-	u.slotLoad.add(float64(l.Running+l.Waiting)/float64(max(1, l.Slots)), slotLoadWeight)
+	perSlot := float64(l.Running+l.Waiting) / float64(max(1, l.Slots))
+	u.slotLoad.add(perSlot, slotLoadWeight)
+	u.ramp.observeLoad(perSlot)
 }
 
 // observe adds a sample to the estimated slowdown and failure rate. A slowdown of 0
--- a/core/loader/tuning.go
+++ b/core/loader/tuning.go
@@ -27,11 +27,14 @@
 	// the least number of its bytes per second, from 5 s after its start on.
 	StallSeconds float64 `yaml:"stall"`
 	MinPace      int     `yaml:"pace"`
+	// RampShare is the share of its keys that an upstream takes first when it has started
+	// or recovered, if its service has a slow start; 1 means all keys at once.
+	RampShare float64 `yaml:"ramp"`
 }
 
 // DefaultTuning returns the settings that apply without a file.
 func DefaultTuning() Tuning {
-	return Tuning{MetricsPort: 9464, LogLinesPerSecond: 200, DetailLinesPerSecond: 60, LookupTTLSeconds: 2, ReuseSeconds: 10, UnsafeReuseSeconds: 4, StallSeconds: 10, MinPace: 1024}
+	return Tuning{MetricsPort: 9464, LogLinesPerSecond: 200, DetailLinesPerSecond: 60, LookupTTLSeconds: 2, ReuseSeconds: 10, UnsafeReuseSeconds: 4, StallSeconds: 10, MinPace: 1024, RampShare: 1}
 }
 
 // ParseTuning decodes the settings from YAML; name is the file name in errors.
@@ -78,6 +81,7 @@
 		{"proven", t.UnsafeReuseSeconds, 0, 3600, " seconds"},
 		{"stall", t.StallSeconds, 0.1, 3600, " seconds"},
 		{"pace", float64(t.MinPace), 1, 1 << 30, " bytes a second"},
+		{"ramp", t.RampShare, 0.01, 1, ""},
 	} {
 		if f.value < f.low || f.value > f.high {
 			report(f.key, "%g must be between %g and %g%s", f.value, f.low, f.high, f.unit)
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -75,6 +75,8 @@
 	// MaxCallerConns bounds the open connections of callers, MaxLookupConns those to
 	// each address for look-ups and operators; 0 means no bound.
 	MaxCallerConns, MaxLookupConns int
+	// MinRampShare is that of dispatcher.Builder.
+	MinRampShare float64
 	// DroppedLogLines returns the number of dropped log lines.
 	DroppedLogLines func() uint64
 }
@@ -115,6 +117,8 @@
 	reregister chan struct{}
 	// processStart identifies this run of the process.
 	processStart uint64
+	// ramps are those that were logged last. Only the control loop uses them.
+	ramps []dispatcher.Ramp
 	// lastControl is the time of the latest iteration of the control loop.
 	lastControl atomic.Int64
 }
@@ -125,7 +129,7 @@
 		cfg:          cfg,
 		events:       make(chan steerer.Event, eventQueueSize),
 		state:        steerer.New(cfg.Self, cfg.Bootstrap),
-		tableBuilder: dispatcher.Builder{Self: cfg.Self},
+		tableBuilder: dispatcher.Builder{Self: cfg.Self, MinRampShare: cfg.MinRampShare},
 		registry:     prometheus.NewRegistry(),
 		timeline:     &recorder.Ring{},
 		reregister:   make(chan struct{}, 1),
@@ -134,7 +138,7 @@
 	r.registry.MustRegister(collectors.NewGoCollector())
 	r.metrics = newMetrics(r.registry, cfg.DroppedLogLines)
 	r.metrics.registerGauges(r.registry, r.currentView, &r.quarantine)
-	r.registry.MustRegister(workspaceCollector{r.workspaces})
+	r.registry.MustRegister(workspaceCollector{r.workspaces}, rampCollector{&r.table})
 	r.cfg.Store = r.metrics.instrument(r.registry, cfg.Store, r.now)
 	r.recoverer = guarder.Recoverer{Log: cfg.Log, OnPanic: func(kind string) { r.metrics.panics.WithLabelValues(kind).Inc() }}
 	r.relayer = relayer.New(relayer.Config{
@@ -256,6 +260,7 @@
 			if r.now()-lastMaintenance >= int64(time.Second) {
 				lastMaintenance = r.now()
 				r.recoverer.Do("maintenance", r.relayer.Maintain)
+				r.logRamps()
 			}
 		}
 		if now := r.now(); now-r.lastControl.Load() >= int64(pauseThreshold) {
