detector: an upstream whose listener closes a moment late has ended too

Cause: after a lost connection the upstream counts as ended only if a new one is refused. Three connections were tried at once, within a millisecond; a listener that still accepts and closes them for some milliseconds, such as that of a proxy before the upstream, made the crash unseen. It showed under load, when some time passed between the end of the upstream and that of its listener.

Change: 100 ms pass between the tries.

--- a/hornbeamd/detector/detector.go
+++ b/hornbeamd/detector/detector.go
@@ -21,8 +21,11 @@
 	// watchTime is how long that connection has to stay open for the upstream to count
 	// as alive. The listener of a process may end after its connections.
 	watchTime = 150 * time.Millisecond
-	// maxDials bounds the connections that are opened if the upstream closes them.
-	maxDials = 3
+	// maxDials bounds the connections that are opened if the upstream closes them,
+	// dialPause is the time between two of them. Whatever listens for a process that has
+	// ended may accept connections for a moment longer.
+	maxDials  = 3
+	dialPause = 100 * time.Millisecond
 	// maxSuspects bounds the requests that are kept for one upstream while it is not
 	// known whether it has ended.
 	maxSuspects = 256
@@ -105,7 +108,10 @@
 // answer nothing is known. An upstream at its limit of connections resets new ones, so
 // only a refused connection counts.
 func hasEnded(address string) bool {
-	for range maxDials {
+	for n := range maxDials {
+		if n > 0 {
+			time.Sleep(dialPause)
+		}
 		conn, err := net.DialTimeout("tcp", address, dialTimeout)
 		if err != nil {
 			return errors.Is(err, syscall.ECONNREFUSED)
