--- a/core/dispatcher/candidates.go
+++ b/core/dispatcher/candidates.go
@@ -4,7 +4,8 @@
 
 // usable reports whether the upstream may take the request.
 func (r *Request) usable(u *Upstream) bool {
-	return (u.unrestricted() || u.Available(r.Now)) && r.allowedRegion(u) && !slices.Contains(r.Tried, u) && u.takes(r)
+	return (u.unrestricted() || u.Available(r.Now)) && r.allowedRegion(u) && !slices.Contains(r.Tried, u) &&
+		(!u.ramp.active.Load() || u.takes(r))
 }
 
 // candidate returns an upstream with its rank for the request's key. Ranks follow
