--- a/hornbeamd/relayer/harness_test.go
+++ b/hornbeamd/relayer/harness_test.go
@@ -75,6 +75,7 @@
 
 func (noMetrics) RequestDone(string, string, time.Duration) {}
 func (noMetrics) ExchangeDone(string, string)               {}
+func (noMetrics) ProbeDone(string, string)                  {}
 func (noMetrics) Dialed(string)                             {}
 func (noMetrics) UpstreamSignal(string, string)             {}
 func (noMetrics) LimitedSend(string, bool)                  {}
--- a/hornbeamd/relayer/probe.go
+++ b/hornbeamd/relayer/probe.go
@@ -32,6 +32,7 @@
 // left, which is then avoided like an unreachable one.
 func (r *Relayer) Probe(u *dispatcher.Upstream, path string) (coldLeft time.Duration, err error) {
 	defer func() {
+		r.cfg.Metrics.ProbeDone(u.Service, probeResult(err))
 		if err != nil {
 			err = fmt.Errorf("probe of %s: %w", u.ID, err)
 		}
@@ -92,3 +93,16 @@
 	}
 	return errGone
 }
+
+// probeResult returns the result of a health check for the metrics.
+func probeResult(err error) string {
+	switch {
+	case err == nil:
+		return "answered"
+	case errors.Is(err, errGone):
+		return "gone"
+	case errors.Is(err, errUnidentified):
+		return "unidentified"
+	}
+	return "failed"
+}
--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -89,6 +89,9 @@
 	RequestDone(route, outcome string, took time.Duration)
 	// ExchangeDone records an exchange with an upstream.
 	ExchangeDone(service, result string)
+	// ProbeDone records a health check: "answered", "gone" if another upstream has the
+	// address now, "unidentified" or "failed".
+	ProbeDone(service, result string)
 	// Dialed records a new connection to an upstream.
 	Dialed(service string)
 	// UpstreamSignal records a signal of an upstream: "pause", "limit" or "left".
--- a/hornbeamd/runner/metrics.go
+++ b/hornbeamd/runner/metrics.go
@@ -20,6 +20,7 @@
 	requests         *prometheus.CounterVec
 	latency          *prometheus.HistogramVec
 	sends            *prometheus.CounterVec
+	probes           *prometheus.CounterVec
 	dials            *prometheus.CounterVec
 	upstreamRequests *prometheus.CounterVec
 	limitedSends     *prometheus.CounterVec
@@ -53,6 +54,9 @@
 		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "horn_sends_total", Help: "Requests sent to upstreams by service and result.",
 		}, []string{"service", "result"}),
+		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "horn_health_checks_total", Help: "Health checks of upstreams by service and result.",
+		}, []string{"service", "result"}),
 		dials: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "horn_dials_total", Help: "Connections opened to upstreams.",
 		}, []string{"service"}),
@@ -76,7 +80,7 @@
 		}, []string{"what"}),
 		labeledRoutes: map[string]bool{},
 	}
-	registry.MustRegister(m.requests, m.latency, m.sends, m.dials, m.upstreamRequests, m.limitedSends, m.evictions, m.changes, m.storeCalls, m.panics)
+	registry.MustRegister(m.requests, m.latency, m.sends, m.probes, m.dials, m.upstreamRequests, m.limitedSends, m.evictions, m.changes, m.storeCalls, m.panics)
 	if dropped != nil {
 		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "horn_log_lines_dropped_total", Help: "Log lines dropped because of the bound on their rate.",
@@ -137,6 +141,11 @@
 	m.sends.WithLabelValues(service, result).Inc()
 }
 
+// ProbeDone implements relayer.Metrics.
+func (m *metrics) ProbeDone(service, result string) {
+	m.probes.WithLabelValues(service, result).Inc()
+}
+
 // Dialed implements relayer.Metrics.
 func (m *metrics) Dialed(service string) { m.dials.WithLabelValues(service).Inc() }
 
