connector, runner, collector: bytes without end from the store or an instance are not kept

Cause: each response of the store had a limit of 64 MB of its own, above the memory of a small instance, and six may be received at once; buffers double and the result was copied. Calls between instances had no limit but their 0.7 s.

Changes that are larger are listed again in pages, after a pause. Calls between instances end after 8 MB, and 4 MB for hornbeamd, headers after 16 and 4 KB. Why this works: what may be held no longer depends on how many calls are open, and is derived from the largest object rather than from the longest list.

--- a/core/connector/connector.go
+++ b/core/connector/connector.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -11,11 +12,15 @@
 	"io"
 	"net"
 	"net/url"
+	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"hornbeamstream.example/core/collector"
+	"hornbeamstream.example/core/limiter"
 	"hornbeamstream.example/core/screener"
 	"hornbeamstream.example/core/submitter"
 )
@@ -32,19 +37,29 @@
 	// longer: during a network partition the kernel's backoff between connection
 	// attempts grows beyond the end of the partition.
 	dialTimeout = 800 * time.Millisecond
-	// maxResponseBytes bounds the body of one response, which may list many objects.
-	maxResponseBytes = 64 << 20
+	// defaultMaxResponseBytes is the default of Client.MaxResponseBytes. A response may
+	// list many objects.
+	defaultMaxResponseBytes = 64 << 20
 )
 
+// ErrResponseTooLarge means that a response, alone or beside others, has more bytes than
+// Client.MaxResponseBytes.
+var ErrResponseTooLarge = errors.New("response of the platform is too large")
+
 // Client is a connection to the platform. It implements submitter.Store. It
 // never retries a call.
 type Client struct {
 	// ResponseHeader names a header field of responses whose value Call returns;
 	// empty means none.
 	ResponseHeader string
+	// MaxResponseBytes limits the bodies of all responses that are being received at the
+	// same time; 0 sets the default. It must not change after the first call.
+	MaxResponseBytes int
 
 	base       string
 	httpClient *fasthttp.HostClient
+	budgetOnce sync.Once
+	budget     limiter.ByteBudget
 	calls      [operationCount]atomic.Uint64
 }
 
@@ -63,7 +78,7 @@
 			DialTimeout:               dialScreened,
 			MaxConns:                  maxConns,
 			MaxIdleConnDuration:       idleTimeout,
-			MaxResponseBodySize:       maxResponseBytes,
+			StreamResponseBody:        true,
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                noRetry,
 			NoDefaultUserAgentHeader:  true,
@@ -185,13 +200,36 @@
 	if err := c.httpClient.DoDeadline(request, response, deadline); err != nil {
 		return a, c.wrapError(err)
 	}
-	a = Response{Status: response.StatusCode(), Body: bytes.Clone(response.Body())}
+	a.Status = response.StatusCode()
+	if a.Body, err = c.readBody(response); err != nil {
+		return a, c.wrapError(err)
+	}
 	if c.ResponseHeader != "" {
 		a.HeaderValue = string(response.Header.Peek(c.ResponseHeader))
 	}
 	return a, nil
 }
 
+// readBody reads the body of a response, as far as it is within the limit. The deadline of
+// the connection ends it.
+func (c *Client) readBody(response *fasthttp.Response) (data []byte, err error) {
+	if !response.IsBodyStream() {
+		return bytes.Clone(response.Body()), nil
+	}
+	defer func() { _ = response.CloseBodyStream() }()
+	c.budgetOnce.Do(func() { c.budget.Limit = int64(cmp.Or(c.MaxResponseBytes, defaultMaxResponseBytes)) })
+	b := collector.Body{Budget: &c.budget, MaxBytes: int(c.budget.Limit)}
+	defer b.Discard()
+	err = b.Read(response.BodyStream(), response.Header.ContentLength(), func() error { return nil })
+	switch {
+	case errors.Is(err, collector.ErrTooLarge), errors.Is(err, collector.ErrBudgetExceeded):
+		err = fmt.Errorf("%w: %w", ErrResponseTooLarge, err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		err = fasthttp.ErrTimeout
+	}
+	return b.Data, err
+}
+
 // wrapError also closes the idle connections, because a network fault that made
 // one connection fail usually affects all of them.
 func (c *Client) wrapError(err error) error {
--- a/core/connector/connector_test.go
+++ b/core/connector/connector_test.go
@@ -176,6 +176,69 @@
 	}
 }
 
+// TestUnendingResponse guards against keeping what the platform sends without end. Small
+// responses pass while a large one is being received.
+func TestUnendingResponse(t *testing.T) {
+	const limit = 1 << 20
+	for name, head := range map[string]string{
+		"until close": "HTTP/1.1 200 OK\r\n\r\n",
+		"announced":   "HTTP/1.1 200 OK\r\nContent-Length: 4000000000000\r\n\r\n",
+		"one chunk":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7fffffffff\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			held := make(chan struct{})
+			release := make(chan struct{})
+			c := start(t, &platform{fault: func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/v1/objects/large" {
+					_, _ = io.WriteString(w, `{"key":"small"}`)
+					return
+				}
+				conn, _, err := w.(http.Hijacker).Hijack()
+				is.NoErr(err)
+				defer func() { _ = conn.Close() }()
+				_, _ = io.WriteString(conn, head+strings.Repeat("x", limit/2))
+				close(held)
+				<-release
+				for err == nil {
+					_, err = io.WriteString(conn, strings.Repeat("x", 32<<10))
+				}
+			}})
+			c.MaxResponseBytes = limit
+			done := make(chan error, 1)
+			go func() {
+				_, err := c.Get(t.Context(), "large")
+				done <- err
+			}()
+			<-held
+			_, err := c.Get(t.Context(), "small")
+			is.NoErr(err)
+			close(release)
+			err = <-done
+			is.True(errors.Is(err, submitter.ErrUnavailable))
+			is.True(errors.Is(err, connector.ErrResponseTooLarge))
+			_, err = c.Get(t.Context(), "small")
+			is.NoErr(err)
+		})
+	}
+}
+
+// TestBodyTimeout guards against waiting for the rest of a body beyond the deadline.
+func TestBodyTimeout(t *testing.T) {
+	is := is.New(t)
+	c := start(t, &platform{fault: func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "9")
+		_, _ = io.WriteString(w, "{")
+		_ = http.NewResponseController(w).Flush()
+		neverAnswer(w, r)
+	}})
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err := c.Get(ctx, "a/1")
+	is.True(errors.Is(err, submitter.ErrUnavailable))
+	is.True(strings.Contains(err.Error(), "no answer in time"))
+}
+
 // TestClosedIdleConnection guards against an idle connection that the platform
 // has closed and that makes all further calls fail.
 func TestClosedIdleConnection(t *testing.T) {
--- a/hornbeamd/executor/peer.go
+++ b/hornbeamd/executor/peer.go
@@ -9,6 +9,7 @@
 
 	"connectrpc.com/connect"
 
+	"hornbeamstream.example/core/collector"
 	"hornbeamstream.example/core/follower"
 	"hornbeamstream.example/core/granter"
 	"hornbeamstream.example/core/hornpb"
@@ -34,13 +35,14 @@
 
 func newPeerClient() *http.Client {
 	dialer := net.Dialer{Timeout: peerTimeout}
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerPeer,
-		IdleConnTimeout:     idleTimeout,
+	return &http.Client{Transport: collector.LimitTransport(&http.Transport{
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnsPerPeer,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 		// Messages are small: compression costs more than it saves.
 		DisableCompression: true,
-	}}
+	}, maxMessageBytes)}
 }
 
 func (x *Executor) peerClient(address string) hornpbconnect.PeerClient {
--- a/hornbeamd/relayer/attempt.go
+++ b/hornbeamd/relayer/attempt.go
@@ -14,7 +14,7 @@
 func (r *Relayer) try(c *call, d *dispatcher.Decision) (done bool) {
 	x := &exchange{relayer: r, call: c, target: d.Upstream, admittedAt: d.At, pool: r.pool(d.Upstream), response: fasthttp.AcquireResponse()}
 	defer fasthttp.ReleaseResponse(x.response)
-	x.body.byteBudget = &r.byteBudget
+	x.body.Budget, x.body.MaxBytes = &r.byteBudget, maxResponseBytes
 	x.rerouteAt = c.deadline
 	x.retryable = c.route.Idempotent && c.runs+1 < c.route.Attempts && c.sends+1 < maxExchanges
 	if x.retryable {
@@ -23,7 +23,7 @@
 	c.sends++
 	released, settled := false, false
 	defer func() {
-		x.body.discard()
+		x.body.Discard()
 		if !settled {
 			x.abortAfterPanic(d, released)
 		}
--- a/hornbeamd/relayer/conn.go
+++ b/hornbeamd/relayer/conn.go
@@ -143,7 +143,7 @@
 }
 
 // releaseHeld releases the bytes of the request in progress.
-func (c *conn) releaseHeld(b *byteBudget) { b.release(c.held.Swap(0)) }
+func (c *conn) releaseHeld(b *byteBudget) { b.Release(c.held.Swap(0)) }
 
 // candidate returns the connection's state for the choice of one to close. It reports false
 // if the connection must not be closed.
--- a/hornbeamd/relayer/exchange.go
+++ b/hornbeamd/relayer/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"hornbeamstream.example/core/collector"
 	"hornbeamstream.example/core/dispatcher"
 	"hornbeamstream.example/core/screener"
 	"hornbeamstream.example/core/steerer"
@@ -74,7 +75,7 @@
 	sentAt    int64
 	writeDone chan error
 	response  *fasthttp.Response
-	body      body
+	body      collector.Body
 	info      ResponseInfo
 	// retryable reports whether the request may be sent to another upstream
 	// after this exchange, even if it has run.
@@ -226,7 +227,7 @@
 			return err
 		}
 		if id := x.info.RequestID; len(id) > 0 && !bytes.Equal(id, x.call.id) {
-			x.body.discard()
+			x.body.Discard()
 			continue
 		}
 		if err = x.validate(); err == nil {
@@ -257,7 +258,7 @@
 	}
 	defer func() { _ = x.response.CloseBodyStream() }()
 	next := x.relayer.cfg.Now() + int64(callerPollInterval)
-	return x.body.read(x.response.BodyStream(), x.response.Header.ContentLength(), func() error {
+	return x.body.Read(x.response.BodyStream(), x.response.Header.ContentLength(), func() error {
 		now := x.relayer.cfg.Now()
 		switch {
 		case now >= end:
@@ -371,7 +372,7 @@
 }
 
 func (x *exchange) abort() {
-	x.body.discard()
+	x.body.Discard()
 	if x.conn != nil {
 		x.pool.Discard(x.conn)
 		x.conn = nil
--- a/hornbeamd/relayer/memory.go
+++ b/hornbeamd/relayer/memory.go
@@ -2,44 +2,39 @@
 
 import (
 	"errors"
-	"sync/atomic"
 	"time"
+
+	"hornbeamstream.example/core/limiter"
 )
 
 const (
 	// defaultMaxHeldBytes is the default of Config.MaxHeldBytes.
 	defaultMaxHeldBytes = 64 << 20
-	// smallBytes is the size up to which a body counts as small. A part of the budget,
-	// one in smallShare, is reserved for small bodies, so that ordinary requests still
-	// pass when large ones have used up the rest.
-	smallBytes = 64 << 10
-	smallShare = 16
 	// stallTime is the time without a received byte from which on a caller's body counts
 	// as stalled. Stalled bodies are the first to be dropped when the budget is short.
 	stallTime = time.Second
 )
 
-var (
-	errBudgetExceeded = errors.New("too many bytes are held for callers and upstreams")
-	// errEvicted means that a body was dropped in favor of others.
-	errEvicted = errors.New("the memory was needed for other requests")
-)
+// errEvicted means that a body was dropped in favor of others.
+var errEvicted = errors.New("the memory was needed for other requests")
 
 // byteBudget limits the bytes of requests and responses that are held at the same time.
 type byteBudget struct {
-	limit int64
-	used  atomic.Int64
+	limiter.ByteBudget
 	// evict, if not nil, drops the body of one caller's request that has not been sent
 	// to an upstream. It reports whether it did. It drops no body whose owner it is
 	// called for.
 	evict func(owner *conn) bool
 }
 
-// reserve adds n bytes to the bytes in use for a body of the given size. If necessary, it
+// Reserve implements collector.Budget for responses.
+func (b *byteBudget) Reserve(n, size int64) bool { return b.reserveFor(n, size, nil) }
+
+// reserveFor adds n bytes to the bytes in use for a body of the given size. If necessary, it
 // drops other bodies. Owner is the connection that the body arrives on, nil for a response.
 // It reports whether the bytes are within the limit; otherwise nothing is reserved.
-func (b *byteBudget) reserve(n, size int64, owner *conn) bool {
-	for !b.tryReserve(n, size) {
+func (b *byteBudget) reserveFor(n, size int64, owner *conn) bool {
+	for !b.ByteBudget.Reserve(n, size) {
 		if b.evict == nil || !b.evict(owner) {
 			return false
 		}
@@ -47,20 +42,6 @@
 	return true
 }
 
-func (b *byteBudget) tryReserve(n, size int64) bool {
-	limit := b.limit
-	if size > smallBytes {
-		limit -= limit / smallShare
-	}
-	if b.used.Add(n) <= limit {
-		return true
-	}
-	b.used.Add(-n)
-	return false
-}
-
-func (b *byteBudget) release(n int64) { b.used.Add(-n) }
-
 // evictionCandidate is a caller's connection that may be closed in favor of others.
 type evictionCandidate struct {
 	// idle reports whether no request is in progress on it.
--- a/hornbeamd/relayer/memory_test.go
+++ b/hornbeamd/relayer/memory_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/matryer/is"
 
+	"hornbeamstream.example/core/limiter"
+
 	"hornbeamstream.example/core/steerer"
 )
 
@@ -57,15 +59,15 @@
 // TestSmallBodiesHaveTheirShare fills the budget with large bodies.
 func TestSmallBodiesHaveTheirShare(t *testing.T) {
 	is := is.New(t)
-	b := &byteBudget{limit: 16 << 20}
+	b := &byteBudget{ByteBudget: limiter.ByteBudget{Limit: 16 << 20}}
 	large := 0
-	for b.reserve(smallBytes, 1<<20, nil) {
+	for b.reserveFor(limiter.SmallBytes, 1<<20, nil) {
 		large++
 	}
-	is.Equal(large*smallBytes, 15<<20)
-	is.True(b.reserve(smallBytes, smallBytes, nil))
-	b.release(int64((large + 1) * smallBytes))
-	is.Equal(b.used.Load(), int64(0))
+	is.Equal(large*limiter.SmallBytes, 15<<20)
+	is.True(b.reserveFor(limiter.SmallBytes, limiter.SmallBytes, nil))
+	b.Release(int64((large + 1) * limiter.SmallBytes))
+	is.Equal(b.Used(), int64(0))
 }
 
 // TestHeldBytesReturnToZero lets callers send and fetch large bodies, in one piece, pipelined
@@ -113,10 +115,10 @@
 // awaitReleased waits until no bytes are reserved. Those of a response are released after it
 // has been written.
 func (h *harness) awaitReleased(is *is.I) {
-	for until := time.Now().Add(30 * time.Second); h.relayer.byteBudget.used.Load() != 0 && time.Now().Before(until); {
+	for until := time.Now().Add(30 * time.Second); h.relayer.byteBudget.Used() != 0 && time.Now().Before(until); {
 		time.Sleep(time.Millisecond)
 	}
-	is.Equal(h.relayer.byteBudget.used.Load(), int64(0))
+	is.Equal(h.relayer.byteBudget.Used(), int64(0))
 }
 
 // respondShort responds with little to any body.
@@ -159,7 +161,7 @@
 			is.NoErr(err)
 			is.True(strings.HasPrefix(string(data), fmt.Sprintf("HTTP/1.1 %d ", tt.status)))
 			is.True(strings.Contains(string(data), "Connection: close"))
-			is.Equal(h.relayer.byteBudget.used.Load(), int64(0))
+			is.Equal(h.relayer.byteBudget.Used(), int64(0))
 			is.Equal(h.runs(), 0)
 		})
 	}
@@ -193,7 +195,7 @@
 	defer func() { _ = stalled.Close() }()
 	_, err = fmt.Fprintf(stalled, "POST /once/x HTTP/1.1\r\nHost: h\r\nId: q1\r\nContent-Length: %d\r\n\r\n%s", 700<<10, strings.Repeat("x", 700<<10-1))
 	is.NoErr(err)
-	for h.relayer.byteBudget.used.Load() < 700<<10 {
+	for h.relayer.byteBudget.Used() < 700<<10 {
 		time.Sleep(time.Millisecond)
 	}
 	is.Equal(h.do("POST", "/once/y", strings.Repeat("y", 600<<10)).status, 200)
--- a/hornbeamd/relayer/pipeline.go
+++ b/hornbeamd/relayer/pipeline.go
@@ -52,7 +52,7 @@
 func (p *pipelined) hold(b *byteBudget, bytes int64) {
 	p.held.Add(bytes)
 	if p.dropped.Load() {
-		b.release(p.held.Swap(0))
+		b.Release(p.held.Swap(0))
 	}
 }
 
@@ -60,7 +60,7 @@
 func (c *conn) dropPipelined(b *byteBudget) {
 	for _, p := range c.pipelined {
 		p.dropped.Store(true)
-		b.release(p.held.Swap(0))
+		b.Release(p.held.Swap(0))
 	}
 	c.pipelined = nil
 }
--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -208,7 +208,7 @@
 		Logger:                       discardLogger{},
 	}
 	r.callerConns = connTracker{now: cfg.Now, limit: cfg.MaxCallerConns, evict: r.evictForConn, onShortage: r.logShortage}
-	r.byteBudget.limit, r.byteBudget.evict = cmp.Or(cfg.MaxHeldBytes, defaultMaxHeldBytes), r.evictForBytes
+	r.byteBudget.Limit, r.byteBudget.evict = cmp.Or(cfg.MaxHeldBytes, defaultMaxHeldBytes), r.evictForBytes
 	r.cfg.BodyStallTimeout = cmp.Or(cfg.BodyStallTimeout, defaultBodyStallTimeout)
 	r.cfg.MinBodyPace = cmp.Or(cfg.MinBodyPace, defaultMinBodyPace)
 	return r
@@ -290,7 +290,7 @@
 func (r *Relayer) logShortageOf(what, cause string) {
 	now, last := r.cfg.Now(), r.shortageLoggedAt.Load()
 	if (last == 0 || now-last >= int64(shortageLogInterval)) && r.shortageLoggedAt.CompareAndSwap(last, now) {
-		r.cfg.Log.Info("shortage", "what", what, "cause", cause, "held", r.byteBudget.used.Load(), "connections", r.callerConns.openCount())
+		r.cfg.Log.Info("shortage", "what", what, "cause", cause, "held", r.byteBudget.Used(), "connections", r.callerConns.openCount())
 	}
 }
 
--- a/hornbeamd/relayer/request_body.go
+++ b/hornbeamd/relayer/request_body.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"hornbeamstream.example/core/collector"
 )
 
 const (
@@ -111,8 +113,8 @@
 		// One more byte, so that the last read finds the end.
 		size = min(size, announced-b.body.size+1)
 	}
-	if !b.relayer.byteBudget.reserve(int64(size), int64(b.body.size+size), b.conn) {
-		return nil, errBudgetExceeded
+	if !b.relayer.byteBudget.reserveFor(int64(size), int64(b.body.size+size), b.conn) {
+		return nil, collector.ErrBudgetExceeded
 	}
 	if b.conn != nil && !b.conn.hold(&b.relayer.byteBudget, int64(size)) {
 		return nil, errEvicted
@@ -156,7 +158,7 @@
 	case errors.Is(err, errBodyTooLarge):
 		o.label = "body too large"
 		c.fail(fasthttp.StatusRequestEntityTooLarge, o)
-	case errors.Is(err, errBudgetExceeded), errors.Is(err, errEvicted):
+	case errors.Is(err, collector.ErrBudgetExceeded), errors.Is(err, errEvicted):
 		o.label, o.retryAfter = "out of memory", heldRetryAfter
 		c.refuse(o)
 	case errors.Is(err, errBodyStalled):
--- a/hornbeamd/relayer/response.go
+++ b/hornbeamd/relayer/response.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"hornbeamstream.example/core/collector"
 	"hornbeamstream.example/core/dispatcher"
 	"hornbeamstream.example/core/quarantiner"
 )
@@ -85,9 +86,9 @@
 	if c.isHead {
 		out.SkipBody = true
 	} else {
-		out.SetBodyRaw(x.body.data)
-		c.hold(x.body.byteBudget, x.body.reserved)
-		x.body = body{}
+		out.SetBodyRaw(x.body.Data)
+		c.hold(&x.relayer.byteBudget, x.body.Reserved)
+		x.body = collector.Body{}
 	}
 	switch c.last.status {
 	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable, fasthttp.StatusRequestTimeout:
@@ -104,7 +105,7 @@
 	caller, ok := c.ctx.Conn().(*conn)
 	switch {
 	case !ok:
-		b.release(bytes)
+		b.Release(bytes)
 	case c.pipelined != nil:
 		c.pipelined.hold(b, bytes)
 	default:
--- a/hornbeamd/relayer/unending_test.go
+++ b/hornbeamd/relayer/unending_test.go
@@ -9,7 +9,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/iotest"
 	"time"
 
 	"github.com/matryer/is"
@@ -84,12 +83,12 @@
 		<-release
 		_, _ = c.Write([]byte("x"))
 	}))
-	h.relayer.byteBudget.limit = limit
+	h.relayer.byteBudget.Limit = limit
 	var group sync.WaitGroup
 	statuses := make(chan int, 6)
 	request := func() { statuses <- h.do("GET", "/once/large", "").status }
 	group.Go(request)
-	for h.relayer.byteBudget.used.Load() < large {
+	for h.relayer.byteBudget.Used() < large {
 		time.Sleep(time.Millisecond) // otherwise each of the six may be refused for what the others hold
 	}
 	for range 5 {
@@ -98,7 +97,7 @@
 	for len(statuses) < 5 {
 		time.Sleep(time.Millisecond) // only one of six fits
 	}
-	is.True(h.relayer.byteBudget.used.Load() <= limit)
+	is.True(h.relayer.byteBudget.Used() <= limit)
 	is.Equal(h.do("GET", "/once/small", "").status, 200)
 	close(release)
 	group.Wait()
@@ -110,29 +109,11 @@
 		}
 	}
 	is.Equal(whole, 1)
-	for h.relayer.byteBudget.used.Load() != 0 {
+	for h.relayer.byteBudget.Used() != 0 {
 		time.Sleep(time.Millisecond) // released when the callers' connections end
 	}
 }
 
-// TestBodyReader reads bodies of various sizes in pieces.
-func TestBodyReader(t *testing.T) {
-	is := is.New(t)
-	for _, size := range []int{0, 1, 511, 512, 513, smallBytes - 1, smallBytes, smallBytes + 1, 300 << 10} {
-		for _, known := range []int{-1, size} {
-			b := &body{byteBudget: &byteBudget{limit: 1 << 20}}
-			data := bytes.Repeat([]byte("abcde"), size/5+1)[:size]
-			is.NoErr(b.read(iotest.HalfReader(bytes.NewReader(data)), known, func() error { return nil }))
-			is.True(bytes.Equal(b.data, data))
-			b.discard()
-			is.Equal(b.byteBudget.used.Load(), int64(0))
-		}
-	}
-	b := &body{byteBudget: &byteBudget{limit: 1 << 20}}
-	is.Equal(b.read(strings.NewReader(strings.Repeat("x", 4<<20)), -1, func() error { return nil }), errBudgetExceeded)
-	is.Equal(b.read(strings.NewReader(""), maxResponseBytes+1, nil), errResponseTooLarge)
-}
-
 // panicCodec is a HeaderCodec that panics in the given method.
 type panicCodec struct {
 	testCodec
--- a/hornbeamd/runner/relay.go
+++ b/hornbeamd/runner/relay.go
@@ -12,6 +12,7 @@
 
 	"connectrpc.com/connect"
 
+	"hornbeamstream.example/core/collector"
 	"hornbeamstream.example/core/hornpb"
 	"hornbeamstream.example/core/hornpb/hornpbconnect"
 	"hornbeamstream.example/core/steerer"
@@ -23,6 +24,11 @@
 	// relayIdleTimeout is how long the client keeps idle connections to other
 	// instances.
 	relayIdleTimeout = 20 * time.Second
+	// maxChangesBytes limits the response of another instance, which may hold all objects
+	// of a kind. maxRelayHeaderBytes limits its header, maxFetchBytes a request.
+	maxChangesBytes     = 8 << 20
+	maxRelayHeaderBytes = 16 << 10
+	maxFetchBytes       = 16 << 10
 )
 
 // relay is the client and the server of the Relay service, by which instances get
@@ -41,9 +47,10 @@
 	return &relay{
 		runner:  r,
 		pending: map[uint64]chan steerer.Reply{},
-		client: &http.Client{Timeout: relayTimeout, Transport: &http.Transport{
+		client: &http.Client{Timeout: relayTimeout, Transport: collector.LimitTransport(&http.Transport{
 			DialContext: dialer.DialContext, IdleConnTimeout: relayIdleTimeout, MaxIdleConnsPerHost: 1,
-		}},
+			MaxResponseHeaderBytes: maxRelayHeaderBytes,
+		}, maxChangesBytes)},
 	}
 }
 
@@ -65,7 +72,7 @@
 }
 
 func (l *relay) requestChanges(ctx context.Context, f steerer.Fetch) (e steerer.Fetched, err error) {
-	client := hornpbconnect.NewRelayClient(l.client, "http://"+f.From.Beacon)
+	client := hornpbconnect.NewRelayClient(l.client, "http://"+f.From.Beacon, connect.WithReadMaxBytes(maxChangesBytes))
 	res, err := client.Changes(ctx, connect.NewRequest(&hornpb.ChangesRequest{Kind: string(f.Kind), Era: f.Era, After: f.After}))
 	if err != nil {
 		return e, err
@@ -153,7 +160,7 @@
 		}
 	}()
 	mux := http.NewServeMux()
-	mux.Handle(hornpbconnect.NewRelayHandler(r.relay))
+	mux.Handle(hornpbconnect.NewRelayHandler(r.relay, connect.WithReadMaxBytes(maxFetchBytes)))
 	s := &http.Server{Handler: mux, ReadHeaderTimeout: relayTimeout, IdleTimeout: 2 * relayIdleTimeout}
 	ln, err := net.Listen("tcp", r.cfg.Self.Beacon)
 	if err != nil {
--- a/hornbeamd/runner/relay_test.go
+++ b/hornbeamd/runner/relay_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -95,3 +97,43 @@
 	is.Equal(fetch(), uint64(0)) // ends with its time limit, and the connection with it
 	is.Equal(fetch(), uint64(7))
 }
+
+// TestUnendingReply guards against keeping what another instance, or whoever has its
+// address, sends without end.
+func TestUnendingReply(t *testing.T) {
+	// maxSent is what the limits and the kernel's buffers take.
+	const maxSent = 4 * maxChangesBytes
+	for name, text := range map[string][2]string{
+		"header":  {"HTTP/1.1 200 OK\r\n", "Pad: " + strings.Repeat("x", 1000) + "\r\n"},
+		"interim": {"", "HTTP/1.1 103 Early Hints\r\nPad: x\r\n\r\n"},
+		"body":    {"HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\n\r\n", strings.Repeat("x", 32<<10)},
+		"chunks":  {"HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\nTransfer-Encoding: chunked\r\n\r\n", "8000\r\n" + strings.Repeat("x", 32<<10) + "\r\n"},
+		"error":   {"HTTP/1.1 500 X\r\nContent-Type: application/json\r\n\r\n", strings.Repeat("x", 32<<10)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			t.Cleanup(func() { _ = ln.Close() })
+			sent := make(chan int, 1)
+			go func() {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = c.Close() }()
+				n, err := io.WriteString(c, text[0])
+				for m := 0; err == nil && n <= maxSent; n += m {
+					m, err = io.WriteString(c, text[1])
+				}
+				sent <- n
+			}()
+			l := newRelay(&Runner{cfg: Config{Clock: NewClock()}})
+			_, err = l.requestChanges(t.Context(), steerer.Fetch{Kind: steerer.Configs, From: steerer.Instance{Beacon: ln.Addr().String()}})
+			is.True(err != nil)
+			n := <-sent
+			t.Logf("%d bytes sent", n)
+			is.True(n <= maxSent)
+		})
+	}
+}
--- a/hornbeamd/watcher/watcher.go
+++ b/hornbeamd/watcher/watcher.go
@@ -16,6 +16,9 @@
 // ErrCompacted reports that the store no longer has the changes since a revision.
 var ErrCompacted = errors.New("the history since this revision is gone")
 
+// ErrTooLarge reports that the answer of the store has more bytes than can be held.
+var ErrTooLarge = errors.New("the answer of the store is too large")
+
 // errEraChanged reports that the store was restored from a backup, which makes known
 // revisions invalid.
 var errEraChanged = errors.New("the store has come back from a copy")
@@ -191,8 +194,12 @@
 			revision, stale = 0, false
 			continue
 		}
-		if errors.Is(err, errStaleEra) {
+		switch {
+		case errors.Is(err, errStaleEra):
 			stale = false
+		case errors.Is(err, ErrTooLarge):
+			// Pages of a list are smaller than a series of changes may be.
+			revision, stale = 0, false
 		}
 		// The next answer, which ends the outage, comes at once.
 		w.options.Confirm = true
--- a/hornbeamd/watcher/watcher_test.go
+++ b/hornbeamd/watcher/watcher_test.go
@@ -105,6 +105,12 @@
 			[]answer{{Page{}, ErrCompacted}, {page(0, 8, "", objects("a")), nil}},
 			"[watch 4 list watch 8]", "[listed a at 8]",
 		},
+		{
+			"lists after a pause when the changes are too large",
+			Options{Enabled: true, Revision: 4, PollTimeout: time.Second},
+			[]answer{{Page{}, ErrTooLarge}, {page(0, 8, "", objects("a")), nil}},
+			"[watch 4 list watch 8]", "[lost listed a at 8]",
+		},
 		{
 			"lists again when the store has come back from a copy",
 			Options{Enabled: true, Revision: 9, Era: 1, PollTimeout: time.Second},
