--- a/core/screener/screener.go
+++ b/core/screener/screener.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 
 	"github.com/valyala/fasthttp"
 )
@@ -23,8 +24,9 @@
 	statusLineBytes = 13
 	// maxInterim limits the interim responses before a final one.
 	maxInterim = 100
-	// minFinal and maxFinal are the lowest and the highest final status, as RFC 9110
-	// section 15 defines them.
+	// Interim responses have a status from minInterim on, final ones from minFinal to
+	// maxFinal, as RFC 9110 section 15 defines them.
+	minInterim         = 100
 	minFinal, maxFinal = 200, 599
 )
 
@@ -55,26 +57,33 @@
 // isInterim checks the first bytes of a status line. It reports whether the response is
 // followed by another one.
 func isInterim(line []byte) (bool, error) {
-	status := 0
-	for i, want := range "HTTP/1.d ddd " {
-		c := line[i]
-		switch {
-		case want == 'd' && (c < '0' || c > '9'),
-			want != 'd' && want != rune(c) && !(i == statusLineBytes-1 && (c == '\r' || c == '\n')):
-			return false, fmt.Errorf("%w: %q", ErrNotFinal, line)
-		case want == 'd' && i > len("HTTP/1.d"):
-			status = 10*status + int(c-'0')
-		}
-	}
+	status, ok := parseStatus(line)
 	switch {
-	case status >= minFinal && status <= maxFinal:
+	case ok && status >= minFinal && status <= maxFinal:
 		return false, nil
-	case status >= fasthttp.StatusContinue && status < minFinal && status != fasthttp.StatusSwitchingProtocols:
+	case ok && status >= minInterim && status < minFinal && status != fasthttp.StatusSwitchingProtocols:
 		return true, nil
 	}
 	return false, fmt.Errorf("%w: %q", ErrNotFinal, line)
 }
 
+// parseStatus returns the status in the first bytes of a status line. It reports whether
+// they have the form of one.
+func parseStatus(line []byte) (status int, ok bool) {
+	const digit = 'd'
+	for i, want := range []byte("HTTP/1.d ddd") {
+		isDigit := line[i] >= '0' && line[i] <= '9'
+		if want == digit && !isDigit || want != digit && line[i] != want {
+			return 0, false
+		}
+	}
+	if end := line[statusLineBytes-1]; end != ' ' && end != '\r' && end != '\n' {
+		return 0, false
+	}
+	status, err := strconv.Atoi(string(line[statusLineBytes-4 : statusLineBytes-1]))
+	return status, err == nil
+}
+
 // NewConn returns a connection to c for a client that parses responses by itself and sends
 // the next request only after a response. Reading fails with ErrNotFinal where the response
 // to the last request is not a final one.
--- a/hornbeamd/relayer/final_test.go
+++ b/hornbeamd/relayer/final_test.go
@@ -11,8 +11,7 @@
 	"github.com/matryer/is"
 )
 
-// notFinal are heads of responses that are no final ones by HTTP. A stamp does not make
-// them responses.
+// notFinal are heads of responses that are no final ones by HTTP, also if they are signed.
 var notFinal = []string{
 	"HTTP/1.1 000 OK", "HTTP/1.1 000", "HTTP/1.1 001 X", "HTTP/1.1 099 X", "HTTP/1.1 101 Switching Protocols",
 	"HTTP/1.1 600 X", "HTTP/1.1 999 X", "HTTP/1.1 20 X", "HTTP/1.1 2000 X", "HTTP/1.1 -20 X", "HTTP/1.1 2x0 X",
@@ -83,9 +82,7 @@
 		t.Run(fmt.Sprintf("%q", head), func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			h := startHarness(t, startStub(t, "u1", func(s *upstreamStub, c net.Conn, r *http.Request, body string) {
-				respondNotFinal(head)(s, c, r, body)
-			}))
+			h := startHarness(t, startStub(t, "u1", respondNotFinal(head)))
 			_, err := h.relayer.Probe(h.tables.Load().Pool("s").Upstreams[0], "/health")
 			is.True(err != nil)
 		})
