--- a/hornbench/soaker/faults.go
+++ b/hornbench/soaker/faults.go
@@ -331,6 +331,9 @@
 	if w.options.Bursts {
 		all = slices.Concat(all, burstFaults, burstFaults)
 	}
+	if w.options.Garbage {
+		all = slices.Concat(all, garbageFaults, garbageFaults, garbageFaults)
+	}
 	if w.options.Crashes {
 		all = slices.Concat(all, crashFaults, crashFaults)
 	}
--- a/hornbench/soaker/report.go
+++ b/hornbench/soaker/report.go
@@ -114,6 +114,9 @@
 	if s.Status == http.StatusNotFound {
 		say("denied, though its route was always there")
 	}
+	if s.Status != 0 && (s.Status < 200 || s.Status > 599) {
+		say("this is no final status")
+	}
 	if s.Status == http.StatusOK && (s.Answer != answerBody(s.ID) || s.Stamp != stamp(s.ID, s.Answer) || s.Echo != s.ID) {
 		say("mixed: another answer than the upstream's")
 	}
--- a/hornbench/soaker/soak.go
+++ b/hornbench/soaker/soak.go
@@ -37,6 +37,8 @@
 	// Workspaces adds workspaces whose keys change with each configuration, one of them
 	// with an allowance that it exceeds all the time.
 	Workspaces bool
+	// Garbage adds upstreams and a store that send bytes that are no answer.
+	Garbage bool
 	// Dir takes the logs of the instances. It is made if it is missing.
 	Dir string
 }
--- a/hornbench/soaker/soak_test.go
+++ b/hornbench/soaker/soak_test.go
@@ -75,6 +75,15 @@
 // three have crashed when they ran them.
 func TestCrashingRequests(t *testing.T) { soakSeeds(t, crashSeeds) }
 
+// garbageSeeds have upstreams and a store that send bytes that are no answer.
+var garbageSeeds = []soakSeed{
+	// 13 callers got an answer that was none.
+	{21003, Options{Instances: 5, Upstreams: 4, Callers: 16, Garbage: true}, 12 * time.Second},
+}
+
+// TestGarbage guards against taking such bytes for answers.
+func TestGarbage(t *testing.T) { soakSeeds(t, garbageSeeds) }
+
 func soakSeeds(t *testing.T, seeds []soakSeed) {
 	is := is.New(t)
 	binary := filepath.Join(t.TempDir(), "hornplatform")
--- a/hornbench/soaker/store.go
+++ b/hornbench/soaker/store.go
@@ -80,6 +80,8 @@
 	storeSlow storeMode = "slow"
 	// storeSilent never answers the calls that come meanwhile.
 	storeSilent storeMode = "silent"
+	// storeGarbage sends bytes that are no answer; nothing is done.
+	storeGarbage storeMode = "garbage"
 )
 
 // slowTime is how late a slow store answers.
@@ -249,7 +251,7 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
-	mode := s.mode
+	mode, calls := s.mode, s.calls
 	s.mu.Unlock()
 	switch mode {
 	case storeBusy:
@@ -261,6 +263,9 @@
 	case storeSilent:
 		<-r.Context().Done()
 		return
+	case storeGarbage:
+		writeGarbage(w, strconv.Itoa(calls), "")
+		return
 	}
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/-/objects/"), "/")
 	status, body, era := s.serveInEra(r, kind, name)
--- a/hornbench/soaker/upstream.go
+++ b/hornbench/soaker/upstream.go
@@ -75,6 +75,8 @@
 	// requests and asks for a pause.
 	upstreamLeaves upstreamMode = "leaves"
 	upstreamPauses upstreamMode = "pauses"
+	// upstreamGarbage sends bytes that are no answer.
+	upstreamGarbage upstreamMode = "garbage"
 )
 
 // Upstream is a stand-in for a server of one service, behind a proxy whose
@@ -355,6 +357,9 @@
 	case upstreamTwice:
 		twice(w, id, body)
 		return
+	case upstreamGarbage:
+		writeGarbage(w, id, id)
+		return
 	}
 	_, _ = io.WriteString(w, body)
 }
