--- a/hornbeamd/relayer/memory_test.go
+++ b/hornbeamd/relayer/memory_test.go
@@ -16,7 +16,6 @@
 	"github.com/matryer/is"
 
 	"hornbeamstream.example/core/limiter"
-
 	"hornbeamstream.example/core/steerer"
 )
 
