--- /dev/null
+++ b/core/dispatcher/weights_test.go
@@ -0,0 +1,137 @@
+package dispatcher
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamstream.example/core/steerer"
+)
+
+// weightStage is a number of requests under one set of weights.
+type weightStage struct {
+	requests int
+	// weights are those of the services a, b, c and so on; 0 leaves a service out.
+	weights []float64
+}
+
+// weightCase is a load on a split route.
+type weightCase struct {
+	name      string
+	instances int
+	// keys is the number of affinity keys; 0 means requests without a key. Each key is as
+	// popular as the one before it times the popularity.
+	keys       int
+	popularity float64
+	stages     []weightStage
+}
+
+var weightCases = []weightCase{
+	{"steady weights", 1, 100, 1, []weightStage{{20000, []float64{1, 1}}, {20000, []float64{4, 1}}, {20000, []float64{5, 3, 2}}}},
+	{"requests without a key", 1, 0, 0, []weightStage{{10000, []float64{1, 1}}, {10000, []float64{9, 1}}}},
+	{"weights that change", 1, 100, 1, []weightStage{{1000, []float64{4, 1}}, {400, []float64{1, 1}}, {400, []float64{1, 4}}, {400, []float64{1, 1}}}},
+	{"a part that is added", 1, 100, 1, []weightStage{{1000, []float64{1, 1, 0}}, {400, []float64{1, 1, 1}}}},
+	{"a part that comes back", 1, 100, 1, []weightStage{{1000, []float64{1, 1, 1}}, {1000, []float64{1, 1, 0}}, {400, []float64{1, 1, 1}}}},
+	{"many instances, popular keys", 71, 5, 0.7, []weightStage{{710, []float64{1, 1}}, {710, []float64{1, 4}}, {710, []float64{7, 2, 1}}}},
+	{"many instances, one key", 71, 1, 1, []weightStage{{710, []float64{1, 1}}, {710, []float64{9, 1}}}},
+	{"few instances, popular keys", 9, 5, 0.7, []weightStage{{900, []float64{1, 1}}, {900, []float64{1, 4}}}},
+}
+
+// build returns the tables of all instances for a stage.
+func (s weightStage) build(builders []*Builder) (routes []*Route) {
+	c := &steerer.Config{}
+	r := steerer.Route{Name: "r", Host: "h", Prefix: "/", Timeout: time.Second, Sticky: true}
+	for i, w := range s.weights {
+		name := string(rune('a' + i))
+		c.Services = append(c.Services, steerer.Service{Name: name})
+		if w > 0 {
+			r.Parts = append(r.Parts, steerer.WeightedService{Service: name, Weight: w})
+		}
+	}
+	c.Routes = []steerer.Route{r}
+	for _, b := range builders {
+		routes = append(routes, b.Build(steerer.View{Config: c}, 1).Route("h", "/x"))
+	}
+	return routes
+}
+
+// key draws a key by its popularity.
+func (c *weightCase) key(random *rand.Rand) []byte {
+	if c.keys == 0 {
+		return nil
+	}
+	total := 0.0
+	for i := range c.keys {
+		total += math.Pow(c.popularity, float64(i))
+	}
+	point := random.Float64() * total
+	for i := range c.keys {
+		if point -= math.Pow(c.popularity, float64(i)); point < 0 {
+			return fmt.Appendf(nil, "key-%d", i)
+		}
+	}
+	return fmt.Appendf(nil, "key-%d", c.keys-1)
+}
+
+// worstShare returns the largest difference between a part's share of the requests and that
+// of its weight, over all windows of the given length.
+func worstShare(picked []string, weights []float64, length int) (worst float64) {
+	total, counts := 0.0, map[string]int{}
+	for _, w := range weights {
+		total += w
+	}
+	for i, name := range picked {
+		counts[name]++
+		if i >= length {
+			counts[picked[i-length]]--
+		}
+		for j, w := range weights {
+			if i+1 >= length {
+				worst = max(worst, math.Abs(float64(counts[string(rune('a'+j))])/float64(length)-w/total))
+			}
+		}
+	}
+	return worst
+}
+
+// TestWeightsAreKept guards against parts of a split route that get more or fewer requests
+// than their weights say: after a change of the weights, after many requests, and over many
+// instances that each serve few requests.
+func TestWeightsAreKept(t *testing.T) {
+	// The bounds of the platform: any 200 requests within 0.2, any 300 within 0.1.
+	const (
+		window, maxOff          = 200, 0.2
+		longWindow, maxOffLong  = 300, 0.1
+		spacing           int64 = 1e6
+	)
+	text := ""
+	for _, c := range weightCases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			random := rand.New(rand.NewPCG(1, 2))
+			var builders []*Builder
+			for i := range c.instances {
+				builders = append(builders, &Builder{Self: steerer.Instance{Name: fmt.Sprint("i", i)}})
+			}
+			now := int64(1)
+			for i, s := range c.stages {
+				routes := s.build(builders)
+				var picked []string
+				for range s.requests {
+					now += spacing
+					r := routes[random.IntN(len(routes))]
+					picked = append(picked, r.SelectPool(r.KeyHash(c.key(random)), now).Name)
+				}
+				off, offLong := worstShare(picked, s.weights, window), worstShare(picked, s.weights, longWindow)
+				text += fmt.Sprintf("%s, stage %d, weights %v: off by %.2f in %d requests, %.2f in %d\n", c.name, i+1, s.weights, off, window, offLong, longWindow)
+				is.True(off <= maxOff)
+				is.True(offLong <= maxOffLong)
+			}
+		})
+	}
+	golden(t, "weights", text)
+}
