runner, relayer, steerer: logs and metrics tell a stalled control loop from a late confirmation

Nothing told the hypotheses apart: a pause while effects are executed left no trace, and state that became current left no line.

--- a/core/dispatcher/weights_test.go
+++ b/core/dispatcher/weights_test.go
@@ -104,9 +104,9 @@
 func TestWeightsAreKept(t *testing.T) {
 	// The bounds of the platform: any 200 requests within 0.2, any 300 within 0.1.
 	const (
-		window, maxOff          = 200, 0.2
-		longWindow, maxOffLong  = 300, 0.1
-		spacing           int64 = 1e6
+		window, maxOff               = 200, 0.2
+		longWindow, maxOffLong       = 300, 0.1
+		spacing                int64 = 1e6
 	)
 	text := ""
 	for _, c := range weightCases {
--- a/core/steerer/fetch.go
+++ b/core/steerer/fetch.go
@@ -103,7 +103,7 @@
 		out = s.applyObjects(e.Now, e.Kind, e.Objects)
 	}
 	lagged := ss.watching && known.Before(at)
-	s.markFresh(ss)
+	out = append(out, s.markFresh(e.Kind, "by instance "+e.From)...)
 	out = append(out, s.advance(e.Now, syncUpdate{kind: e.Kind, objects: e.Objects, synced: at, whole: e.Whole})...)
 	if lagged {
 		// The answer to this instance's own watch was lost, or its connection is dead.
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -240,9 +240,10 @@
 	before := p.available(e.Now)
 	p.lastBeaconAt, p.ready = e.Now, e.Beacon.Ready
 	p.updateSync(e)
-	for k, q := range e.Beacon.Sync {
-		if ss := s.sync[k]; ss != nil && ss.known && !ss.synced.Before(ss.position(q.Era, q.Revision)) && q.Age < int64(confirmTimeout/time.Millisecond) {
-			s.markFresh(ss)
+	for _, k := range Kinds {
+		q, ok := e.Beacon.Sync[k]
+		if ss := s.sync[k]; ok && ss.known && !ss.synced.Before(ss.position(q.Era, q.Revision)) && q.Age < int64(confirmTimeout/time.Millisecond) {
+			out = append(out, s.markFresh(k, "by a beacon of "+p.Name)...)
 		}
 	}
 	switch after := p.available(e.Now); {
@@ -273,7 +274,7 @@
 }
 
 func (s *State) tick(now int64) (out []Effect) {
-	s.assumeFresh(now)
+	out = s.assumeFresh(now)
 	for _, name := range slices.Sorted(maps.Keys(s.upstreams)) {
 		if u := s.upstreams[name]; u.expiresAt != 0 && now >= u.expiresAt {
 			s.addExpiredTombstone(now, u)
--- a/core/steerer/sync.go
+++ b/core/steerer/sync.go
@@ -129,14 +129,14 @@
 }
 
 // advance records that all changes up to n.synced are known.
-func (s *State) advance(now int64, n syncUpdate) []Effect {
+func (s *State) advance(now int64, n syncUpdate) (out []Effect) {
 	ss := s.sync[n.kind]
-	if !ss.known {
-		ss.known, ss.assumeFreshAt, s.dirty = true, now+int64(confirmTimeout), true
-	}
 	if n.confirmed {
 		ss.confirmedAt = now
-		s.markFresh(ss)
+		out = s.markFresh(n.kind, "by the store")
+	}
+	if !ss.known {
+		ss.known, ss.assumeFreshAt, s.dirty = true, now+int64(confirmTimeout), true
 	}
 	if n.whole && ss.listOnly {
 		ss.listOnly, ss.watching, ss.listedAt = false, false, now
@@ -162,28 +162,34 @@
 	if !ss.synced.Before(ss.target) {
 		ss.behindSince = 0
 	}
-	if !moved || !ss.watching || len(s.peers) < relayThreshold {
-		return nil
+	if moved && ss.watching && len(s.peers) >= relayThreshold {
+		// Tell the other instances soon that there are changes to fetch.
+		s.nextBeaconAt = min(s.nextBeaconAt, max(now, s.lastBeaconAt+int64(minBeaconInterval)))
 	}
-	// Tell the other instances soon that there are changes to fetch.
-	s.nextBeaconAt = min(s.nextBeaconAt, max(now, s.lastBeaconAt+int64(minBeaconInterval)))
-	return nil
+	return out
 }
 
-// markFresh records that the known state of a kind is current.
-func (s *State) markFresh(ss *syncState) {
-	if !ss.fresh {
-		ss.fresh, s.dirty = true, true
+// markFresh records that the known state of a kind is current. By says who has confirmed it.
+func (s *State) markFresh(k Kind, by string) []Effect {
+	ss := s.sync[k]
+	if ss.fresh {
+		return nil
 	}
+	ss.fresh, s.dirty = true, true
+	if !ss.known {
+		return nil
+	}
+	return []Effect{LogEvent{Type: "confirmed", Subject: string(k), Cause: by}}
 }
 
 // assumeFresh marks state as fresh that was not confirmed within confirmTimeout.
-func (s *State) assumeFresh(now int64) {
-	for _, ss := range s.sync {
-		if ss.known && !ss.fresh && now >= ss.assumeFreshAt {
-			s.markFresh(ss)
+func (s *State) assumeFresh(now int64) (out []Effect) {
+	for _, k := range Kinds {
+		if ss := s.sync[k]; ss.known && !ss.fresh && now >= ss.assumeFreshAt {
+			out = append(out, s.markFresh(k, "by nobody in time")...)
 		}
 	}
+	return out
 }
 
 // resume marks all known state as unconfirmed after a pause of the process, and
--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -158,6 +158,9 @@
 		return
 	}
 	c.prepare(in)
+	if len(c.route.Pools) > 1 {
+		r.cfg.Metrics.PoolSelected(c.route.Name, c.pool.Name)
+	}
 	r.relay(c)
 	r.settleAllowance(c)
 	r.finish(c)
--- a/hornbeamd/relayer/harness_test.go
+++ b/hornbeamd/relayer/harness_test.go
@@ -77,6 +77,7 @@
 func (noMetrics) ExchangeDone(string, string)               {}
 func (noMetrics) ProbeDone(string, string)                  {}
 func (noMetrics) Dialed(string)                             {}
+func (noMetrics) PoolSelected(string, string)               {}
 func (noMetrics) UpstreamSignal(string, string)             {}
 func (noMetrics) LimitedSend(string, bool)                  {}
 func (noMetrics) CallerEvicted(string)                      {}
--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -94,6 +94,8 @@
 	ProbeDone(service, result string)
 	// Dialed records a new connection to an upstream.
 	Dialed(service string)
+	// PoolSelected records the service selected for a request whose route has several.
+	PoolSelected(route, service string)
 	// UpstreamSignal records a signal of an upstream: "pause", "limit" or "left".
 	UpstreamSignal(service, signal string)
 	// LimitedSend records a request sent to an upstream that limits its rate. Repeat
--- a/hornbeamd/relayer/response.go
+++ b/hornbeamd/relayer/response.go
@@ -142,18 +142,25 @@
 // finish records the metrics and the log line of a request.
 func (r *Relayer) finish(c *call) {
 	c.releaseNext(r.cfg.Now())
-	took := time.Duration(r.cfg.Now() - c.start)
-	route, aim, version := "", time.Duration(0), uint64(0)
+	now := r.cfg.Now()
+	took := time.Duration(now - c.start)
+	route, service, aim, version, age := "", "", time.Duration(0), uint64(0), time.Duration(0)
 	if c.route != nil {
 		route, aim = c.route.Name, c.route.Aim
 	}
+	if c.pool != nil {
+		service = c.pool.Name
+	}
 	if c.table.HasConfig() {
 		version = c.table.View.Config.Version
 	}
+	if r.cfg.Heartbeat != nil {
+		age = time.Duration(now - r.cfg.Heartbeat.Load())
+	}
 	status := c.ctx.Response.StatusCode()
 	r.cfg.Metrics.RequestDone(route, c.last.label, took)
 	r.cfg.Log.V(verbosity(status)).Info("request", append(c.last.logFields(),
-		"id", string(c.id), "workspace", c.workspaceName(), "route", route, "aim", aim.Milliseconds(), "known", c.last.keyKnown, "key", string(c.affinityKey), "version", version,
+		"id", string(c.id), "workspace", c.workspaceName(), "route", route, "aim", aim.Milliseconds(), "service", service, "known", c.last.keyKnown, "key", string(c.affinityKey), "version", version, "control", age.Milliseconds(),
 		"status", status, "sends", c.sends, "runs", c.runs, "took", took.Milliseconds())...)
 }
 
--- a/hornbeamd/runner/metrics.go
+++ b/hornbeamd/runner/metrics.go
@@ -28,6 +28,8 @@
 	changes          *prometheus.CounterVec
 	storeCalls       *prometheus.CounterVec
 	panics           *prometheus.CounterVec
+	controlGaps      *prometheus.HistogramVec
+	splits           *prometheus.CounterVec
 
 	mu sync.Mutex
 	// labeledRoutes is the set of routes with their own label value.
@@ -78,9 +80,16 @@
 		panics: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "horn_panics_total", Help: "Work that has panicked, by its kind.",
 		}, []string{"what"}),
+		controlGaps: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "horn_control_step_seconds", Help: "Steps of the control loop: the wait for an event, the event, its effects.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 4, 8),
+		}, []string{"step"}),
+		splits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "horn_split_requests_total", Help: "Requests on routes with several services, by the service selected for them.",
+		}, []string{"route", "service"}),
 		labeledRoutes: map[string]bool{},
 	}
-	registry.MustRegister(m.requests, m.latency, m.sends, m.probes, m.dials, m.upstreamRequests, m.limitedSends, m.evictions, m.changes, m.storeCalls, m.panics)
+	registry.MustRegister(m.requests, m.latency, m.sends, m.probes, m.dials, m.upstreamRequests, m.limitedSends, m.evictions, m.changes, m.storeCalls, m.panics, m.controlGaps, m.splits)
 	if dropped != nil {
 		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "horn_log_lines_dropped_total", Help: "Log lines dropped because of the bound on their rate.",
@@ -149,6 +158,11 @@
 // Dialed implements relayer.Metrics.
 func (m *metrics) Dialed(service string) { m.dials.WithLabelValues(service).Inc() }
 
+// PoolSelected implements relayer.Metrics.
+func (m *metrics) PoolSelected(route, service string) {
+	m.splits.WithLabelValues(m.routeLabel(route), service).Inc()
+}
+
 // UpstreamSignal implements relayer.Metrics.
 func (m *metrics) UpstreamSignal(service, what string) {
 	m.upstreamRequests.WithLabelValues(service, what).Inc()
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -18,7 +18,6 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
-	"hornbeamstream.example/core/allocator"
 	"hornbeamstream.example/core/dispatcher"
 	"hornbeamstream.example/core/quarantiner"
 	"hornbeamstream.example/core/recorder"
@@ -65,7 +64,7 @@
 	// that must not run twice.
 	ReuseWindow, NonIdempotentReuseWindow time.Duration
 	// Clock is the clock of all parts of the instance.
-	Clock Clock
+	Clock interface{ Now() int64 }
 	// MaxHeldBytes bounds the bytes that are held for callers and upstreams,
 	// BodyStallTimeout the time between two bytes of a request's body, and MinBodyPace
 	// its bytes per second from below; 0 means the defaults of relayer.Config.
@@ -84,9 +83,6 @@
 const (
 	// tickInterval is the time between two ticks of the control goroutine.
 	tickInterval = 100 * time.Millisecond
-	// pauseThreshold is the time without an iteration of the control loop from
-	// which on the process counts as having been paused.
-	pauseThreshold = 1500 * time.Millisecond
 	// eventQueueSize is the capacity of the control goroutine's event queue.
 	eventQueueSize = 256
 )
@@ -241,69 +237,6 @@
 	}
 }
 
-// runControl is the control loop. Its goroutine owns the state.
-func (r *Runner) runControl(ctx context.Context) error {
-	tick := time.NewTicker(tickInterval)
-	defer tick.Stop()
-	lastMaintenance, lastSample := int64(0), int64(0)
-	effects := r.step(steerer.SettingsChanged{Now: r.now(), Bounds: r.cfg.Bounds, Regions: r.cfg.Regions})
-	for {
-		r.executeAll(effects)
-		r.lastControl.Store(r.now())
-		var e steerer.Event
-		select {
-		case <-ctx.Done():
-			return nil
-		case e = <-r.events:
-		case <-tick.C:
-			e = steerer.Tick{Now: r.now()}
-			if r.now()-lastMaintenance >= int64(time.Second) {
-				lastMaintenance = r.now()
-				r.recoverer.Do("maintenance", r.relayer.Maintain)
-				r.logRamps()
-			}
-		}
-		if now := r.now(); now-r.lastControl.Load() >= int64(pauseThreshold) {
-			r.executeAll(r.step(steerer.Resumed{Now: now}))
-		}
-		effects = r.step(e)
-		if now := r.now(); now-lastSample >= int64(allocator.ReportInterval) {
-			lastSample = now
-			effects = append(effects, r.sampleUsage(now)...)
-		}
-	}
-}
-
-// sampleUsage returns the effects of the use of the workspaces' allowances.
-func (r *Runner) sampleUsage(now int64) []steerer.Effect {
-	reports := r.tableBuilder.SampleUsage(now)
-	if len(reports) == 0 {
-		return nil
-	}
-	return r.step(steerer.UsageSampled{Now: now, Start: r.processStart, Reports: reports})
-}
-
-func (r *Runner) executeAll(effects []steerer.Effect) {
-	for _, x := range effects {
-		r.recoverer.Do("effect", func() { r.execute(x) })
-	}
-}
-
-// step applies an event to the state. A panic is recovered and the event has no
-// effect.
-func (r *Runner) step(e steerer.Event) (effects []steerer.Effect) {
-	before := r.state
-	if steerer.CarriesObjects(e) {
-		// Only data from other writers can be malformed, so the state isn't copied
-		// for every tick and beacon.
-		before = r.state.Clone()
-	}
-	if !r.recoverer.Do("event", func() { r.state, effects = steerer.Step(r.state, e) }) {
-		r.state = before
-	}
-	return effects
-}
-
 func (r *Runner) execute(x steerer.Effect) {
 	switch x := x.(type) {
 	case steerer.Publish:
