relayer: the rate limit test closes the connections that it opens

Its load opened a connection for each four requests and closed them at the end of the case: a trial ran out of 20,000 descriptors after 2.1 to 2.4 s, 'too many open files' in the test's own process, which accepts the connections too.

--- a/hornbeamd/relayer/rate_limit_test.go
+++ b/hornbeamd/relayer/rate_limit_test.go
@@ -67,6 +67,7 @@
 		}},
 		"pipelined requests": {10 * time.Millisecond, respondOK, func(t *testing.T, h *harness) {
 			p := h.pipelineConn(t)
+			defer func() { _ = p.Close() }()
 			for n := range 4 {
 				p.send(t, "GET", "/safe/x", fmt.Sprint("p", n))
 			}
