dispatcher: weights of a split route hold at any time and over all instances

Cause: requests were counted for each part, and the part furthest behind was chosen. The counts outlived the weights that they were counted for, so that a part that was added, came back or became heavier was behind by hundreds. Counters were halved apart from each other. And instances that had served few requests preferred the same part for the same key, each by up to three requests. The class: state that outlives the configuration it was gathered under.

Change: a sequence of evenly spread points, the multiples of the golden ratio, places requests. It knows neither weights nor requests, so there is nothing to outlive them, and each instance starts elsewhere in it. Keys no longer prefer a part: over 71 instances that serve three of any 200 requests each there is no room for a preference within the bound.

--- a/core/dispatcher/feedback.go
+++ b/core/dispatcher/feedback.go
@@ -86,6 +86,9 @@
 	// highHitRate is the hit rate above which a slow run on an upstream that is
 	// assumed to be warm is attributed to the upstream, not to a cold key.
 	highHitRate = 0.6
+	// maxRunCount is the number of warm or cold runs from which on both counts are halved, so
+	// that their ratio follows the recent runs.
+	maxRunCount = 4096
 	// serviceTimeWeight is the number of samples that a service time averages over.
 	serviceTimeWeight = 32
 	// initialWarmShare and initialColdShare are the service times before any
@@ -184,7 +187,7 @@
 	if s.wasWarm(d, t) {
 		estimate, value, count = s.warm(), &s.warmTime, &s.warmCount
 	}
-	if count.Add(1) >= counterLimit {
+	if count.Add(1) >= maxRunCount {
 		s.warmCount.Store(s.warmCount.Load()/2 + 1)
 		s.coldCount.Store(s.coldCount.Load() / 2)
 	}
--- a/core/dispatcher/pools.go
+++ b/core/dispatcher/pools.go
@@ -14,78 +14,58 @@
 	return xxhash.Sum64(key) ^ xxhash.Sum64String(r.Name) | 1
 }
 
-// SelectPool returns the pool for a request of the route. Requests of one key
-// prefer the same pool as long as all pools keep their shares of the requests.
-func (r *Route) SelectPool(key uint64, now int64) *Pool {
-	if len(r.Pools) == 0 {
-		return nil
-	}
-	if len(r.Pools) == 1 {
-		return r.Pools[0].Pool
+// SelectPool returns the pool for a request of the route, nil if it has none. Each pool gets
+// its share of any sequence of requests, on this instance and over all instances.
+func (r *Route) SelectPool() *Pool {
+	if len(r.Pools) > 1 {
+		return r.poolAt(r.spread.next())
 	}
-	if key == 0 {
-		key = uint64(now) * hashMultiplier
+	return r.onlyPool()
+}
+
+// PreviewPool returns the pool that SelectPool would return, and changes nothing.
+func (r *Route) PreviewPool() *Pool {
+	if len(r.Pools) > 1 {
+		return r.poolAt(r.spread.peek())
 	}
-	i := r.poolIndex(key)
-	r.Pools[i].sent.add()
-	return r.Pools[i].Pool
+	return r.onlyPool()
 }
 
-// poolIndex picks a pool by the key's hash. If that pool is ahead of its share,
-// it picks the one furthest behind instead.
-func (r *Route) poolIndex(key uint64) int {
-	const maxLead = 3 // requests
-	total := 1.0
-	for i := range r.Pools {
-		total += r.Pools[i].sent.value()
+// onlyPool returns the pool of a route that has at most one.
+func (r *Route) onlyPool() *Pool {
+	if len(r.Pools) == 0 {
+		return nil
 	}
-	point := unitHash(key * hashMultiplier)
-	picked, behind, maxDeficit := len(r.Pools)-1, 0, -1e18
-	sum := 0.0
-	for i := range r.Pools {
-		sum += r.Pools[i].share
-		if point < sum {
-			picked = min(picked, i)
-		}
-		if d := r.Pools[i].share*total - r.Pools[i].sent.value(); d > maxDeficit {
-			behind, maxDeficit = i, d
+	return r.Pools[0].Pool
+}
+
+// poolAt returns the pool at a point in [0, 1), of which each pool takes up its share.
+func (r *Route) poolAt(point float64) *Pool {
+	last := len(r.Pools) - 1
+	for _, p := range r.Pools[:last] {
+		if point -= p.share; point < 0 {
+			return p.Pool
 		}
 	}
-	p := &r.Pools[picked]
-	if p.sent.value() > p.share*total+maxLead {
-		return behind
-	}
-	return picked
+	return r.Pools[last].Pool
 }
 
-// decayingCounter counts requests. It is halved at counterLimit, so that old
-// requests lose weight.
-type decayingCounter struct{ n atomic.Int64 }
-
-// counterLimit is the count at which a counter is halved. The counters of a
-// route's pools are halved at different times and so equally often only on
-// average, which is accurate enough for their shares.
-const counterLimit = 4096
+// spread is a sequence of points that are evenly spread over [0, 1), in any part of the
+// sequence: the multiples of the golden ratio, modulo 1. It depends on neither the weights
+// nor the requests, so that a change of the weights takes effect with the next request.
+type spread struct{ last atomic.Uint64 }
 
-func (c *decayingCounter) add() {
-	if n := c.n.Add(1); n >= counterLimit {
-		c.n.Store(n / 2)
-	}
+// newSpread returns the spread of a route on an instance. Where it starts differs from
+// instance to instance, because in a large system each may serve only a few requests.
+func newSpread(route, instance string) *spread {
+	s := &spread{}
+	s.last.Store(xxhash.Sum64String(route + " " + instance))
+	return s
 }
 
-func (c *decayingCounter) value() float64 { return float64(c.n.Load()) }
+func (s *spread) next() float64 { return unitPoint(s.last.Add(hashMultiplier)) }
 
-// PreviewPool returns the pool that SelectPool would return, and changes nothing. It returns
-// nil if the route has none.
-func (r *Route) PreviewPool(key uint64, now int64) *Pool {
-	switch len(r.Pools) {
-	case 0:
-		return nil
-	case 1:
-		return r.Pools[0].Pool
-	}
-	if key == 0 {
-		key = uint64(now) * hashMultiplier
-	}
-	return r.Pools[r.poolIndex(key)].Pool
-}
+func (s *spread) peek() float64 { return unitPoint(s.last.Load() + hashMultiplier) }
+
+// unitPoint maps the integers to [0, 1), in order.
+func unitPoint(n uint64) float64 { return float64(n>>11) / (1 << 53) }
--- a/core/dispatcher/table.go
+++ b/core/dispatcher/table.go
@@ -39,6 +39,7 @@
 type Route struct {
 	steerer.Route
 	Pools       []WeightedPool
+	spread      *spread
 	serviceTime *serviceTime
 }
 
@@ -46,7 +47,6 @@
 type WeightedPool struct {
 	Pool  *Pool
 	share float64
-	sent  *decayingCounter
 }
 
 // Pool is a service with its upstreams.
@@ -80,7 +80,7 @@
 	spillovers   map[string]*spillover
 	moveLimiter  *moveLimiter
 	serviceTimes map[string]*serviceTime
-	counters     map[string]*decayingCounter
+	spreads      map[string]*spread
 	slotLoads    map[string]*movingAverage
 	// settledLoads has the load per slot of the upstreams of each service that do not ramp
 	// up.
@@ -143,7 +143,7 @@
 	b.spillovers = map[string]*spillover{}
 	b.moveLimiter = &moveLimiter{}
 	b.serviceTimes = map[string]*serviceTime{}
-	b.counters = map[string]*decayingCounter{}
+	b.spreads = map[string]*spread{}
 	b.slotLoads = map[string]*movingAverage{}
 	b.settledLoads = map[string]*movingAverage{}
 	b.rampGroups = map[string]*rampGroup{}
@@ -294,7 +294,11 @@
 }
 
 func (b *Builder) buildRoute(t *Table, r *steerer.Route) *Route {
-	route := &Route{Route: *r, serviceTime: getOrCreate(b.serviceTimes, r.Name)}
+	route := &Route{Route: *r, spread: b.spreads[r.Name], serviceTime: getOrCreate(b.serviceTimes, r.Name)}
+	if route.spread == nil {
+		route.spread = newSpread(r.Name, b.Self.Name)
+		b.spreads[r.Name] = route.spread
+	}
 	route.serviceTime.aim.Store(int64(r.Aim))
 	total := 0.0
 	for _, part := range r.Parts {
@@ -302,8 +306,7 @@
 	}
 	for _, part := range r.Parts {
 		if p := t.pools[part.Service]; p != nil && part.Weight > 0 {
-			c := getOrCreate(b.counters, r.Name+" "+part.Service)
-			route.Pools = append(route.Pools, WeightedPool{Pool: p, share: part.Weight / total, sent: c})
+			route.Pools = append(route.Pools, WeightedPool{Pool: p, share: part.Weight / total})
 		}
 	}
 	return route
--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -187,7 +187,7 @@
 	c.deadline = c.start + int64(remaining)
 	c.affinityKey, c.caller = in.Key, in.Caller
 	key := c.route.KeyHash(in.Key)
-	c.pool = c.route.SelectPool(key, c.start)
+	c.pool = c.route.SelectPool()
 	c.req = dispatcher.Request{Route: c.route, Pool: c.pool, Workspace: c.workspace, Key: key, Deadline: c.deadline}
 }
 
--- a/hornbeamd/runner/explain.go
+++ b/hornbeamd/runner/explain.go
@@ -45,7 +45,7 @@
 	if t.View.Stale {
 		return refuse(fasthttp.StatusServiceUnavailable, "stale", 0)
 	}
-	if request.Pool = route.PreviewPool(request.Key, now); request.Pool == nil {
+	if request.Pool = route.PreviewPool(); request.Pool == nil {
 		return refuse(fasthttp.StatusNotFound, "no route", 0)
 	}
 	x.Service = request.Pool.Name
