relayer: a caller that left behind a further request is noticed before the first send

Before the first send, the connection was only peeked at, and a pipelined request that had not been read hid its end. The look that reads ahead, which was used before further sends, is used for all now; it is one call of the kernel as well. The new case of TestNoSendAfterCallerLeft failed before (2 runs instead of 1).

--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -200,7 +200,7 @@
 			c.giveUp(outcome{label: "late", status: fasthttp.StatusGatewayTimeout})
 			return
 		}
-		if c.sends > 0 && c.callerClosed() || c.sends == 0 && c.callerLeft() {
+		if c.callerClosed() {
 			c.releaseNext(c.req.Now)
 			c.endAbandoned()
 			return
@@ -285,14 +285,6 @@
 	c.ctx.SetConnectionClose()
 }
 
-// callerLeft reports whether the caller has closed its connection before its request was
-// handled, because it has waited for too long: the request may have arrived late, or while the
-// processor was busy. It is cheaper than callerClosed.
-func (c *call) callerLeft() bool {
-	conn, ok := c.ctx.Conn().(*conn)
-	return ok && c.pipelined == nil && conn.closedByPeer()
-}
-
 // callerClosed reports whether the caller has closed its connection.
 func (c *call) callerClosed() bool {
 	conn, ok := c.ctx.Conn().(*conn)
--- a/hornbeamd/relayer/conn.go
+++ b/hornbeamd/relayer/conn.go
@@ -276,14 +276,6 @@
 	return err == nil && n > 0
 }
 
-// closedByPeer reports whether the caller has closed the connection and nothing else is left
-// to read from it.
-func (c *conn) closedByPeer() bool {
-	var one [1]byte
-	n, err := c.recvNonblocking(one[:], syscall.MSG_PEEK)
-	return err != syscall.EAGAIN && (err != nil || n == 0)
-}
-
 // closeIdle closes the connection unless a request has arrived on it, and
 // reports whether it did. A request that arrives later is lost unread. It may
 // be called concurrently with the goroutine that serves the connection.
--- a/hornbeamd/relayer/conn_test.go
+++ b/hornbeamd/relayer/conn_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"hornbeamstream.example/core/steerer"
 )
@@ -81,25 +82,28 @@
 }
 
 // TestNoSendAfterCallerLeft handles a request late, after its caller has given up and closed
-// the connection.
+// the connection, also behind a further request.
 func TestNoSendAfterCallerLeft(t *testing.T) {
 	is := is.New(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer func() { _ = ln.Close() }()
 	h := startHarness(t, startStub(t, "u1", respondOK))
-	for _, leaves := range []bool{false, true} {
+	for _, tt := range []struct {
+		leaves bool
+		unread string
+	}{{}, {leaves: true}, {leaves: true, unread: "GET /safe/y HTTP/1.1\r\nHost: h\r\nId: q2\r\n\r\n"}} {
 		caller, err := net.Dial("tcp", ln.Addr().String())
 		is.NoErr(err)
 		defer func() { _ = caller.Close() }()
 		accepted, err := listener{ln, testTracker()}.Accept()
 		is.NoErr(err)
 		server := accepted.(*conn)
-		if leaves {
+		_, err = io.WriteString(caller, tt.unread)
+		is.NoErr(err)
+		if tt.leaves {
 			is.NoErr(caller.Close())
-			for until := time.Now().Add(10 * time.Second); !server.closedByPeer() && time.Now().Before(until); {
-				time.Sleep(time.Millisecond)
-			}
+			is.True(awaitClose(server))
 		}
 		ctx := &fasthttp.RequestCtx{}
 		ctx.Init2(server, nil, false)
@@ -111,6 +115,18 @@
 	}
 }
 
+// awaitClose waits until the end of the caller's connection has arrived, without reading what
+// is before it. It reports whether it has.
+func awaitClose(c *conn) (closed bool) {
+	for until := time.Now().Add(10 * time.Second); !closed && time.Now().Before(until); time.Sleep(time.Millisecond) {
+		_ = c.raw.Control(func(fd uintptr) {
+			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+			closed = err == nil && info.State == unix.BPF_TCP_CLOSE_WAIT
+		})
+	}
+	return closed
+}
+
 // TestCloseWithUnreadRequestSendsNoReset closes a connection with an unread
 // request after a response. The caller must receive the response and no reset.
 func TestCloseWithUnreadRequestSendsNoReset(t *testing.T) {
