runner, relayer: the routing table is valid until a deadline, and no pause extends it

What callers saw: an instance that had stood still for seconds passed a request on by configuration 14, in the millisecond in which it ran again; 16 had been acknowledged 6.9 s before.

Cause: the control loop stored its heartbeat after it had executed the effects of an event. A pause meanwhile was inside the work and not between two heartbeats: the heartbeat was new, Resumed did not come, and traffic used the table from before the pause. Two pauses below 1.5 s in a row counted as none, and a request that had its upstream when the pause began was sent after it.

Change: the loop beats before the work of each iteration, so that a pause at any step lies between two beats. A beat stores the time until which the table may be used, less the time lost in recent gaps of more than 0.5 s; after 1.5 s in all the process counts as paused, the table is not valid, and is renewed only when Resumed has been executed. Requests look at it when they get their table and right before each send; look-ups and readiness checks are not answered from a table that is no longer valid.

TestPauseBeforeSend: nothing is sent after a pause that is not noticed, or not confirmed.

--- a/hornbeamd/relayer/attempt.go
+++ b/hornbeamd/relayer/attempt.go
@@ -121,7 +121,7 @@
 // classify returns the result of an exchange for the dispatcher.
 func (x *exchange) classify(err error) dispatcher.Result {
 	switch {
-	case errors.Is(err, errCallerClosed), errors.Is(err, errWithdrawn), errors.Is(err, errQuarantined), errors.Is(err, pooler.ErrTooManyConns), errors.Is(err, pooler.ErrClosed):
+	case errors.Is(err, errCallerClosed), errors.Is(err, errWithdrawn), errors.Is(err, errStaleTable), errors.Is(err, errQuarantined), errors.Is(err, pooler.ErrTooManyConns), errors.Is(err, pooler.ErrClosed):
 		return dispatcher.Canceled
 	case errors.Is(err, errSilent):
 		return dispatcher.AttemptTimeout
--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -26,9 +26,6 @@
 	// startingRetryAfter is the Retry-After of an instance that has no
 	// configuration yet.
 	startingRetryAfter = 300 * time.Millisecond
-	// maxHeartbeatAge is the age of the heartbeat beyond which the table is not
-	// used: the process was paused.
-	maxHeartbeatAge = 1500 * time.Millisecond
 )
 
 // call is one request of a caller.
@@ -137,8 +134,9 @@
 	}()
 	in := r.cfg.HeaderCodec.ReadRequest(&ctx.Request.Header)
 	c.id = in.ID
-	if label := r.tableUnusable(c); label != "" {
-		c.refuse(outcome{label: label, retryAfter: startingRetryAfter})
+	var unusable string
+	if c.table, unusable = r.currentTable(); unusable != "" {
+		c.refuse(outcome{label: unusable, retryAfter: startingRetryAfter})
 		r.finish(c)
 		return
 	}
@@ -166,12 +164,25 @@
 	r.finish(c)
 }
 
-// tableUnusable returns why the routing table must not be used, or "".
-func (r *Relayer) tableUnusable(c *call) string {
+// currentTable returns the current routing table, and why it must not be used or "". The
+// table is the current one at the time for which its validity was checked, so that none from
+// before a pause of the process is used after it.
+func (r *Relayer) currentTable() (t *dispatcher.Table, label string) {
+	for {
+		t = r.cfg.Tables.Load()
+		label = r.tableUnusable(t, r.cfg.Now())
+		if t == r.cfg.Tables.Load() {
+			return t, label
+		}
+	}
+}
+
+// tableUnusable returns why no request may be sent by a table, or "".
+func (r *Relayer) tableUnusable(t *dispatcher.Table, now int64) string {
 	switch {
-	case !c.table.HasConfig():
+	case !t.HasConfig():
 		return "starting"
-	case c.table.View.Stale, r.cfg.Heartbeat != nil && r.cfg.Now()-r.cfg.Heartbeat.Load() > int64(maxHeartbeatAge):
+	case t.View.Stale, r.cfg.TablesValidUntil != nil && now > r.cfg.TablesValidUntil.Load():
 		return "stale"
 	}
 	return ""
@@ -196,6 +207,11 @@
 	c.pool.RetryBudget.Deposit()
 	for {
 		c.req.Now = r.cfg.Now()
+		if label := r.tableUnusable(r.cfg.Tables.Load(), c.req.Now); label != "" {
+			c.releaseNext(c.req.Now)
+			c.giveUp(outcome{label: label, retryAfter: startingRetryAfter})
+			return
+		}
 		if c.req.Now >= c.deadline {
 			c.giveUp(outcome{label: "late", status: fasthttp.StatusGatewayTimeout})
 			return
--- a/hornbeamd/relayer/conn_test.go
+++ b/hornbeamd/relayer/conn_test.go
@@ -201,19 +201,19 @@
 	}
 }
 
-// TestPausedProcessRefusesRequests resumes a paused process with an outdated
-// heartbeat, and with a view that is marked stale. No request is sent by
+// TestPausedProcessRefusesRequests resumes a paused process with a table that is
+// no longer valid, and with a view that is marked stale. No request is sent by
 // either.
 func TestPausedProcessRefusesRequests(t *testing.T) {
 	is := is.New(t)
 	h := startHarness(t, startStub(t, "u1", respondOK))
-	heartbeat := &atomic.Int64{}
-	h.relayer.cfg.Heartbeat = heartbeat
-	heartbeat.Store(h.now() - int64(maxHeartbeatAge) - 1)
+	validUntil := &atomic.Int64{}
+	h.relayer.cfg.TablesValidUntil = validUntil
+	validUntil.Store(h.now() - 1)
 	a := h.do("POST", "/once/x", "body")
 	is.Equal(a.status, 503)
 	is.True(a.header.Get("Retry-After") != "")
-	heartbeat.Store(h.now() + int64(time.Hour))
+	validUntil.Store(h.now() + int64(time.Hour))
 	h.publish(func(v *steerer.View) { v.Stale = true })
 	is.Equal(h.do("POST", "/once/x", "body").status, 503)
 	is.Equal(h.runs(), 0)
--- a/hornbeamd/relayer/exchange.go
+++ b/hornbeamd/relayer/exchange.go
@@ -51,6 +51,8 @@
 	errUnsigned     = errors.New("response is not signed")
 	// errWithdrawn means that the upstream takes no more requests.
 	errWithdrawn = errors.New("upstream has left, asked for a pause or limited its rate since it was chosen")
+	// errStaleTable means that the routing table must not be used any more.
+	errStaleTable = errors.New("the process was paused since the upstream was chosen")
 	// errQuarantined means that the request must not be sent any more.
 	errQuarantined = errors.New("request was quarantined since its upstream was chosen")
 )
@@ -147,6 +149,9 @@
 	if remaining < minUpstreamTimeout {
 		return errDeadline
 	}
+	if x.relayer.tableUnusable(x.relayer.cfg.Tables.Load(), now) != "" {
+		return errStaleTable
+	}
 	if x.newConn && x.relayer.quarantinedSince(x.call, now) {
 		return errQuarantined
 	}
--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -116,9 +116,9 @@
 	Log         logr.Logger
 	// Now returns the time of a monotonic clock in nanoseconds.
 	Now func() int64
-	// Heartbeat is the time at which the table was last known to be maintained;
-	// nil if there is no heartbeat. It is old after a pause of the process.
-	Heartbeat *atomic.Int64
+	// TablesValidUntil is the time until which Tables may be used; nil if they always
+	// may. It has passed after a pause of the process.
+	TablesValidUntil *atomic.Int64
 	// OnUpstreamLeaving, if not nil, is called once for each upstream that
 	// announces that it is shutting down.
 	OnUpstreamLeaving func(u *dispatcher.Upstream)
--- a/hornbeamd/relayer/response.go
+++ b/hornbeamd/relayer/response.go
@@ -144,7 +144,7 @@
 	c.releaseNext(r.cfg.Now())
 	now := r.cfg.Now()
 	took := time.Duration(now - c.start)
-	route, service, aim, version, age := "", "", time.Duration(0), uint64(0), time.Duration(0)
+	route, service, aim, version, valid := "", "", time.Duration(0), uint64(0), time.Duration(0)
 	if c.route != nil {
 		route, aim = c.route.Name, c.route.Aim
 	}
@@ -154,13 +154,13 @@
 	if c.table.HasConfig() {
 		version = c.table.View.Config.Version
 	}
-	if r.cfg.Heartbeat != nil {
-		age = time.Duration(now - r.cfg.Heartbeat.Load())
+	if r.cfg.TablesValidUntil != nil {
+		valid = time.Duration(r.cfg.TablesValidUntil.Load() - now)
 	}
 	status := c.ctx.Response.StatusCode()
 	r.cfg.Metrics.RequestDone(route, c.last.label, took)
 	r.cfg.Log.V(verbosity(status)).Info("request", append(c.last.logFields(),
-		"id", string(c.id), "workspace", c.workspaceName(), "route", route, "aim", aim.Milliseconds(), "service", service, "known", c.last.keyKnown, "key", string(c.affinityKey), "version", version, "control", age.Milliseconds(),
+		"id", string(c.id), "workspace", c.workspaceName(), "route", route, "aim", aim.Milliseconds(), "service", service, "known", c.last.keyKnown, "key", string(c.affinityKey), "version", version, "valid", valid.Milliseconds(),
 		"status", status, "sends", c.sends, "runs", c.runs, "took", took.Milliseconds())...)
 }
 
--- a/hornbeamd/relayer/upstream_signal_test.go
+++ b/hornbeamd/relayer/upstream_signal_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -152,6 +153,28 @@
 	is.Equal(h.runs(), 0)
 }
 
+// TestPauseBeforeSend pauses the process after an upstream was chosen for a request, which must
+// not be sent by what was known before.
+func TestPauseBeforeSend(t *testing.T) {
+	for name, pause := range map[string]func(h *harness){
+		"not noticed yet":   func(h *harness) { h.relayer.cfg.TablesValidUntil.Store(h.now() - 1) },
+		"not confirmed yet": func(h *harness) { h.publish(func(v *steerer.View) { v.Stale = true }) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := startStub(t, "u1", respondOK)
+			h := startHarness(t, s)
+			h.relayer.cfg.TablesValidUntil = &atomic.Int64{}
+			h.relayer.cfg.TablesValidUntil.Store(h.now() + int64(time.Hour))
+			x := h.exchange(h.tables.Load().Pool("s").Upstreams[0])
+			pause(h)
+			is.True(errors.Is(x.run(), errStaleTable))
+			is.True(!x.sent)
+			is.Equal(s.requestCount(), 0)
+		})
+	}
+}
+
 // TestUpstreamWithdrawnBeforeSend withdraws an upstream after it was chosen.
 // The request must not be sent to it.
 func TestUpstreamWithdrawnBeforeSend(t *testing.T) {
--- a/hornbeamd/runner/control.go
+++ b/hornbeamd/runner/control.go
@@ -8,13 +8,8 @@
 	"hornbeamstream.example/core/steerer"
 )
 
-const (
-	// pauseThreshold is the time without an iteration of the control loop from
-	// which on the process counts as having been paused.
-	pauseThreshold = 1500 * time.Millisecond
-	// minLoggedGap is the duration of a step of the control loop from which on it is logged.
-	minLoggedGap = 300 * time.Millisecond
-)
+// minLoggedGap is the duration of a step of the control loop from which on it is logged.
+const minLoggedGap = 300 * time.Millisecond
 
 // runControl is the control loop. Its goroutine owns the state.
 func (r *Runner) runControl(ctx context.Context) error {
@@ -22,11 +17,11 @@
 	defer tick.Stop()
 	lastMaintenance, lastSample := int64(0), int64(0)
 	gapStart := r.now()
+	r.heartbeat.beatAt = gapStart
 	effects := r.step(steerer.SettingsChanged{Now: r.now(), Bounds: r.cfg.Bounds, Regions: r.cfg.Regions})
 	for {
 		r.executeAll(effects)
 		r.recordGap(&gapStart, "effects")
-		r.lastControl.Store(r.now())
 		var e steerer.Event
 		select {
 		case <-ctx.Done():
@@ -41,8 +36,9 @@
 			}
 		}
 		r.recordGap(&gapStart, "wait")
-		if now := r.now(); now-r.lastControl.Load() >= int64(pauseThreshold) {
+		if now := r.now(); r.heartbeat.beat(now) {
 			r.executeAll(r.step(steerer.Resumed{Now: now}))
+			r.heartbeat.renew()
 		}
 		effects = r.step(e)
 		r.recordGap(&gapStart, "event")
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -114,9 +114,8 @@
 	// processStart identifies this run of the process.
 	processStart uint64
 	// ramps are those that were logged last. Only the control loop uses them.
-	ramps []dispatcher.Ramp
-	// lastControl is the time of the latest iteration of the control loop.
-	lastControl atomic.Int64
+	ramps     []dispatcher.Ramp
+	heartbeat heartbeat
 }
 
 // New returns a Runner for an instance. Run starts it.
@@ -142,7 +141,7 @@
 		OnUpstreamLeaving: r.upstreamLeaving, OnUpstreamLimited: r.upstreamLimited,
 		OnUpstreamCrashed: r.upstreamCrashed, OnRequestAnswered: r.requestAnswered,
 		ReuseAge: cfg.ReuseWindow, NonIdempotentReuseAge: cfg.NonIdempotentReuseWindow, Guard: r.recoverer, MaxHeldBytes: cfg.MaxHeldBytes,
-		MaxCallerConns: cfg.MaxCallerConns, BodyStallTimeout: cfg.BodyStallTimeout, MinBodyPace: cfg.MinBodyPace, Heartbeat: &r.lastControl,
+		MaxCallerConns: cfg.MaxCallerConns, BodyStallTimeout: cfg.BodyStallTimeout, MinBodyPace: cfg.MinBodyPace, TablesValidUntil: &r.heartbeat.validUntil,
 	})
 	r.relay = newRelay(r)
 	r.watchers = map[steerer.Kind]*watcher.Watcher{}
@@ -227,6 +226,14 @@
 	return &steerer.View{}
 }
 
+// validView returns the current view, or an empty one if it must not be used any more.
+func (r *Runner) validView() *steerer.View {
+	if !r.heartbeat.valid(r.now()) {
+		return &steerer.View{}
+	}
+	return r.currentView()
+}
+
 // emitter returns a function that queues an event unless the context is done.
 func (r *Runner) emitter(ctx context.Context) func(steerer.Event) {
 	return func(e steerer.Event) {
--- a/hornbeamd/runner/servers.go
+++ b/hornbeamd/runner/servers.go
@@ -37,7 +37,7 @@
 		_ = r.relayer.Serve(front)
 		return nil
 	})
-	lookup := r.cfg.Directory.Handler(r.currentView)
+	lookup := r.cfg.Directory.Handler(r.validView)
 	handler := func(ctx *fasthttp.RequestCtx) {
 		if !r.recoverer.Do("look-up", func() { lookup(ctx) }) {
 			ctx.Error("unexpected error\n", fasthttp.StatusInternalServerError)
@@ -66,7 +66,7 @@
 		r.cfg.Log.Info("can't listen on the admin address; metrics are not served", "cause", err.Error())
 		return front, nil
 	}
-	admin := exporter.Admin{Registry: r.registry, Timeline: r.timeline, Status: r.status, Explain: r.explain, Ready: func() bool { return r.currentView().Ready }}
+	admin := exporter.Admin{Registry: r.registry, Timeline: r.timeline, Status: r.status, Explain: r.explain, Ready: func() bool { return r.validView().Ready }}
 	group.Go(func() error { return admin.Server().Serve(r.bounded(ln)) })
 	return front, nil
 }
