steerer: only answers to calls made after a pause confirm what was known before it

Cause: after a pause, a beacon or an answer that had waited in a buffer since before it was stamped with the time at which it was read, and marked the state of before the pause as current. And after 1 s without any confirmation the state was used, whether the store did not answer or nobody had been asked yet. Instances that do not watch the store asked nobody at all.

Change: answers carry the time at which their call was made; after a pause, only later calls confirm, and beacons do not. An instance that does not watch the store, or that the store does not answer, asks up to two instances, those that were the latest to have their state confirmed, and then the store.

TestNoOutdatedViewAfterPause (3 to 24 instances, answers and beacons that wait during the pause) fails at once if calls from before a pause may confirm, and if beacons may: version 3 is used where the store had 4.

--- a/core/steerer/era_test.go
+++ b/core/steerer/era_test.go
@@ -9,11 +9,11 @@
 
 // listedAt and changedAt return events with objects of an era.
 func listedAt(at float64, k Kind, e, revision uint64, all ...Object) Event {
-	return Listed{Now: seconds(at), Kind: k, Era: e, Revision: revision, Objects: all}
+	return Listed{Now: seconds(at), AskedAt: seconds(at - 0.1), Kind: k, Era: e, Revision: revision, Objects: all}
 }
 
 func changedAt(at float64, k Kind, e, revision uint64, all ...Object) Event {
-	return Changed{Now: seconds(at), Kind: k, Era: e, Revision: revision, Objects: all}
+	return Changed{Now: seconds(at), AskedAt: seconds(at - 0.1), Kind: k, Era: e, Revision: revision, Objects: all}
 }
 
 func instanceObject(i Instance) Object { return Object{Name: i.Name, Instance: &i} }
--- a/core/steerer/events.go
+++ b/core/steerer/events.go
@@ -21,7 +21,9 @@
 // Listed carries all objects of a kind. Known objects that it lacks no longer
 // exist.
 type Listed struct {
-	Now     int64
+	Now int64
+	// AskedAt is when the call to the store was made.
+	AskedAt int64
 	Kind    Kind
 	Objects []Object
 	// Era and Revision are the store's position at the time of the list. Era is 0 if
@@ -34,7 +36,9 @@
 
 // Changed carries the changed objects of a kind, oldest change first.
 type Changed struct {
-	Now     int64
+	Now int64
+	// AskedAt is when the call to the store was made.
+	AskedAt int64
 	Kind    Kind
 	Objects []Object
 	// Era and Revision are the store's position up to which the changes are complete.
@@ -46,7 +50,9 @@
 // otherwise the changes since the requested revision. A Revision of 0 means that
 // the fetch failed or that the other instance had no confirmed state.
 type Fetched struct {
-	Now      int64
+	Now int64
+	// AskedAt is when the request was sent.
+	AskedAt  int64
 	Kind     Kind
 	From     string
 	Objects  []Object
@@ -70,8 +76,10 @@
 
 // StoreUnavailable reports a failed call to the store for a kind.
 type StoreUnavailable struct {
-	Now  int64
-	Kind Kind
+	Now int64
+	// AskedAt is when the call to the store was made.
+	AskedAt int64
+	Kind    Kind
 	// Cause is the error text of the failed call.
 	Cause string
 }
--- a/core/steerer/fetch.go
+++ b/core/steerer/fetch.go
@@ -82,6 +82,10 @@
 	if ss == nil {
 		return nil
 	}
+	if !ss.confirms(e.AskedAt) {
+		// The answer may have waited since before a pause of the process.
+		return nil
+	}
 	ss.fetchSentAt = 0
 	if e.StoreRecoveredAt > s.recoveredAt[e.Kind] {
 		s.recoveredAt[e.Kind] = e.StoreRecoveredAt
@@ -89,12 +93,12 @@
 	at := ss.position(e.Era, e.Revision)
 	switch {
 	case e.Revision == 0, !e.Whole && s.startsEra(e.Kind, at):
-		return nil
+		return s.confirmElsewhere(e.Now, e.Kind)
 	case s.outdated(e.Kind, at) && e.Kind == Configs && e.Whole:
 		// Configurations are ordered by version rather than by store position.
 		return s.applyObjects(e.Now, e.Kind, e.Objects)
 	case s.outdated(e.Kind, at):
-		return nil
+		return s.confirmElsewhere(e.Now, e.Kind)
 	}
 	known := ss.synced
 	if e.Whole {
--- a/core/steerer/property_test.go
+++ b/core/steerer/property_test.go
@@ -160,7 +160,7 @@
 // fetch requests changes from another instance; the request or the reply may be
 // lost.
 func (s *simulation) fetch(si *simInstance, x Fetch, drop func() bool) {
-	e := Fetched{Now: s.now, Kind: x.Kind, From: x.From.Name}
+	e := Fetched{Now: s.now, AskedAt: s.now, Kind: x.Kind, From: x.From.Name}
 	to := s.instanceByName(x.From.Name)
 	if to != nil && !to.paused && !drop() {
 		var effects []Effect
@@ -196,7 +196,7 @@
 		revision = 0
 	}
 	if si.disconnected || drop() {
-		s.step(si, StoreUnavailable{Now: s.now, Kind: k, Cause: "no answer in time"}, drop)
+		s.step(si, StoreUnavailable{Now: s.now, AskedAt: s.now, Kind: k, Cause: "no answer in time"}, drop)
 		return
 	}
 	if _, on := si.watches[k]; on {
@@ -206,7 +206,7 @@
 		if si.listOnly[k] {
 			delete(si.watches, k)
 		}
-		s.step(si, Listed{Now: s.now, Kind: k, Objects: s.list(k), Era: s.era, Revision: s.revision}, drop)
+		s.step(si, Listed{Now: s.now, AskedAt: s.now, Kind: k, Objects: s.list(k), Era: s.era, Revision: s.revision}, drop)
 		return
 	}
 	var found []Object
@@ -215,7 +215,7 @@
 			found = append(found, h.object)
 		}
 	}
-	s.step(si, Changed{Now: s.now, Kind: k, Objects: found, Era: s.era, Revision: s.revision}, drop)
+	s.step(si, Changed{Now: s.now, AskedAt: s.now, Kind: k, Objects: found, Era: s.era, Revision: s.revision}, drop)
 }
 
 // checkSynced compares the view of an instance with the store and returns a
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -132,7 +132,7 @@
 			break
 		}
 		out = append(out, s.applyList(e.Now, e.Kind, e.Objects, at)...)
-		out = append(out, s.advance(e.Now, syncUpdate{e.Kind, e.Objects, at, true, !e.Stale})...)
+		out = append(out, s.advance(e.Now, syncUpdate{e.Kind, e.Objects, at, true, !e.Stale, e.AskedAt})...)
 		if e.Kind == Instances {
 			out = append(out, s.assignWatches(e.Now)...)
 		}
@@ -145,7 +145,7 @@
 			break
 		}
 		out = append(out, s.applyObjects(e.Now, e.Kind, e.Objects)...)
-		out = append(out, s.advance(e.Now, syncUpdate{e.Kind, e.Objects, at, false, true})...)
+		out = append(out, s.advance(e.Now, syncUpdate{e.Kind, e.Objects, at, false, true, e.AskedAt})...)
 	case Fetched:
 		now = e.Now
 		out = s.applyFetched(e)
@@ -209,15 +209,18 @@
 	return ok
 }
 
-func (s *State) markUnavailable(e StoreUnavailable) []Effect {
+func (s *State) markUnavailable(e StoreUnavailable) (out []Effect) {
+	if s.sync[e.Kind].confirms(e.AskedAt) {
+		out = s.confirmElsewhere(e.Now, e.Kind)
+	}
 	if s.unavailable[e.Kind] {
-		return nil
+		return out
 	}
 	s.unavailable[e.Kind] = true
 	if e.Kind == Configs {
 		s.dirty = true
 	}
-	return []Effect{LogEvent{Type: "lost", Subject: string(e.Kind), Cause: e.Cause}}
+	return append(out, LogEvent{Type: "lost", Subject: string(e.Kind), Cause: e.Cause})
 }
 
 func (s *State) markAvailable(now int64, k Kind) []Effect {
@@ -242,7 +245,8 @@
 	p.updateSync(e)
 	for _, k := range Kinds {
 		q, ok := e.Beacon.Sync[k]
-		if ss := s.sync[k]; ok && ss.known && !ss.synced.Before(ss.position(q.Era, q.Revision)) && q.Age < int64(confirmTimeout/time.Millisecond) {
+		// After a pause of the process, a beacon may have waited since before it.
+		if ss := s.sync[k]; ok && ss.known && ss.pausedAt == 0 && !ss.synced.Before(ss.position(q.Era, q.Revision)) && q.Age < int64(confirmTimeout/time.Millisecond) {
 			out = append(out, s.markFresh(k, "by a beacon of "+p.Name)...)
 		}
 	}
--- a/core/steerer/steerer_test.go
+++ b/core/steerer/steerer_test.go
@@ -127,9 +127,9 @@
 		"paused-process-asks-before-it-acts": append(startEvents(upstreamObject("u1"), upstreamObject("u2")),
 			Tick{Now: seconds(1)},
 			Resumed{Now: seconds(6)},
-			Changed{Now: seconds(6.1), Kind: Upstreams, Objects: []Object{deletedObject("u1")}},
-			Changed{Now: seconds(6.1), Kind: Configs},
-			Changed{Now: seconds(6.2), Kind: Evacuations},
+			Changed{Now: seconds(6.1), AskedAt: seconds(6), Kind: Upstreams, Objects: []Object{deletedObject("u1")}},
+			Changed{Now: seconds(6.1), AskedAt: seconds(6), Kind: Configs},
+			Changed{Now: seconds(6.2), AskedAt: seconds(6), Kind: Evacuations},
 			Tick{Now: seconds(6.3)},
 		),
 		"draining-upstream-gets-nothing-new": append(startEvents(upstreamObject("u1"), upstreamObject("u2")),
@@ -303,6 +303,7 @@
 	maps.Copy(all, eraScenarios())
 	maps.Copy(all, quarantineScenarios())
 	maps.Copy(all, coldScenarios())
+	maps.Copy(all, pauseScenarios())
 	for name, events := range all {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/core/steerer/sync.go
+++ b/core/steerer/sync.go
@@ -37,9 +37,6 @@
 	firstAnswerTimeout = 300 * time.Millisecond
 	// maxHistory bounds the changes kept for other instances, by kind.
 	maxHistory = 1024
-	// confirmTimeout is how long state that may be stale is not used while waiting
-	// for a confirmation.
-	confirmTimeout = time.Second
 )
 
 // syncState is the state of synchronizing one kind with the store.
@@ -61,9 +58,14 @@
 	// confirmedAt is when the store last confirmed synced, or 0 for never.
 	confirmedAt int64
 	// fresh reports whether the state has been confirmed since the start and since
-	// the last pause of the process. assumeFreshAt is when it is used regardless.
-	fresh         bool
-	assumeFreshAt int64
+	// the last pause of the process. staleSince is since when it is not.
+	fresh      bool
+	staleSince int64
+	// pausedAt is when the last pause of the process was noticed, or 0 for never. An answer
+	// to a call that was made before may be from before the pause, and confirms nothing.
+	pausedAt int64
+	// confirmFetches is the number of instances that were asked for a confirmation.
+	confirmFetches int
 	// fetchSentAt is when the pending request to another instance was sent, or 0 if
 	// there is none.
 	fetchSentAt int64
@@ -126,17 +128,19 @@
 	// whole means that objects is a complete list, confirmed that it is the store's
 	// own current answer.
 	whole, confirmed bool
+	// askedAt is when the call was made whose answer it is.
+	askedAt int64
 }
 
 // advance records that all changes up to n.synced are known.
 func (s *State) advance(now int64, n syncUpdate) (out []Effect) {
 	ss := s.sync[n.kind]
-	if n.confirmed {
+	if n.confirmed && ss.confirms(n.askedAt) {
 		ss.confirmedAt = now
 		out = s.markFresh(n.kind, "by the store")
 	}
 	if !ss.known {
-		ss.known, ss.assumeFreshAt, s.dirty = true, now+int64(confirmTimeout), true
+		ss.known, ss.staleSince, s.dirty = true, now, true
 	}
 	if n.whole && ss.listOnly {
 		ss.listOnly, ss.watching, ss.listedAt = false, false, now
@@ -169,51 +173,6 @@
 	return out
 }
 
-// markFresh records that the known state of a kind is current. By says who has confirmed it.
-func (s *State) markFresh(k Kind, by string) []Effect {
-	ss := s.sync[k]
-	if ss.fresh {
-		return nil
-	}
-	ss.fresh, s.dirty = true, true
-	if !ss.known {
-		return nil
-	}
-	return []Effect{LogEvent{Type: "confirmed", Subject: string(k), Cause: by}}
-}
-
-// assumeFresh marks state as fresh that was not confirmed within confirmTimeout.
-func (s *State) assumeFresh(now int64) (out []Effect) {
-	for _, k := range Kinds {
-		if ss := s.sync[k]; ss.known && !ss.fresh && now >= ss.assumeFreshAt {
-			out = append(out, s.markFresh(k, "by nobody in time")...)
-		}
-	}
-	return out
-}
-
-// resume marks all known state as unconfirmed after a pause of the process, and
-// asks the store for changes that were missed.
-func (s *State) resume(now int64) (out []Effect) {
-	s.dirty = true
-	for _, k := range Kinds {
-		ss := s.sync[k]
-		if !ss.known {
-			continue
-		}
-		ss.fresh, ss.assumeFreshAt = false, now+int64(confirmTimeout)
-		if ss.watching {
-			out = append(out, Watch{Kind: k, Enabled: true, Era: ss.synced.Era, Revision: ss.synced.Revision, PollTimeout: ss.pollTimeout, SlowRetry: !s.isReader(now), Confirm: true})
-		}
-	}
-	return append(out, LogEvent{Type: "paused", Subject: s.Self.Name, Cause: "the process did not run for a while"})
-}
-
-// stale reports whether any state that requests depend on may be outdated.
-func (s *State) stale() bool {
-	return !s.sync[Configs].fresh || !s.sync[Upstreams].fresh || !s.sync[Evacuations].fresh
-}
-
 // outdated reports whether an answer is older than the state known here, which may
 // have come from other instances in the meantime.
 func (s *State) outdated(k Kind, at Position) bool {
@@ -241,6 +200,10 @@
 	for _, k := range Kinds {
 		ss := s.sync[k]
 		enabled, timeout := reader || !ss.known || !s.coveredByPeer(now, k), s.pollTimeoutOf(k)
+		if ss.watching && ss.known && !ss.fresh {
+			// The answer of the store confirms what is known.
+			enabled = true
+		}
 		if !s.sync[Instances].known {
 			// The readers are not known yet.
 			enabled = k == Instances && now >= s.firstListAt
--- a/hornbeamd/runner/relay.go
+++ b/hornbeamd/runner/relay.go
@@ -60,6 +60,7 @@
 	r := l.runner
 	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
 	defer cancel()
+	askedAt := r.now()
 	var e steerer.Fetched
 	err := errors.New("panic")
 	r.recoverer.Do("fetch", func() { e, err = l.requestChanges(ctx, f) })
@@ -67,7 +68,7 @@
 		r.cfg.Log.V(1).Info("changes not fetched", "kind", f.Kind, "from", f.From.Name, "cause", err.Error())
 		e = steerer.Fetched{Kind: f.Kind}
 	}
-	e.Now, e.From = r.now(), f.From.Name
+	e.Now, e.AskedAt, e.From = r.now(), askedAt, f.From.Name
 	r.events <- e
 }
 
--- a/hornbeamd/watcher/watcher.go
+++ b/hornbeamd/watcher/watcher.go
@@ -106,6 +106,8 @@
 	options  Options
 	// era is the latest known era of the store.
 	era uint64
+	// askedAt is when the latest list or watch was called.
+	askedAt int64
 	mu  sync.Mutex
 	// cancelCall cancels the pending watch call, which is a long poll if longPoll is
 	// set.
@@ -176,6 +178,7 @@
 	stale := w.Kind != steerer.Instances
 	for w.waitEnabled(ctx, &revision) {
 		var err error
+		w.askedAt = w.Now()
 		if revision > 0 {
 			revision, err = w.watch(ctx, revision)
 		} else {
@@ -204,7 +207,7 @@
 		// The next answer, which ends the outage, comes at once.
 		w.options.Confirm = true
 		w.Availability.markDown()
-		w.Emit(steerer.StoreUnavailable{Now: w.Now(), Kind: w.Kind, Cause: err.Error()})
+		w.Emit(steerer.StoreUnavailable{Now: w.Now(), AskedAt: w.askedAt, Kind: w.Kind, Cause: err.Error()})
 		pause = w.backOff(ctx, pause)
 	}
 	return nil
@@ -289,7 +292,7 @@
 	}
 	// An immediate watch call shows how old a stale list is.
 	w.options.Confirm = stale
-	w.Emit(steerer.Listed{Now: w.Now(), Kind: w.Kind, Objects: all, Era: w.era, Revision: revision, Stale: stale})
+	w.Emit(steerer.Listed{Now: w.Now(), AskedAt: w.askedAt, Kind: w.Kind, Objects: all, Era: w.era, Revision: revision, Stale: stale})
 	return revision, nil
 }
 
@@ -323,7 +326,7 @@
 	if err := w.checkEra(page); err != nil {
 		return 0, err
 	}
-	w.Emit(steerer.Changed{Now: w.Now(), Kind: w.Kind, Objects: page.Objects, Era: w.era, Revision: page.Revision})
+	w.Emit(steerer.Changed{Now: w.Now(), AskedAt: w.askedAt, Kind: w.Kind, Objects: page.Objects, Era: w.era, Revision: page.Revision})
 	if len(page.Objects) > 0 {
 		sleep(ctx, batchDelay)
 	}
