--- a/core/dispatcher/choose.go
+++ b/core/dispatcher/choose.go
@@ -197,7 +197,7 @@
 // time is the bound then. The wait at an upstream that shares its machine with others
 // cannot be foreseen well enough, because its speed changes several times a second.
 func (r *Request) queueTooLong(c *candidate) bool {
-	return !c.sharesMachine && r.Route.Aim > 0 && c.wait > max(r.Route.Aim, time.Duration(r.Route.serviceTime.warm()))
+	return !c.sharesMachine && r.Route.Aim > 0 && c.wait > max(r.Route.Aim, time.Duration(r.serviceTime().warm()))
 }
 
 // retryAfter returns the delay after which a slot is likely to be free, given the
@@ -221,10 +221,21 @@
 	}
 }
 
+// serviceTime returns the estimated service time of the route's requests at the upstreams of
+// the request's pool.
+func (r *Request) serviceTime() *serviceTime {
+	for i := range r.Route.Pools {
+		if p := &r.Route.Pools[i]; p.Pool == r.Pool {
+			return p.serviceTime
+		}
+	}
+	return r.Route.Pools[0].serviceTime
+}
+
 func (r *Request) scoreOne(c *candidate) {
 	u := c.upstream
 	s := u.snapshot(r.Now, r.Key)
-	serviceTime := r.Route.serviceTime
+	serviceTime := r.serviceTime()
 	c.load, c.reportAge = s.load, s.reportAge
 	c.knownWarm = s.warm
 	c.likelyWarm = s.warm || r.Key != 0
--- a/core/dispatcher/feedback.go
+++ b/core/dispatcher/feedback.go
@@ -52,10 +52,10 @@
 	switch res {
 	case Answered:
 		u.markReachable(r.Key)
-		u.observe(now, r.Route.serviceTime.observe(d, u, took), false)
+		u.observe(now, r.serviceTime().observe(d, u, took), false)
 	case AttemptTimeout, DeadlineExceeded:
 		// The time so far is a lower bound of the latency.
-		u.observe(now, r.Route.serviceTime.slowdown(d, u, took), took > overdueFactor*d.Expected)
+		u.observe(now, r.serviceTime().slowdown(d, u, took), took > overdueFactor*d.Expected)
 	case Failed:
 		u.observe(now, 0, true)
 	case Shed:
@@ -96,8 +96,8 @@
 	initialWarmShare, initialColdShare = 0.35, 0.9
 )
 
-// serviceTime estimates how long an upstream runs a request of a route, without
-// round trip and queueing.
+// serviceTime estimates how long the upstreams of a service run a request of a route,
+// without round trip and queueing.
 type serviceTime struct {
 	aim                  atomic.Int64
 	warmTime, coldTime   atomic.Int64
--- a/core/dispatcher/queue_test.go
+++ b/core/dispatcher/queue_test.go
@@ -40,7 +40,7 @@
 				}},
 			}}, 1)
 			route := table.Route("h", "/")
-			st := route.serviceTime
+			st := route.Pools[0].serviceTime
 			st.warmTime.Store(int64(100 * time.Millisecond))
 			st.coldTime.Store(int64(100 * time.Millisecond))
 			now := int64(time.Minute)
--- a/core/dispatcher/table.go
+++ b/core/dispatcher/table.go
@@ -34,19 +34,19 @@
 	workspaceList []*Workspace
 }
 
-// Route is a configured route with its pools and the estimated service time of its
-// requests.
+// Route is a configured route with its pools.
 type Route struct {
 	steerer.Route
-	Pools       []WeightedPool
-	spread      *spread
-	serviceTime *serviceTime
+	Pools  []WeightedPool
+	spread *spread
 }
 
-// WeightedPool is a pool with its share of a route's requests.
+// WeightedPool is a pool with its share of a route's requests and their estimated service
+// time.
 type WeightedPool struct {
-	Pool  *Pool
-	share float64
+	Pool        *Pool
+	share       float64
+	serviceTime *serviceTime
 }
 
 // Pool is a service with its upstreams.
@@ -79,7 +79,7 @@
 	budgets      map[string]*limiter.RetryBudget
 	spillovers   map[string]*spillover
 	moveLimiter  *moveLimiter
-	serviceTimes map[string]*serviceTime
+	serviceTimes map[routePart]*serviceTime
 	spreads      map[string]*spread
 	slotLoads    map[string]*movingAverage
 	// settledLoads has the load per slot of the upstreams of each service that do not ramp
@@ -103,6 +103,9 @@
 	peerRegions map[string]bool
 }
 
+// routePart identifies a service of a route.
+type routePart struct{ route, service string }
+
 // incarnationKey identifies the registration of one incarnation under an address.
 type incarnationKey struct {
 	id, service, address string
@@ -131,9 +134,26 @@
 			t.hosts[r.Host][r.Prefix] = r
 		}
 	}
+	b.forgetRemoved(v.Config)
 	return t
 }
 
+// forgetRemoved drops what was gathered for routes and services that the configuration no
+// longer has. The retry budgets stay, because their bounds also hold for a service that is
+// removed and added again.
+func (b *Builder) forgetRemoved(c *steerer.Config) {
+	routes, services := map[string]bool{}, map[string]bool{}
+	for i := range c.Routes {
+		routes[c.Routes[i].Name] = true
+	}
+	for i := range c.Services {
+		services[c.Services[i].Name] = true
+	}
+	maps.DeleteFunc(b.spreads, func(route string, _ *spread) bool { return !routes[route] })
+	maps.DeleteFunc(b.serviceTimes, func(p routePart, _ *serviceTime) bool { return !routes[p.route] || !services[p.service] })
+	maps.DeleteFunc(b.spillovers, func(service string, _ *spillover) bool { return !services[service] })
+}
+
 func (b *Builder) init() {
 	if b.upstreams != nil {
 		return
@@ -142,7 +162,7 @@
 	b.budgets = map[string]*limiter.RetryBudget{}
 	b.spillovers = map[string]*spillover{}
 	b.moveLimiter = &moveLimiter{}
-	b.serviceTimes = map[string]*serviceTime{}
+	b.serviceTimes = map[routePart]*serviceTime{}
 	b.spreads = map[string]*spread{}
 	b.slotLoads = map[string]*movingAverage{}
 	b.settledLoads = map[string]*movingAverage{}
@@ -294,19 +314,20 @@
 }
 
 func (b *Builder) buildRoute(t *Table, r *steerer.Route) *Route {
-	route := &Route{Route: *r, spread: b.spreads[r.Name], serviceTime: getOrCreate(b.serviceTimes, r.Name)}
+	route := &Route{Route: *r, spread: b.spreads[r.Name]}
 	if route.spread == nil {
 		route.spread = newSpread(r.Name, b.Self.Name)
 		b.spreads[r.Name] = route.spread
 	}
-	route.serviceTime.aim.Store(int64(r.Aim))
 	total := 0.0
 	for _, part := range r.Parts {
 		total += part.Weight
 	}
 	for _, part := range r.Parts {
 		if p := t.pools[part.Service]; p != nil && part.Weight > 0 {
-			route.Pools = append(route.Pools, WeightedPool{Pool: p, share: part.Weight / total})
+			st := getOrCreate(b.serviceTimes, routePart{r.Name, part.Service})
+			st.aim.Store(int64(r.Aim))
+			route.Pools = append(route.Pools, WeightedPool{Pool: p, share: part.Weight / total, serviceTime: st})
 		}
 	}
 	return route
--- a/core/dispatcher/weights_test.go
+++ b/core/dispatcher/weights_test.go
@@ -109,3 +109,42 @@
 	}
 	golden(t, "weights", text)
 }
+
+// TestServiceTimeIsOfService guards against expected times of one service that are used for
+// another: after a route has moved, and on a route with two services.
+func TestServiceTimeIsOfService(t *testing.T) {
+	is := is.New(t)
+	const aim, fast, slow = 100 * time.Millisecond, 50 * time.Millisecond, 400 * time.Millisecond
+	b := &Builder{Self: steerer.Instance{Name: "i"}}
+	now := int64(1)
+	// run sends n requests by weights and returns the last expected time of each service.
+	run := func(n int, weights map[string]float64) map[string]time.Duration {
+		v := steerer.View{Config: &steerer.Config{Services: []steerer.Service{{Name: "fast"}, {Name: "slow"}}}}
+		r := steerer.Route{Name: "r", Host: "h", Prefix: "/", Timeout: 5 * time.Second, Aim: aim, Attempts: 1}
+		for _, s := range v.Config.Services {
+			v.Upstreams = append(v.Upstreams, steerer.Upstream{ID: s.Name, Service: s.Name, Address: s.Name, Slots: 4})
+			if weights[s.Name] > 0 {
+				r.Parts = append(r.Parts, steerer.WeightedService{Service: s.Name, Weight: weights[s.Name]})
+			}
+		}
+		v.Config.Routes = []steerer.Route{r}
+		route := b.Build(v, now).Route("h", "/")
+		expected := map[string]time.Duration{}
+		for range n {
+			q := &Request{Route: route, Pool: route.SelectPool(), Now: now, Deadline: now + int64(5*time.Second)}
+			d := Choose(q)
+			expected[q.Pool.Name] = d.ExpectedCold - d.Upstream.RTT
+			took := map[string]time.Duration{"fast": fast, "slow": slow}[q.Pool.Name] + d.Upstream.RTT
+			now += int64(took)
+			d.Done(q, Answered, took, now)
+		}
+		return expected
+	}
+	near := func(got, want time.Duration) bool { return got > want*8/10 && got < want*12/10 }
+	is.True(near(run(300, map[string]float64{"fast": 1})["fast"], fast))
+	is.True(run(1, map[string]float64{"slow": 1})["slow"] >= 90*time.Millisecond) // nothing is known of it
+	is.True(near(run(300, map[string]float64{"slow": 1})["slow"], slow))
+	both := run(300, map[string]float64{"fast": 1, "slow": 1})
+	is.True(near(both["fast"], fast))
+	is.True(near(both["slow"], slow))
+}
--- a/hornbeamd/watcher/watcher.go
+++ b/hornbeamd/watcher/watcher.go
@@ -108,7 +108,7 @@
 	era uint64
 	// askedAt is when the latest list or watch was called.
 	askedAt int64
-	mu  sync.Mutex
+	mu      sync.Mutex
 	// cancelCall cancels the pending watch call, which is a long poll if longPoll is
 	// set.
 	cancelCall context.CancelFunc
