soaker: instances pause while routes move, with a distant store

The soak paused instances, but judged nothing for 3 s after a pause, and its store answered at once.

--- a/hornbench/soaker/faults.go
+++ b/hornbench/soaker/faults.go
@@ -334,6 +334,9 @@
 	if w.options.Garbage {
 		all = slices.Concat(all, garbageFaults, garbageFaults, garbageFaults)
 	}
+	if w.options.Pauses {
+		all = slices.Concat(all, pauseFaults, pauseFaults, pauseFaults)
+	}
 	if w.options.Crashes {
 		all = slices.Concat(all, crashFaults, crashFaults)
 	}
--- a/hornbench/soaker/fleet.go
+++ b/hornbench/soaker/fleet.go
@@ -36,8 +36,8 @@
 	stopping bool
 	// slowest is the longest planned stop so far.
 	slowest time.Duration
-	// disturbed has the times of pauses, kills, stops and starts.
-	disturbed []span
+	// disturbed has the times of pauses, kills, stops and starts, paused those of pauses.
+	disturbed, paused []span
 }
 
 // newInstance writes the settings of an instance whose calls to the store pass
@@ -126,10 +126,26 @@
 
 // Pause stops the process for some time.
 func (i *Instance) Pause(d time.Duration) {
-	defer i.disturb(time.Now())
+	from := time.Now()
 	i.signal(syscall.SIGSTOP)
 	time.Sleep(d)
 	i.signal(syscall.SIGCONT)
+	i.disturb(from)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.paused = append(i.paused, i.disturbed[len(i.disturbed)-1])
+}
+
+// longPauses returns the pauses that the instance must have noticed.
+func (i *Instance) longPauses() (all []span) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, p := range i.paused {
+		if p.to.Sub(p.from) >= longPause {
+			all = append(all, p)
+		}
+	}
+	return all
 }
 
 // Kill ends the process at once and waits for its end.
--- a/hornbench/soaker/proxy.go
+++ b/hornbench/soaker/proxy.go
@@ -31,9 +31,11 @@
 	target   string
 	listener net.Listener
 
-	mu    sync.Mutex
-	mode  proxyMode
-	conns map[*link]bool
+	mu   sync.Mutex
+	mode proxyMode
+	// latency is how long all bytes take that are passed on.
+	latency time.Duration
+	conns   map[*link]bool
 	// disturbed has the times in which not all passed as it came.
 	disturbed []span
 }
@@ -79,6 +81,13 @@
 	}
 }
 
+// setLatency sets how long all bytes take that are passed on.
+func (p *Proxy) setLatency(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.latency = d
+}
+
 // passed tells whether all passed as it came in a span of time.
 func (p *Proxy) passed(from, to time.Time) bool {
 	p.mu.Lock()
@@ -138,8 +147,9 @@
 	for {
 		n, err := from.Read(buf)
 		p.mu.Lock()
-		mode, dead := p.mode, l.dead
+		mode, dead, latency := p.mode, l.dead, p.latency
 		p.mu.Unlock()
+		time.Sleep(latency)
 		if mode == proxyDelay {
 			time.Sleep(delayTime)
 		}
--- a/hornbench/soaker/report.go
+++ b/hornbench/soaker/report.go
@@ -88,6 +88,7 @@
 	r.Violations = append(r.Violations, w.evacuationsKept(sent)...)
 	r.Violations = append(r.Violations, w.crashesContained(sent)...)
 	r.Violations = append(r.Violations, w.allowanceKept(all)...)
+	r.Violations = append(r.Violations, w.pausesNoticed(all)...)
 	for _, i := range w.instances {
 		r.SlowestStop = max(r.SlowestStop, i.slowest)
 	}
--- a/hornbench/soaker/soak.go
+++ b/hornbench/soaker/soak.go
@@ -37,6 +37,8 @@
 	// Workspaces adds workspaces whose keys change with each configuration, one of them
 	// with an allowance that it exceeds all the time.
 	Workspaces bool
+	// Pauses adds pauses of instances in which routes move several times.
+	Pauses bool
 	// Garbage adds upstreams and a store that send bytes that are no answer.
 	Garbage bool
 	// Dir takes the logs of the instances. It is made if it is missing.
@@ -195,6 +197,9 @@
 		if err != nil {
 			return err
 		}
+		if w.options.Pauses {
+			i.proxy.setLatency(distantStore)
+		}
 		if err = i.Start(); err != nil {
 			return err
 		}
--- a/hornbench/soaker/soak_test.go
+++ b/hornbench/soaker/soak_test.go
@@ -49,6 +49,15 @@
 	{19001, Options{Instances: 6, Upstreams: 4, Callers: 16, Extended: true, Bursts: true, Workspaces: true}, 12 * time.Second},
 }
 
+// pauseSeeds have pauses of instances in which routes move. An answer of the store that had
+// waited since before a pause confirmed the configuration of that time: 2 and 3 requests.
+var pauseSeeds = []soakSeed{
+	{24004, Options{Instances: 5, Upstreams: 4, Callers: 16, Pauses: true}, 12 * time.Second},
+}
+
+// TestPauses guards against requests by a configuration from before a pause.
+func TestPauses(t *testing.T) { soakSeeds(t, pauseSeeds) }
+
 // TestWorkspaces checks keys and allowances under faults.
 func TestWorkspaces(t *testing.T) { soakSeeds(t, workspaceSeeds) }
 
