steerer: a configuration is not used while a newer one is known and does not arrive

Nothing stopped an instance from using what it knew to be replaced.

Change: after 1.5 s without progress towards a change of the configuration that another instance is known to have, the view is stale: the instance is not ready and refuses requests as not run, so that callers go to the others. It ends when the configuration arrives. An instance that hears of no newer one, as in a cut, goes on. The lines are 'lagging' and 'caught up'.

Golden script configuration-that-does-not-arrive-ends-the-use-of-the-old-one.

--- a/core/steerer/events.go
+++ b/core/steerer/events.go
@@ -241,7 +241,8 @@
 	// Ready means that this instance may accept requests.
 	Ready bool
 	// Stale means that the view may be outdated because the process has just started
-	// or was paused. No request may be sent based on it.
+	// or was paused, or that its configuration is known to be. No request may be sent
+	// based on it.
 	Stale  bool
 	Bounds Bounds
 	// Regions maps each failure domain to its region.
--- a/core/steerer/fetch.go
+++ b/core/steerer/fetch.go
@@ -22,6 +22,9 @@
 		if ss.target.Before(peerPosition) {
 			ss.target = peerPosition
 		}
+		if c := ss.position(q.position.Era, q.changed); ss.targetChange.Before(c) {
+			ss.targetChange = c
+		}
 		if ss.behindSince == 0 {
 			ss.behindSince = now
 		}
--- a/core/steerer/freshness.go
+++ b/core/steerer/freshness.go
@@ -15,6 +15,9 @@
 	// same while calls to it neither fail nor succeed: this instance may be at fault.
 	confirmTimeout    = time.Second
 	unansweredTimeout = 3 * time.Second
+	// maxConfigLag is how long a configuration is used although another instance has a newer
+	// one. Usually a fetch takes a tenth of it.
+	maxConfigLag = 1500 * time.Millisecond
 	// maxConfirmFetches is the number of instances that are asked for a confirmation.
 	maxConfirmFetches = 2
 )
@@ -113,9 +116,25 @@
 	return all[n]
 }
 
-// stale reports whether any state that requests depend on may be outdated.
+// stale reports whether any state that requests depend on may be outdated, or is known to be.
 func (s *State) stale() bool {
-	return !s.sync[Configs].fresh || !s.sync[Upstreams].fresh || !s.sync[Evacuations].fresh
+	return !s.sync[Configs].fresh || !s.sync[Upstreams].fresh || !s.sync[Evacuations].fresh || s.configLagging
+}
+
+// updateConfigLag finds out whether this instance should not use its configuration, because
+// another one has had a newer one for a while and this one cannot get it: its link may be
+// congested, or cut in one direction.
+func (s *State) updateConfigLag(now int64) []Effect {
+	ss := s.sync[Configs]
+	lagging := ss.known && ss.synced.Before(ss.targetChange) && ss.behindSince != 0 && now-ss.behindSince >= int64(maxConfigLag)
+	if lagging == s.configLagging {
+		return nil
+	}
+	s.configLagging, s.dirty = lagging, true
+	if !lagging {
+		return []Effect{LogEvent{Type: "caught up", Subject: string(Configs)}}
+	}
+	return []Effect{LogEvent{Type: "lagging", Subject: string(Configs), Cause: "another instance has a newer configuration, which does not arrive"}}
 }
 
 // confirmElsewhere asks the next instance, or the store, after one could not confirm the state
--- a/core/steerer/steerer.go
+++ b/core/steerer/steerer.go
@@ -83,9 +83,12 @@
 	// configuration. It is valid only if it is after configuredAt, the time of the
 	// last configuration change here.
 	configLagSince, configuredAt int64
-	nextBeaconAt                 int64
-	beaconRounds                 int
-	lastBeaconAt                 int64
+	// configLagging reports whether the configuration must not be used, because a newer one
+	// does not arrive.
+	configLagging bool
+	nextBeaconAt  int64
+	beaconRounds  int
+	lastBeaconAt  int64
 	// nextPublishAt is the earliest time for the next view.
 	nextPublishAt int64
 	// dirty means that the view has changed since it was last published.
@@ -280,7 +283,7 @@
 }
 
 func (s *State) tick(now int64) (out []Effect) {
-	out = s.assumeFresh(now)
+	out = append(s.assumeFresh(now), s.updateConfigLag(now)...)
 	for _, name := range slices.Sorted(maps.Keys(s.upstreams)) {
 		if u := s.upstreams[name]; u.expiresAt != 0 && now >= u.expiresAt {
 			s.addExpiredTombstone(now, u)
--- a/core/steerer/steerer_test.go
+++ b/core/steerer/steerer_test.go
@@ -235,6 +235,11 @@
 	return BeaconReceived{Now: seconds(at), Beacon: Beacon{Name: "i00", Ready: true, Sync: map[Kind]SyncStatus{Upstreams: {Revision: revision, Changed: changed, Age: 10}}}}
 }
 
+// configBeaconAt is a beacon with a sync status of the configuration.
+func configBeaconAt(at float64, revision, changed uint64) Event {
+	return BeaconReceived{Now: seconds(at), Beacon: Beacon{Name: "near", Ready: true, Sync: map[Kind]SyncStatus{Configs: {Revision: revision, Changed: changed, Age: 10}}}}
+}
+
 // relayScenarios cover systems in which a few instances watch the store and the
 // others fetch changes from them.
 func relayScenarios() map[string][]Event {
@@ -304,6 +309,18 @@
 			changedBeaconAt(1.5, 90, 66),
 			ChangesRequested{Now: seconds(1.6), RequestID: 1, Kind: Upstreams, After: 60},
 		),
+		"configuration-that-does-not-arrive-ends-the-use-of-the-old-one": append(startEvents(upstreamObject("u1")),
+			Tick{Now: seconds(0.3)},
+			configBeaconAt(1, 20, 18),
+			Tick{Now: seconds(1.5)},
+			configBeaconAt(1.5, 21, 18),
+			Fetched{Now: seconds(2.2), Kind: Configs, From: "near"},
+			Tick{Now: seconds(2.4)},
+			Tick{Now: seconds(2.5)},
+			configBeaconAt(2.6, 22, 18),
+			Fetched{Now: seconds(2.7), Kind: Configs, From: "near", Revision: 22, Objects: []Object{configObject(9)}},
+			Tick{Now: seconds(2.8)},
+		),
 		"answers-to-other-instances": append(startEvents(upstreamObject("u1"), upstreamObject("u2")),
 			ChangesRequested{Now: seconds(0.5), RequestID: 1, Kind: Upstreams, After: 0},
 			Changed{Now: seconds(1), Kind: Upstreams, Revision: 30, Objects: []Object{upstreamObject("u3")}},
--- a/core/steerer/sync.go
+++ b/core/steerer/sync.go
@@ -73,6 +73,9 @@
 	fetchSentAt int64
 	// target is the latest position that another instance is known to have.
 	target Position
+	// targetChange is the position of the latest change that another instance is known to
+	// have.
+	targetChange Position
 	// behindSince is since when this instance has lagged behind the target, or 0 if
 	// it does not lag.
 	behindSince int64
@@ -158,6 +161,7 @@
 	if !ss.synced.Before(ss.target) {
 		ss.behindSince = 0
 	}
+	out = append(out, s.updateConfigLag(now)...)
 	if moved && ss.watching && len(s.peers) >= relayThreshold {
 		// Tell the other instances soon that there are changes to fetch.
 		s.nextBeaconAt = min(s.nextBeaconAt, max(now, s.lastBeaconAt+int64(minBeaconInterval)))
