relayer, runner: a stale table is not always that of a paused process

The error of a request that is not sent any more named only a pause; since a configuration that is known to be replaced makes the table stale too. One text and two comments, nothing measured: no behavior changes.

--- a/hornbeamd/relayer/exchange.go
+++ b/hornbeamd/relayer/exchange.go
@@ -51,8 +51,9 @@
 	errUnsigned     = errors.New("response is not signed")
 	// errWithdrawn means that the upstream takes no more requests.
 	errWithdrawn = errors.New("upstream has left, asked for a pause or limited its rate since it was chosen")
-	// errStaleTable means that the routing table must not be used any more.
-	errStaleTable = errors.New("the process was paused since the upstream was chosen")
+	// errStaleTable means that the routing table must not be used any more: the process was
+	// paused, or the configuration has been replaced.
+	errStaleTable = errors.New("the routing table has become stale since the upstream was chosen")
 	// errQuarantined means that the request must not be sent any more.
 	errQuarantined = errors.New("request was quarantined since its upstream was chosen")
 )
--- a/hornbeamd/runner/control.go
+++ b/hornbeamd/runner/control.go
@@ -37,6 +37,7 @@
 		}
 		r.recordGap(&gapStart, "wait")
 		if now := r.now(); r.heartbeat.beat(now) {
+			// The event may have waited since before the pause, so it comes second.
 			r.executeAll(r.step(steerer.Resumed{Now: now}))
 			r.heartbeat.renew()
 		}
--- a/hornbeamd/runner/heartbeat.go
+++ b/hornbeamd/runner/heartbeat.go
@@ -16,6 +16,7 @@
 
 // heartbeat says until when the routing table may be used. The control loop must beat before
 // the work of each iteration: a beat after it would hide a pause in which the work stood still.
+// Other goroutines use only validUntil.
 type heartbeat struct {
 	// validUntil is the time until which the table may be used.
 	validUntil atomic.Int64
