--- a/review/standin-2/headers.go
+++ b/review/standin-2/headers.go
@@ -72,7 +72,7 @@
 		if err != nil {
 			return false, err
 		}
-		go n.keepWithinMemory(stop)
+		w.keepers.Go(func() { n.keepWithinMemory(stop) })
 		n.startKept(stop)
 	}
 	for round := 0; round < crowds && !w.allEnded(3); round++ {
@@ -86,5 +86,6 @@
 	}
 	time.Sleep(time.Second)
 	close(stop)
+	w.keepers.Wait()
 	return w.cutTooMany(), nil
 }
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -6,8 +6,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -24,6 +26,8 @@
 	dir     string
 	store   *store
 	nodes   []*node
+	// keepers watch the memory of the processes.
+	keepers sync.WaitGroup
 
 	mu     sync.Mutex
 	out    *os.File
@@ -77,10 +81,18 @@
 	defer os.RemoveAll(dir)
 	w := &world{trouble: os.Getenv("TROUBLE") != "0", dir: dir, out: out, began: time.Now(), served: map[string][]string{}}
 	w.store = newStore()
-	defer func() {
+	end := func() {
 		for _, n := range w.nodes {
 			n.end()
 		}
+	}
+	defer end()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		end()
+		os.Exit(exitFailed)
 	}()
 	broken, err := run(w)
 	switch {
--- a/review/standin-2/versions.go
+++ b/review/standin-2/versions.go
@@ -33,7 +33,7 @@
 		if err != nil {
 			return false, err
 		}
-		go n.keepWithinMemory(stop)
+		w.keepers.Go(func() { n.keepWithinMemory(stop) })
 		n.startKept(stop)
 	}
 	w.note("the desired state has %d bytes", len(w.store.spec("config", "main")))
@@ -50,5 +50,6 @@
 		time.Sleep(stormPause)
 	}
 	close(stop)
+	w.keepers.Wait()
 	return w.cutTooMany(), nil
 }
