screener, pooler, relayer: a reset during an upload does not end a response

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as a whole answer, with the upstream's signature.

Cause: the kernel reports the error of a connection once, to whichever call comes first. A large request is written by a goroutine of its own. If its write takes ECONNRESET, the next read of the response finds a plain end, and a response without a length ends there.

Change: pooled connections are a screener.Stream, which keeps the first error of a write. Its reader gets that error in place of an end. EPIPE is no such error: the kernel reports it where the end came before the reset. At an end, a blocked write is interrupted, so that a write that has taken the error reports it and an answer that ended in order is still passed on at once.

--- a/hornbeamd/pooler/conn.go
+++ b/hornbeamd/pooler/conn.go
@@ -7,6 +7,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"hornbeamstream.example/core/screener"
 )
 
 // maxHeaderBytes limits the header of a response.
@@ -17,7 +19,7 @@
 
 // Conn is a pooled connection. It is used by one exchange at a time.
 type Conn struct {
-	net.Conn
+	*screener.Stream
 	// Reader buffers the bytes received.
 	Reader *bufio.Reader
 	// LastActive is the time of the last received byte, or of the dial.
@@ -39,7 +41,8 @@
 
 // NewConn returns a new connection. Now is the time in nanoseconds.
 func NewConn(nc net.Conn, now int64) *Conn {
-	c := &Conn{Conn: nc, Reader: bufio.NewReaderSize(nc, maxHeaderBytes), LastActive: now, LastDone: now}
+	stream := screener.NewStream(nc)
+	c := &Conn{Stream: stream, Reader: bufio.NewReaderSize(stream, maxHeaderBytes), LastActive: now, LastDone: now}
 	c.raw = rawConn(nc)
 	c.peek = func(fd uintptr) {
 		c.count, _, c.err = syscall.Recvfrom(int(fd), c.peekBuf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
--- a/hornbeamd/relayer/exchange.go
+++ b/hornbeamd/relayer/exchange.go
@@ -178,10 +178,10 @@
 	x.sent = true
 	x.writeDone = make(chan error, 1)
 	buffers := append(net.Buffers{header}, x.call.body.segments...)
-	go func(conn net.Conn) {
-		_, err := buffers.WriteTo(conn)
+	go func(conn *pooler.Conn) {
+		_, err := conn.WriteBuffers(&buffers)
 		x.writeDone <- err
-	}(x.conn.Conn)
+	}(x.conn)
 	return nil
 }
 
