screener, executor, runner: calls between instances notice a reset too

What callers saw: nothing yet. A call between instances whose request is still being written when the other end resets the connection could take a part of an answer for a whole one, such as a list without its end.

Change: screener.Transport gives an http.Transport connections that are streams; the clients of the peer and the relay service use it.

--- a/hornbeamd/executor/peer.go
+++ b/hornbeamd/executor/peer.go
@@ -16,6 +16,7 @@
 	"hornbeamstream.example/core/hornpb/hornpbconnect"
 	"hornbeamstream.example/core/loader"
 	"hornbeamstream.example/core/reducer"
+	"hornbeamstream.example/core/screener"
 )
 
 // Limits of calls between instances.
@@ -35,14 +36,14 @@
 
 func newPeerClient() *http.Client {
 	dialer := net.Dialer{Timeout: peerTimeout}
-	return &http.Client{Transport: collector.LimitTransport(&http.Transport{
+	return &http.Client{Transport: collector.LimitTransport(screener.Transport(&http.Transport{
 		DialContext:            dialer.DialContext,
 		MaxIdleConnsPerHost:    maxIdleConnsPerPeer,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		// Messages are small: compression costs more than it saves.
 		DisableCompression: true,
-	}, maxMessageBytes)}
+	}), maxMessageBytes)}
 }
 
 func (x *Executor) peerClient(address string) hornpbconnect.PeerClient {
--- a/hornbeamd/runner/relay.go
+++ b/hornbeamd/runner/relay.go
@@ -15,6 +15,7 @@
 	"hornbeamstream.example/core/collector"
 	"hornbeamstream.example/core/hornpb"
 	"hornbeamstream.example/core/hornpb/hornpbconnect"
+	"hornbeamstream.example/core/screener"
 	"hornbeamstream.example/core/steerer"
 )
 
@@ -47,10 +48,10 @@
 	return &relay{
 		runner:  r,
 		pending: map[uint64]chan steerer.Reply{},
-		client: &http.Client{Timeout: relayTimeout, Transport: collector.LimitTransport(&http.Transport{
+		client: &http.Client{Timeout: relayTimeout, Transport: collector.LimitTransport(screener.Transport(&http.Transport{
 			DialContext: dialer.DialContext, IdleConnTimeout: relayIdleTimeout, MaxIdleConnsPerHost: 1,
 			MaxResponseHeaderBytes: maxRelayHeaderBytes,
-		}, maxChangesBytes)},
+		}), maxChangesBytes)},
 	}
 }
 
