screener: names of fields are checked in all headers of responses

What callers saw: a response in whose header the name of a field had a blank, inside or at its end, was passed on, with that line or without it. A line feed at the start of a name, or alone on a line, ended the header there, and the caller got the rest of the header as the body.

Cause: the screener looked at the status line only. fasthttp and net/http take blanks in names; fasthttp also takes an empty line that ends with LF alone for the end of a header whose lines end with CRLF.

Change: a scanner follows a header to its end and rejects what is no field line: a name that is no token, a line without a colon, a continuation line without a field before it, an empty line that ends otherwise than an earlier one. Values stay with the parsers, which reject control bytes already. Why it works: no parser sees a header that it could read in another way than HTTP does.

--- a/core/connector/connector_test.go
+++ b/core/connector/connector_test.go
@@ -157,7 +157,7 @@
 // TestResponseWithoutFinalStatus guards against taking for an answer of the platform what is
 // no final HTTP response, such as one with the status 000.
 func TestResponseWithoutFinalStatus(t *testing.T) {
-	for _, line := range []string{"HTTP/1.1 000 OK", "HTTP/1.1 099 X", "HTTP/1.1 101 X", "HTTP/1.1 600 X", "HTTP/2.0 200 OK", "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 000 OK"} {
+	for _, line := range []string{"HTTP/1.1 000 OK", "HTTP/1.1 099 X", "HTTP/1.1 101 X", "HTTP/1.1 600 X", "HTTP/2.0 200 OK", "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 000 OK", "HTTP/1.1 200 OK\r\nO dd: v", "HTTP/1.1 200 OK\r\nOdd : v", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\nOdd: v", "HTTP/1.1 103 X\r\nO dd: v\r\n\r\nHTTP/1.1 200 OK"} {
 		t.Run(line, func(t *testing.T) {
 			is := is.New(t)
 			c := start(t, &platform{fault: func(w http.ResponseWriter, _ *http.Request) {
--- /dev/null
+++ b/core/screener/scanner.go
@@ -0,0 +1,143 @@
+package screener
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+)
+
+// state is the part of a header that a scanner expects next.
+type state uint8
+
+const (
+	// inStatus is the part of a status line up to statusLineBytes.
+	inStatus state = iota
+	inReason
+	lineStart
+	inName
+	inValue
+	// lineEnd is behind the CR of the line that ends a header.
+	lineEnd
+	ended
+)
+
+// scanner examines the header of a response in pieces. The zero value expects a status line.
+type scanner struct {
+	state state
+	// line holds the first bytes of the status line, size is their number.
+	line [statusLineBytes]byte
+	size int
+	// interim reports whether the response is followed by another one.
+	interim bool
+	// afterCR reports whether the last byte was a CR, crlf whether a line of the header
+	// has ended with CRLF.
+	afterCR, crlf bool
+	// hasField reports whether the header has a field, to which a line that begins with
+	// a blank belongs.
+	hasField bool
+}
+
+// scan examines the next bytes up to the end of the header and returns their number. Its
+// errors match ErrNotFinal.
+func (s *scanner) scan(b []byte) (n int, err error) {
+	for n < len(b) && s.state != ended && err == nil {
+		switch s.state {
+		case inStatus:
+			copied := copy(s.line[s.size:], b[n:])
+			n, s.size = n+copied, s.size+copied
+			err = s.checkStatus()
+		case inReason, inValue:
+			n += s.skipLine(b[n:])
+		default:
+			err = s.step(b[n])
+			n++
+			for n < len(b) && s.state == inName && tokenBytes[b[n]] {
+				n++
+			}
+		}
+	}
+	return n, err
+}
+
+// checkStatus checks the first bytes of the status line if there are enough.
+func (s *scanner) checkStatus() (err error) {
+	if s.size < statusLineBytes {
+		return nil
+	}
+	if s.interim, err = isInterim(s.line[:]); err != nil {
+		return err
+	}
+	s.state = inReason
+	switch s.line[statusLineBytes-1] {
+	case '\r':
+		s.afterCR = true
+	case '\n':
+		s.state = lineStart
+	}
+	return nil
+}
+
+// step examines a byte of a name, or one between lines.
+func (s *scanner) step(c byte) error {
+	switch {
+	case s.state == inName && c == ':':
+		s.state, s.hasField = inValue, true
+	case s.state != lineEnd && tokenBytes[c]:
+		s.state = inName
+	case s.state == lineStart && s.hasField && (c == ' ' || c == '\t'):
+		s.state = inValue // obsolete line folding
+	case s.state == lineStart && c == '\r':
+		s.state = lineEnd
+	case s.state == lineEnd && c == '\n', s.state == lineStart && c == '\n' && !s.crlf:
+		s.state = ended
+	default:
+		return fmt.Errorf("%w: byte %q in the name of a field", ErrNotFinal, c)
+	}
+	return nil
+}
+
+// peek waits until r has buffered the whole header and examines it.
+func (s *scanner) peek(r *bufio.Reader) error {
+	for n := 0; s.state != ended; {
+		_, err := r.Peek(n + 1)
+		b, _ := r.Peek(r.Buffered())
+		if len(b) == n {
+			switch {
+			case err == io.EOF && n > 0:
+				return io.ErrUnexpectedEOF
+			case err == bufio.ErrBufferFull:
+				return fmt.Errorf("%w: header of more than %d bytes", ErrNotFinal, n)
+			}
+			return err
+		}
+		scanned, err := s.scan(b[n:])
+		if err != nil {
+			return err
+		}
+		n += scanned
+	}
+	return nil
+}
+
+// skipLine passes over the rest of a line and returns how many bytes of b belong to it.
+func (s *scanner) skipLine(b []byte) int {
+	i := bytes.IndexByte(b, '\n')
+	if i < 0 {
+		s.afterCR = b[len(b)-1] == '\r'
+		return len(b)
+	}
+	if i > 0 {
+		s.afterCR = b[i-1] == '\r'
+	}
+	s.state, s.crlf, s.afterCR = lineStart, s.crlf || s.afterCR, false
+	return i + 1
+}
+
+// tokenBytes has the bytes of which the name of a field consists, by RFC 9110 section 5.6.2.
+var tokenBytes = func() (t [256]bool) {
+	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
+		t[c] = true
+	}
+	return t
+}()
--- a/core/screener/screener_test.go
+++ b/core/screener/screener_test.go
@@ -56,27 +56,43 @@
 }
 
 func TestScreen(t *testing.T) {
-	interim := "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+	const head, interim = "HTTP/1.1 200 OK\r\n", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
 	for text, final := range map[string]bool{
-		"HTTP/1.1 200 OK\r\n\r\n":                true,
-		"HTTP/1.0 200\r\n\r\n":                   true,
-		"HTTP/1.1 599 X\n\n":                     true,
-		"HTTP/1.1 204\n\n":                       true,
-		interim + "HTTP/1.1 200 OK\r\n\r\n":      true,
-		"HTTP/1.1 102\r\n\r\nHTTP/1.1 304 X\n\n": true,
-		"HTTP/1.1 000 OK\r\n\r\n":                false,
-		"HTTP/1.1 099 X\r\n\r\n":                 false,
-		"HTTP/1.1 101 X\r\n\r\n":                 false,
-		"HTTP/1.1 600 X\r\n\r\n":                 false,
-		"HTTP/1.1 999 X\r\n\r\n":                 false,
-		"HTTP/1.1 2000 X\r\n\r\n":                false,
-		"HTTP/1.1  200 X\r\n\r\n":                false,
-		"HTTP/2.0 200 X\r\n\r\n":                 false,
-		"\r\nHTTP/1.1 200 X\r\n\r\n":             false,
-		"%$&/()=\r\nnot HTTP":                    false,
-		interim + "HTTP/1.1 000 OK\r\n\r\n":      false,
-		interim + "\r\nHTTP/1.1 200 X\r\n":       false,
-		strings.Repeat(interim, maxInterim+1):    false,
+		"HTTP/1.1 200 OK\r\n\r\n":                 true,
+		"HTTP/1.0 200\r\n\r\n":                    true,
+		"HTTP/1.1 599 X\n\n":                      true,
+		"HTTP/1.1 204\n\n":                        true,
+		interim + "HTTP/1.1 200 OK\r\n\r\n":       true,
+		"HTTP/1.1 102\r\n\r\nHTTP/1.1 304 X\n\n":  true,
+		"HTTP/1.1 000 OK\r\n\r\n":                 false,
+		"HTTP/1.1 099 X\r\n\r\n":                  false,
+		"HTTP/1.1 101 X\r\n\r\n":                  false,
+		"HTTP/1.1 600 X\r\n\r\n":                  false,
+		"HTTP/1.1 999 X\r\n\r\n":                  false,
+		"HTTP/1.1 2000 X\r\n\r\n":                 false,
+		"HTTP/1.1  200 X\r\n\r\n":                 false,
+		"HTTP/2.0 200 X\r\n\r\n":                  false,
+		"\r\nHTTP/1.1 200 X\r\n\r\n":              false,
+		"%$&/()=\r\nnot HTTP":                     false,
+		interim + "HTTP/1.1 000 OK\r\n\r\n":       false,
+		interim + "\r\nHTTP/1.1 200 X\r\n":        false,
+		strings.Repeat(interim, maxInterim+1):     false,
+		head + "a1!#$%&'*+-.^_`|~Z: v\r\n\r\n":    true,
+		head + "A:\r\nB::\x80\tv\r\n\r\n":         true,
+		head + "A: b\r\n c\r\n\t\r\nD: e\r\n\r\n": true,
+		head + "A: b\nC: d\r\n\r\n":               true,
+		head + " A: b\r\n\r\n":                    false,
+		head + "A b: c\r\n\r\n":                   false,
+		head + "A : b\r\n\r\n":                    false,
+		head + "A\t: b\r\n\r\n":                   false,
+		head + "A\x00: b\r\n\r\n":                 false,
+		head + "\xe4: b\r\n\r\n":                  false,
+		head + ": b\r\n\r\n":                      false,
+		head + "A\r\n\r\n":                        false,
+		head + "\r\r\n\r\n":                       false,
+		head + "\nA: b\r\n\r\n":                   false,
+		head + "A: b\r\n\nC: d\r\n\r\n":           false,
+		"HTTP/1.1 103 X\r\n A: b\r\n\r\n" + head:  false,
 	} {
 		t.Run(fmt.Sprintf("%.40q", text), func(t *testing.T) {
 			is := is.New(t)
@@ -112,10 +128,13 @@
 	is.Equal(Await(bufio.NewReader(strings.NewReader("HTTP/1.1 "))), io.ErrUnexpectedEOF)
 }
 
+// token has the bytes of the names of fields.
+const token = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+
 // FuzzScreen checks that both ways of screening agree, and that fasthttp understands the
-// status that they let through as it was sent.
+// status that they let through as it was sent and the names of fields as HTTP allows them.
 func FuzzScreen(f *testing.F) {
-	for _, seed := range []string{"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 000 OK\r\n\r\n", "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 600 X\r\n\r\n", "HTTP/1.1 103\nA: b\n\nHTTP/1.1 304\n\n"} {
+	for _, seed := range []string{"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 000 OK\r\n\r\n", "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 600 X\r\n\r\n", "HTTP/1.1 103\nA: b\n\nHTTP/1.1 304\n\n", "HTTP/1.1 200 OK\r\nA : b\r\n c\r\n\nD e: f\r\n\r\n"} {
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, text string) {
@@ -127,8 +146,15 @@
 		line, _ := r.Peek(statusLineBytes)
 		sent := string(line[9:12])
 		var h fasthttp.ResponseHeader
-		if h.Read(r) == nil && fmt.Sprint(h.StatusCode()) != sent {
-			t.Errorf("status %d instead of %s", h.StatusCode(), sent)
+		if h.Read(r) == nil {
+			if fmt.Sprint(h.StatusCode()) != sent {
+				t.Errorf("status %d instead of %s", h.StatusCode(), sent)
+			}
+			for name := range h.All() {
+				if strings.Trim(string(name), token) != "" {
+					t.Errorf("name of a field %q", name)
+				}
+			}
 		}
 		if _, err := io.Copy(io.Discard, NewConn(stream{Reader: strings.NewReader(text)})); errors.Is(err, ErrNotFinal) {
 			t.Errorf("the connection rejects what Await accepts: %v", err)
--- a/hornbeamd/executor/probe_test.go
+++ b/hornbeamd/executor/probe_test.go
@@ -13,6 +13,7 @@
 func TestHealthWithoutFinalStatus(t *testing.T) {
 	for line, want := range map[string]bool{
 		"HTTP/1.1 200 OK": true, "HTTP/1.1 000 OK": false, "HTTP/1.1 600 X": false, "HTTP/2.0 200 OK": false,
+		"HTTP/1.1 200 OK\r\nO dd: v": false, "HTTP/1.1 200 OK\r\nOdd : v": false, "HTTP/1.1 200 OK\r\nOdd: v\r\n w": true,
 	} {
 		t.Run(line, func(t *testing.T) {
 			is := is.New(t)
--- a/hornctl/commands/commands_test.go
+++ b/hornctl/commands/commands_test.go
@@ -273,14 +273,18 @@
 // TestResponseWithoutFinalStatus guards against taking for an instance's answer what is no
 // final HTTP response.
 func TestResponseWithoutFinalStatus(t *testing.T) {
-	is := is.New(t)
-	address := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		conn, _, err := w.(http.Hijacker).Hijack()
-		is.NoErr(err)
-		_, _ = fmt.Fprint(conn, "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}")
-		_ = conn.Close()
-	}))
-	is.True(errors.Is(getJSON(t.Context(), address, "/status", &reporter.Status{}), errUnreachable))
+	for _, line := range []string{"HTTP/1.1 000 OK", "HTTP/1.1 200 OK\r\nO dd: v", "HTTP/1.1 200 OK\r\nOdd : v"} {
+		t.Run(line, func(t *testing.T) {
+			is := is.New(t)
+			address := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				is.NoErr(err)
+				_, _ = fmt.Fprintf(conn, "%s\r\nContent-Length: 2\r\n\r\n{}", line)
+				_ = conn.Close()
+			}))
+			is.True(errors.Is(getJSON(t.Context(), address, "/status", &reporter.Status{}), errUnreachable))
+		})
+	}
 }
 
 // cancelingWriter calls cancel when the given number of lines has been written.
