relayer, forwarder: the test of names uses one connection of a caller

Cause: TestNames opened a connection for each of 12,384 requests.

Change: the requests of the test share a caller's connection.

--- a/hornbeamd/forwarder/fuzz_test.go
+++ b/hornbeamd/forwarder/fuzz_test.go
@@ -18,10 +18,11 @@
 	io.Reader
 }
 
-func (s *scriptedConn) Read(p []byte) (int, error)    { return s.Reader.Read(p) }
-func (*scriptedConn) SetReadDeadline(time.Time) error { return nil }
-func (*scriptedConn) SetDeadline(time.Time) error     { return nil }
-func (*scriptedConn) Close() error                    { return nil }
+func (s *scriptedConn) Read(p []byte) (int, error)     { return s.Reader.Read(p) }
+func (*scriptedConn) SetReadDeadline(time.Time) error  { return nil }
+func (*scriptedConn) SetWriteDeadline(time.Time) error { return nil }
+func (*scriptedConn) SetDeadline(time.Time) error      { return nil }
+func (*scriptedConn) Close() error                     { return nil }
 
 // FuzzReceive guards against accepting a truncated response, or one of another
 // request.
--- a/hornbeamd/relayer/harness_test.go
+++ b/hornbeamd/relayer/harness_test.go
@@ -263,16 +263,23 @@
 }
 
 func (h *harness) doContext(ctx context.Context, method, uri, body string, header ...string) (a callerResponse) {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.DisableKeepAlives = true
+	return h.doWith(ctx, transport, method, uri, body, header...)
+}
+
+// doWith sends a request over the given transport.
+func (h *harness) doWith(ctx context.Context, transport *http.Transport, method, uri, body string, header ...string) (a callerResponse) {
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+h.address+uri, strings.NewReader(body))
 	if err != nil {
 		return callerResponse{err: err}
 	}
-	r.Host, r.Close = "h", true
+	r.Host = "h"
 	r.Header.Set("Id", "q1")
 	for i := 0; i+1 < len(header); i += 2 {
 		r.Header.Set(header[i], header[i+1])
 	}
-	res, err := http.DefaultTransport.(*http.Transport).Clone().RoundTrip(r)
+	res, err := transport.RoundTrip(r)
 	if err != nil {
 		return callerResponse{err: err}
 	}
--- a/hornbeamd/relayer/names_test.go
+++ b/hornbeamd/relayer/names_test.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -97,9 +98,12 @@
 func checkOdd(t *testing.T, responses []oddResponse) {
 	t.Helper()
 	h := startHarness(t, startOddStub(t, responses))
+	// A connection for each request would use up the ports of the machine.
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
 	wrong := 0
 	for i, r := range responses {
-		a := h.do(http.MethodGet, fmt.Sprint("/once/", i), "")
+		a := h.doWith(context.Background(), transport, http.MethodGet, fmt.Sprint("/once/", i), "")
 		passed := a.err == nil && a.status == 200 && a.body == "body"
 		failed := a.err == nil && a.status == 502 && a.header.Get("Sign") == ""
 		if r.allowed && !passed || !r.allowed && !failed {
