screener, relayer, forwarder: trailer sections are checked like headers

What callers saw: the fields of a trailer section are passed on as fields of the header, also those with a blank in the name or, cleaned, behind it. A line feed alone ended the section. The forwarder took a response for complete whose trailer section was malformed or cut off.

Cause: fasthttp reads the trailer section inside its body stream, as leniently as a header; the forwarder did not read it.

TestTrailerNames, TestProbeNames and 4 rows of TestResponseFraming failed.

Change: screener.NewBody reads the body of a response for the relayer, its health checks and the forwarder; the scanner checks the trailer section before it is parsed, and a body of a known length that breaks off is io.ErrUnexpectedEOF. A connection of the forwarder on which a trailer section follows can be used again, since it is read.

The bodies of the store's client, hornctl and hornbeamd's health checks are still read by fasthttp.HostClient, which passes no trailer field on.

--- a/hornbeamd/forwarder/exchange.go
+++ b/hornbeamd/forwarder/exchange.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http/httputil"
 	"os"
 	"sync"
 	"time"
@@ -79,7 +78,6 @@
 	complete    bool
 	length      int
 	chunkedBody io.Reader
-	hasTrailer  bool
 }
 
 var exchangePool = sync.Pool{New: func() any { return new(exchange) }}
@@ -95,7 +93,7 @@
 	x.header.Reset()
 	wire, body := x.request[:0], x.body[:0]
 	x.pool, x.conn, x.chunkedBody = nil, nil, nil
-	x.isProbe, x.newConn, x.sent, x.complete, x.hasTrailer, x.suspected = false, false, false, false, false, false
+	x.isProbe, x.newConn, x.sent, x.complete, x.suspected = false, false, false, false, false
 	x.deadline, x.sentAt, x.firstByteAt, x.length = 0, 0, 0, 0
 	x.request, x.body = wire, body
 	exchangePool.Put(x)
@@ -235,15 +233,15 @@
 }
 
 func (x *exchange) readBody(head bool) error {
-	status := x.header.StatusCode()
 	x.length = x.header.ContentLength()
-	if head || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+	if !screener.HasBody(&x.header, head) {
 		x.complete = true
 		return nil
 	}
 	switch {
 	case x.length == -1:
-		x.chunkedBody = httputil.NewChunkedReader(x.conn.Reader)
+		// The fields of a trailer section are not passed on.
+		x.chunkedBody = screener.NewBody(x.conn.Reader, x.length, new(fasthttp.ResponseHeader))
 		return x.readChunks()
 	case x.length < 0:
 		return errNoLength
@@ -270,7 +268,6 @@
 	case err == io.EOF || err == io.ErrUnexpectedEOF && x.atEOF():
 		x.complete = true
 		x.length = n
-		x.skipTrailer()
 		return nil
 	}
 	return err
@@ -283,23 +280,12 @@
 	return err == io.EOF
 }
 
-// skipTrailer reads the end of a chunked body. A connection on which a trailer
-// follows is not reused.
-func (x *exchange) skipTrailer() {
-	end, err := x.conn.Reader.Peek(2)
-	if err != nil || end[0] != '\r' || end[1] != '\n' {
-		x.hasTrailer = true
-		return
-	}
-	_, _ = x.conn.Reader.Discard(2)
-}
-
 // releaseConn returns the connection to its pool if it can be reused, and closes
 // it otherwise.
 func (x *exchange) releaseConn() {
 	c := x.conn
 	x.conn = nil
-	if x.hasTrailer || c.Reader.Buffered() > 0 || x.header.ConnectionClose() {
+	if c.Reader.Buffered() > 0 || x.header.ConnectionClose() {
 		x.pool.discard(c)
 		return
 	}
--- a/hornbeamd/forwarder/stream.go
+++ b/hornbeamd/forwarder/stream.go
@@ -55,11 +55,7 @@
 		return 0, err
 	}
 	if x.chunkedBody != nil {
-		n, err := x.chunkedBody.Read(p)
-		if err == io.EOF {
-			x.skipTrailer()
-		}
-		return n, err
+		return x.chunkedBody.Read(p)
 	}
 	if s.remaining == 0 {
 		return 0, io.EOF
--- a/hornbeamd/relayer/exchange.go
+++ b/hornbeamd/relayer/exchange.go
@@ -248,23 +248,22 @@
 // It polls whether the caller has closed its connection.
 func (x *exchange) readOneResponse(end int64) error {
 	x.response.Reset()
-	x.response.SkipBody = x.call.isHead
-	x.response.StreamBody = true
 	if err := screener.Await(x.conn.Reader); err != nil {
 		return err
 	}
-	if err := x.response.ReadLimitBody(x.conn.Reader, 0); err != nil {
+	header := &x.response.Header
+	if err := header.Read(x.conn.Reader); err != nil {
 		return err
 	}
 	// Parsed before the body is read, because trailer fields are added to the
 	// header.
-	x.info = x.relayer.cfg.HeaderCodec.ReadResponse(&x.response.Header)
-	if !x.response.IsBodyStream() {
+	x.info = x.relayer.cfg.HeaderCodec.ReadResponse(header)
+	if !screener.HasBody(header, x.call.isHead) {
 		return nil
 	}
-	defer func() { _ = x.response.CloseBodyStream() }()
+	body := screener.NewBody(x.conn.Reader, header.ContentLength(), header)
 	next := x.relayer.cfg.Now() + int64(callerPollInterval)
-	return x.body.Read(x.response.BodyStream(), x.response.Header.ContentLength(), func() error {
+	return x.body.Read(body, header.ContentLength(), func() error {
 		now := x.relayer.cfg.Now()
 		switch {
 		case now >= end:
--- a/hornbeamd/relayer/names_test.go
+++ b/hornbeamd/relayer/names_test.go
@@ -81,6 +81,19 @@
 	return responses
 }
 
+// oddTrailers returns responses that have each line first and last in a trailer section.
+func oddTrailers() (responses []oddResponse) {
+	const chunks = "HTTP/1.1 200 OK\r\nSign: 1\r\nUpstream: u1\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
+	for _, l := range fieldLines() {
+		responses = append(
+			responses,
+			oddResponse{chunks + l.text + "\r\n\r\n", l.first},
+			oddResponse{chunks + "A: b\r\n" + l.text + "\r\n\r\n", l.later},
+		)
+	}
+	return responses
+}
+
 // startOddStub starts an upstream that answers with the response that the path names.
 func startOddStub(t *testing.T, responses []oddResponse) *upstreamStub {
 	return startStub(t, "u1", func(_ *upstreamStub, c net.Conn, r *http.Request, _ string) {
@@ -122,10 +135,16 @@
 	checkOdd(t, oddHeaders())
 }
 
+// TestTrailerNames is the same for trailer sections.
+func TestTrailerNames(t *testing.T) {
+	t.Parallel()
+	checkOdd(t, oddTrailers())
+}
+
 // TestProbeNames is the same for health checks.
 func TestProbeNames(t *testing.T) {
 	t.Parallel()
-	responses := oddHeaders()
+	responses := append(oddHeaders(), oddTrailers()...)
 	h := startHarness(t, startOddStub(t, responses))
 	u := h.tables.Load().Pool("s").Upstreams[0]
 	wrong := 0
--- a/hornbeamd/relayer/probe.go
+++ b/hornbeamd/relayer/probe.go
@@ -1,12 +1,15 @@
 package relayer
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"hornbeamstream.example/core/collector"
 	"hornbeamstream.example/core/dispatcher"
 	"hornbeamstream.example/core/screener"
 )
@@ -55,32 +58,48 @@
 	if err = conn.SetDeadline(time.Now().Add(probeTimeout)); err != nil {
 		return 0, err
 	}
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI(path)
 	request.Header.SetHost(u.Address)
 	r.cfg.HeaderCodec.WriteProbe(&request.Header, u.ID)
 	if _, err = request.WriteTo(conn); err != nil {
 		return 0, err
 	}
-	if err = screener.Await(conn.Reader); err != nil {
+	var header fasthttp.ResponseHeader
+	if err = readProbe(conn.Reader, &header); err != nil {
 		return 0, err
 	}
-	if err = response.ReadLimitBody(conn.Reader, maxProbeBytes); err != nil {
-		return 0, err
-	}
-	info := r.cfg.HeaderCodec.ReadResponse(&response.Header)
-	if err = checkProbed(u.ID, response.StatusCode(), info); err != nil {
+	info := r.cfg.HeaderCodec.ReadResponse(&header)
+	if err = checkProbed(u.ID, header.StatusCode(), info); err != nil {
 		if errors.Is(err, errGone) {
 			u.MarkUnreachable(r.cfg.Now())
 		}
 		return 0, err
 	}
-	reusable = conn.Reader.Buffered() == 0 && !response.ConnectionClose()
+	reusable = conn.Reader.Buffered() == 0 && !header.ConnectionClose()
 	return info.ColdLeft, nil
 }
 
+// readProbe reads the response to a health check into header and discards its body.
+func readProbe(r *bufio.Reader, header *fasthttp.ResponseHeader) error {
+	if err := screener.Await(r); err != nil {
+		return err
+	}
+	if err := header.Read(r); err != nil || !screener.HasBody(header, false) {
+		return err
+	}
+	body := screener.NewBody(r, header.ContentLength(), header)
+	n, err := io.CopyN(io.Discard, body, maxProbeBytes+1)
+	switch {
+	case n > maxProbeBytes:
+		return collector.ErrTooLarge
+	case err != io.EOF:
+		return err
+	}
+	return nil
+}
+
 // checkProbed returns an error unless a response to a health check is the upstream's.
 func checkProbed(upstream string, status int, info ResponseInfo) error {
 	switch {
