screener, executor, runner: calls between instances take final responses only

What callers saw: nothing yet. An answer between instances was taken whose header, or that of an interim response before it, had a blank in the name of a field, or ended at a line feed. It carries leases, votes and changes of the store.

Cause: net/http allows blanks in names and a single LF as the end of a header, and a status such as 000, which only connect refuses. Its connections were not screened: a response may arrive while a request is being written, so writes do not tell where a response begins.

Change: screener.Transport screens its connections. A client trace tells a connection when it is chosen for a request.

--- a/core/screener/conn.go
+++ b/core/screener/conn.go
@@ -1,11 +1,14 @@
 package screener
 
-import "net"
+import (
+	"net"
+	"sync"
+)
 
 // NewConn returns a connection to c for a client that parses responses by itself and sends
 // the next request only after a response. Reading fails with ErrNotFinal where the response
 // to the last request is not a final one.
-func NewConn(c net.Conn) net.Conn { return &conn{Conn: c} }
+func NewConn(c net.Conn) net.Conn { return serialConn{&conn{Conn: c}} }
 
 // Dial opens a TCP connection like d and returns it as NewConn does.
 func Dial(d net.Dialer, address string) (net.Conn, error) {
@@ -16,24 +19,41 @@
 	return NewConn(c), nil
 }
 
+// conn is a connection that examines what is read until the header of a final response ends,
+// and again from the next call of expect on.
 type conn struct {
 	net.Conn
+
+	mu       sync.Mutex
 	response response
 }
 
-func (c *conn) Write(b []byte) (int, error) {
+// expect is called before a request is sent.
+func (c *conn) expect() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.response = response{}
-	return c.Conn.Write(b)
 }
 
 func (c *conn) Read(b []byte) (n int, err error) {
 	n, err = c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if serr := c.response.scan(b[:n]); serr != nil {
 		return 0, serr
 	}
 	return n, err
 }
 
+// serialConn is a connection of a client that writes nothing after it has begun to read a
+// response.
+type serialConn struct{ *conn }
+
+func (c serialConn) Write(b []byte) (int, error) {
+	c.expect()
+	return c.Conn.Write(b)
+}
+
 // response examines what is received after a request.
 type response struct {
 	scanner scanner
--- a/core/screener/transport.go
+++ b/core/screener/transport.go
@@ -4,10 +4,12 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
-// Transport returns a transport like t, whose DialContext must be set, with connections that
-// are streams.
+// Transport returns a transport like t, whose DialContext must be set. It fails with
+// ErrNotFinal where a response is not a final one, and notices a reset of a connection also
+// while a request is being written.
 func Transport(t *http.Transport) http.RoundTripper {
 	t = t.Clone()
 	dial := t.DialContext
@@ -16,7 +18,22 @@
 		if err != nil {
 			return nil, err
 		}
-		return NewStream(c), nil
+		return &conn{Conn: NewStream(c)}, nil
 	}
-	return t
+	return transport{t}
+}
+
+type transport struct{ *http.Transport }
+
+// expectResponse tells a connection that it is chosen for a request. The connection cannot
+// tell the beginning of a request from its writes, since a response may arrive between them.
+var expectResponse = &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+	if c, ok := i.Conn.(*conn); ok {
+		c.expect()
+	}
+}}
+
+// RoundTrip implements http.RoundTripper.
+func (t transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	return t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), expectResponse)))
 }
--- a/hornbeamd/executor/peer_test.go
+++ b/hornbeamd/executor/peer_test.go
@@ -8,7 +8,11 @@
 	"strings"
 	"testing"
 
+	"connectrpc.com/connect"
 	"github.com/matryer/is"
+
+	"hornbeamstream.example/core/hornpb"
+	"hornbeamstream.example/core/hornpb/hornpbconnect"
 )
 
 // startRawPeer starts an instance that calls respond when it has read the header of a call.
@@ -61,3 +65,26 @@
 		is.New(t).True(err != nil)
 	}
 }
+
+// TestPeerWithoutFinalResponse guards against taking for an answer of another instance what
+// is no final HTTP response.
+func TestPeerWithoutFinalResponse(t *testing.T) {
+	for line, want := range map[string]bool{
+		"HTTP/1.1 200 OK": true, "HTTP/1.1 103 X\r\nA: b\r\n\r\nHTTP/1.1 200 OK": true, "HTTP/1.1 200 OK\r\nOdd: v\r\n w": true,
+		"HTTP/1.1 000 OK": false, "HTTP/1.1 099 X": false, "HTTP/1.1 600 X": false, "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 000 OK": false,
+		"HTTP/1.1 200 OK\r\nO dd: v": false, "HTTP/1.1 200 OK\r\nOdd : v": false,
+		"HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\nContent-Length: 0\r\n\nOdd: v": false,
+		"HTTP/1.1 103 X\r\nO dd: v\r\n\r\nHTTP/1.1 200 OK":                                    false,
+	} {
+		t.Run(line, func(t *testing.T) {
+			is := is.New(t)
+			url := startRawPeer(t, func(c *net.TCPConn) {
+				_, _ = io.WriteString(c, line+"\r\nContent-Type: application/proto\r\nContent-Length: 0\r\n\r\n")
+			})
+			client := newPeerClient()
+			defer client.CloseIdleConnections()
+			_, err := hornpbconnect.NewPeerClient(client, url).Vote(t.Context(), connect.NewRequest(&hornpb.VoteRequest{}))
+			is.Equal(err == nil, want)
+		})
+	}
+}
--- a/hornbeamd/runner/relay_test.go
+++ b/hornbeamd/runner/relay_test.go
@@ -137,3 +137,30 @@
 		})
 	}
 }
+
+// TestFetchWithoutFinalResponse guards against taking for the changes of another instance
+// what is no final HTTP response.
+func TestFetchWithoutFinalResponse(t *testing.T) {
+	for line, want := range map[string]bool{
+		"HTTP/1.1 200 OK": true, "HTTP/1.1 000 OK": false, "HTTP/1.1 200 OK\r\nO dd: v": false, "HTTP/1.1 200 OK\r\nOdd : v": false,
+	} {
+		t.Run(line, func(t *testing.T) {
+			is := is.New(t)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { _ = ln.Close() }()
+			go func() {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = c.Read(make([]byte, 4<<10))
+				_, _ = io.WriteString(c, line+"\r\nContent-Type: application/proto\r\nContent-Length: 0\r\n\r\n")
+				_ = c.Close()
+			}()
+			r := New(Config{Store: newMemoryStore(), Directory: plainDialect{}, Dialect: plainDialect{}, Log: logr.Discard(), Clock: NewClock()})
+			_, err = r.relay.requestChanges(t.Context(), steerer.Fetch{From: steerer.Instance{Beacon: ln.Addr().String()}})
+			is.Equal(err == nil, want)
+		})
+	}
+}
