screener: control characters in a reason phrase are no response

What callers saw: a status line with a control character behind the status, such as NUL or CR, was passed on with it, also as a signed 200.

Cause: the reason phrase was the part of a header that neither the screener nor fasthttp checks.

Change: the scanner rejects control characters other than HTAB in a reason phrase, and a CR that no LF follows.

--- a/core/screener/scanner.go
+++ b/core/screener/scanner.go
@@ -30,8 +30,8 @@
 	size int
 	// interim reports whether the response is followed by another one.
 	interim bool
-	// afterCR reports whether the last byte was a CR, crlf whether a line of the header
-	// has ended with CRLF.
+	// afterCR reports whether the last byte of a reason phrase or a value was a CR, crlf
+	// whether a line of the header has ended with CRLF.
 	afterCR, crlf bool
 	// hasField reports whether the header has a field, to which a line that begins with
 	// a blank belongs.
@@ -47,7 +47,7 @@
 			copied := copy(s.line[s.size:], b[n:])
 			n, s.size = n+copied, s.size+copied
 			err = s.checkStatus()
-		case inReason, inValue:
+		case inValue:
 			n += s.skipLine(b[n:])
 		default:
 			err = s.step(b[n])
@@ -78,9 +78,11 @@
 	return nil
 }
 
-// step examines a byte of a name, or one between lines.
+// step examines a byte of a reason phrase or a name, or one between lines.
 func (s *scanner) step(c byte) error {
 	switch {
+	case s.state == inReason:
+		return s.stepReason(c)
 	case s.state == inName && c == ':':
 		s.state, s.hasField = inValue, true
 	case s.state != lineEnd && tokenBytes[c]:
@@ -97,6 +99,19 @@
 	return nil
 }
 
+// stepReason examines a byte of a reason phrase.
+func (s *scanner) stepReason(c byte) error {
+	switch {
+	case c == '\n':
+		s.state, s.crlf, s.afterCR = lineStart, s.afterCR, false
+	case s.afterCR, c < ' ' && c != '\t' && c != '\r', c == 0x7f:
+		return fmt.Errorf("%w: control character in the reason phrase", ErrNotFinal)
+	default:
+		s.afterCR = c == '\r'
+	}
+	return nil
+}
+
 // peek waits until r has buffered the whole header and examines it.
 func (s *scanner) peek(r *bufio.Reader) error {
 	for n := 0; s.state != ended; {
@@ -120,7 +135,7 @@
 	return nil
 }
 
-// skipLine passes over the rest of a line and returns how many bytes of b belong to it.
+// skipLine passes over the rest of a value's line and returns how many bytes of b belong to it.
 func (s *scanner) skipLine(b []byte) int {
 	i := bytes.IndexByte(b, '\n')
 	if i < 0 {
