soaker: garbage includes malformed headers

Cause: the bytes that are no answer had a wrong status or no end; none was a header that HTTP libraries accept and HTTP does not.

Change: a control character in the reason phrase, a blank in a name and behind one, and a line feed before a name.

--- a/hornbench/soaker/garbage.go
+++ b/hornbench/soaker/garbage.go
@@ -18,6 +18,7 @@
 var garbageHeads = []string{
 	"HTTP/1.1 000 OK", "HTTP/1.1 099 X", "HTTP/1.1 101 X", "HTTP/1.1 600 X", "HTTP/2.0 200 OK",
 	"HTTP/1.1 103 X\r\n\r\nHTTP/1.1 000 OK",
+	"HTTP/1.1 200 O\x00K", "HTTP/1.1 200 OK\r\nO dd: v", "HTTP/1.1 200 OK\r\nOdd : v", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\nOdd: v",
 }
 
 // endless are bytes that are no answer: the first are sent once, the others until the
--- a/hornbench/soaker/soak_test.go
+++ b/hornbench/soaker/soak_test.go
@@ -86,7 +86,7 @@
 
 // garbageSeeds have upstreams and a store that send bytes that are no answer.
 var garbageSeeds = []soakSeed{
-	// 13 callers got an answer that was none.
+	// 13 callers got an answer that was none; with malformed headers, 6.
 	{21003, Options{Instances: 5, Upstreams: 4, Callers: 16, Garbage: true}, 12 * time.Second},
 }
 
