screener: a transfer coding needs HTTP/1.1

What callers saw: a response of HTTP/1.0 with Transfer-Encoding was passed on as a 200 whose body had the sizes of the chunks in it.

Cause: fasthttp and net/http ignore the field in HTTP/1.0, and such a body ends with the connection. RFC 9112 section 6.1 asks to treat the framing as faulty.

Change: the scanner keeps the first bytes of a name and rejects the field in responses of another version than HTTP/1.1.

--- a/core/screener/scanner.go
+++ b/core/screener/scanner.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"strings"
 )
 
 // state is the part of a header that a scanner expects next.
@@ -36,25 +37,36 @@
 	// hasField reports whether the header has a field, to which a line that begins with
 	// a blank belongs.
 	hasField bool
+	// name holds the first bytes of the current name, nameSize is the name's length.
+	name     [len(transferEncoding)]byte
+	nameSize int
 }
 
+// transferEncoding is the field that HTTP/1.1 has introduced.
+const transferEncoding = "Transfer-Encoding"
+
 // scan examines the next bytes up to the end of the header and returns their number. Its
 // errors match ErrNotFinal.
 func (s *scanner) scan(b []byte) (n int, err error) {
 	for n < len(b) && s.state != ended && err == nil {
-		switch s.state {
-		case inStatus:
+		switch {
+		case s.state == inStatus:
 			copied := copy(s.line[s.size:], b[n:])
 			n, s.size = n+copied, s.size+copied
 			err = s.checkStatus()
-		case inValue:
+		case s.state == inValue:
 			n += s.skipLine(b[n:])
+		case s.state == lineStart && tokenBytes[b[n]]:
+			s.state, s.nameSize = inName, 0
+		case s.state == inName:
+			n += s.scanName(b[n:])
+			if n < len(b) {
+				err = s.endName(b[n])
+				n++
+			}
 		default:
 			err = s.step(b[n])
 			n++
-			for n < len(b) && s.state == inName && tokenBytes[b[n]] {
-				n++
-			}
 		}
 	}
 	return n, err
@@ -78,15 +90,40 @@
 	return nil
 }
 
-// step examines a byte of a reason phrase or a name, or one between lines.
+// scanName passes over the bytes of a name and returns their number.
+func (s *scanner) scanName(b []byte) (n int) {
+	for n < len(b) && tokenBytes[b[n]] {
+		n++
+	}
+	if s.nameSize < len(s.name) {
+		copy(s.name[s.nameSize:], b[:n])
+	}
+	s.nameSize += n
+	return n
+}
+
+// endName examines the byte behind a name. A response of another version than HTTP/1.1 that
+// has a transfer coding has faulty framing, by RFC 9112 section 6.1.
+func (s *scanner) endName(c byte) error {
+	switch {
+	case c != ':':
+		return nameError(c)
+	case s.line[minorVersion] != '1' && s.nameSize == len(s.name) && strings.EqualFold(string(s.name[:]), transferEncoding):
+		return fmt.Errorf("%w: transfer coding in %s", ErrNotFinal, string(s.line[:minorVersion+1]))
+	}
+	s.state, s.hasField = inValue, true
+	return nil
+}
+
+func nameError(c byte) error {
+	return fmt.Errorf("%w: byte %q in the name of a field", ErrNotFinal, c)
+}
+
+// step examines a byte of a reason phrase or one between lines.
 func (s *scanner) step(c byte) error {
 	switch {
 	case s.state == inReason:
 		return s.stepReason(c)
-	case s.state == inName && c == ':':
-		s.state, s.hasField = inValue, true
-	case s.state != lineEnd && tokenBytes[c]:
-		s.state = inName
 	case s.state == lineStart && s.hasField && (c == ' ' || c == '\t'):
 		s.state = inValue // obsolete line folding
 	case s.state == lineStart && c == '\r':
@@ -94,7 +131,7 @@
 	case s.state == lineEnd && c == '\n', s.state == lineStart && c == '\n' && !s.crlf:
 		s.state = ended
 	default:
-		return fmt.Errorf("%w: byte %q in the name of a field", ErrNotFinal, c)
+		return nameError(c)
 	}
 	return nil
 }
--- a/core/screener/screener.go
+++ b/core/screener/screener.go
@@ -21,6 +21,8 @@
 	// statusLineBytes is the length of the part of a status line up to the byte behind the
 	// status: "HTTP/1.1 200 ".
 	statusLineBytes = 13
+	// minorVersion is the index of the minor version in a status line.
+	minorVersion = 7
 	// maxInterim limits the interim responses before a final one.
 	maxInterim = 100
 	// Interim responses have a status from minInterim on, final ones from minFinal to
--- a/hornbeamd/forwarder/fault_test.go
+++ b/hornbeamd/forwarder/fault_test.go
@@ -152,6 +152,7 @@
 		{"blank in a trailer name", h + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nO dd: v\r\n\r\n", false, "unknown", "", 2},
 		{"truncated trailer", h + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nOdd: v\r\n", true, "unknown", "", 2},
 		{"truncated large trailer", h + "Transfer-Encoding: chunked\r\n\r\n19000\r\n" + long + "\r\n0\r\n", true, "ran", "error", 2},
+		{"chunked in HTTP/1.0", "HTTP/1.0 200 OK\r\nHorn-Id: %s\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false, "unknown", "", 2},
 		{"no response", "%s", true, "unknown", "", 2},
 		{"not http", "hello %s\r\n\r\n", false, "unknown", "", 2},
 		{"large head", h + "X: " + long + "\r\n\r\n", true, "unknown", "", 2},
--- a/hornbeamd/relayer/final_test.go
+++ b/hornbeamd/relayer/final_test.go
@@ -18,6 +18,7 @@
 	"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.1  200 OK", "\r\nHTTP/1.1 200 OK",
 	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 600 X",
 	"HTTP/1.1 200 O\x00K", "HTTP/1.1 200 OK\x7f", "HTTP/1.1 200 O\rK", "HTTP/1.1 200 OK\r",
+	"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked",
 }
 
 // respondNotFinal returns a handler that runs a request and answers with the given head.
