connector: a test of a reset while a call is being written

The store's client reads a response only after a whole request has been written, and a failed write fails the call.

--- a/core/connector/connector_test.go
+++ b/core/connector/connector_test.go
@@ -176,6 +176,25 @@
 	}
 }
 
+// TestResetDuringWrite guards against taking the part of a response without a length for a
+// whole one if the platform resets the connection while the call is being written.
+func TestResetDuringWrite(t *testing.T) {
+	const writes = 20
+	is := is.New(t)
+	c := start(t, &platform{fault: func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		is.NoErr(err)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n{}")
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}})
+	value := []byte(`"` + strings.Repeat("x", 4<<20) + `"`)
+	for range writes {
+		_, err := c.Create(t.Context(), "a/1", value)
+		is.True(errors.Is(err, submitter.ErrUnknownOutcome)) // it may have been written
+	}
+}
+
 // TestUnendingResponse guards against keeping what the platform sends without end. Small
 // responses pass while a large one is being received.
 func TestUnendingResponse(t *testing.T) {
