--- a/hornbeamd/relayer/reset_test.go
+++ b/hornbeamd/relayer/reset_test.go
@@ -145,3 +145,28 @@
 		}
 	}
 }
+
+// TestResetAfterResponse has an upstream that resets the connection behind a response whose
+// end is marked, while the request is being written.
+func TestResetAfterResponse(t *testing.T) {
+	for name, framing := range map[string]string{
+		"length":  "Content-Length: 4\r\n\r\npart",
+		"chunked": "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := startHarness(t, startEarlyStub(t, func(c *net.TCPConn, r *http.Request) {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSign: 1\r\n%s", r.Header.Get("Id"), framing)
+				reset(c)
+			}))
+			for _, size := range uploadSizes {
+				for range resetUploads {
+					a := h.do(http.MethodPost, "/once/x", strings.Repeat("x", size))
+					is.NoErr(a.err)
+					is.Equal(a.status, 200)
+					is.Equal(a.body, "part")
+				}
+			}
+		})
+	}
+}
