screener, relayer: comments, one accept loop for stubs, a stricter fuzz test

Cause: reading the change again. Comments of Stream were figurative, the stub that answers early repeated the accept loop, and nothing compared where the scanner and fasthttp end a header.

Change: reworded, startStubConns serves both stubs, FuzzScreen compares the ends.

--- a/core/screener/screener.go
+++ b/core/screener/screener.go
@@ -17,6 +17,9 @@
 // request has run is unknown.
 var ErrNotFinal = errors.New("not a final HTTP response")
 
+// errInterim means that no final response follows interim ones.
+var errInterim = fmt.Errorf("%w: %d interim responses", ErrNotFinal, maxInterim)
+
 const (
 	// statusLineBytes is the length of the part of a status line up to the byte behind the
 	// status: "HTTP/1.1 200 ".
@@ -51,9 +54,6 @@
 	return errInterim
 }
 
-// errInterim means that no final response follows interim ones.
-var errInterim = fmt.Errorf("%w: %d interim responses", ErrNotFinal, maxInterim)
-
 // isInterim checks the first bytes of a status line. It reports whether the response is
 // followed by another one.
 func isInterim(line []byte) (bool, error) {
--- a/core/screener/screener_test.go
+++ b/core/screener/screener_test.go
@@ -157,10 +157,15 @@
 		if err != nil {
 			return
 		}
-		line, _ := r.Peek(statusLineBytes)
-		sent := string(line[9:12])
+		header, _ := r.Peek(r.Buffered())
+		sent := string(header[9:12])
+		var s scanner
+		size, _ := s.scan(header)
 		var h fasthttp.ResponseHeader
-		if h.Read(r) == nil {
+		if buffered := r.Buffered(); h.Read(r) == nil {
+			if read := buffered - r.Buffered(); read != size {
+				t.Errorf("header of %d bytes instead of %d", read, size)
+			}
 			if fmt.Sprint(h.StatusCode()) != sent {
 				t.Errorf("status %d instead of %s", h.StatusCode(), sent)
 			}
--- a/core/screener/stream.go
+++ b/core/screener/stream.go
@@ -10,9 +10,9 @@
 	"time"
 )
 
-// Stream is a connection that tells its reader a reset from an end. The kernel reports the
-// error of a connection once, to a read or to a write. If a write takes it, the next read
-// finds a plain end, by which a response without a length would be complete.
+// Stream is a connection whose reader can distinguish a reset from the end of the stream. The
+// kernel reports the error of a connection once, to a read or to a write. If a write gets it,
+// the next read returns io.EOF, and a response without a length would seem complete.
 type Stream struct {
 	net.Conn
 
@@ -21,7 +21,7 @@
 	writeErr error
 }
 
-// NewStream returns a stream on c, whose write deadline the stream may change at the end.
+// NewStream returns a stream on c. At the end of the stream it sets the write deadline of c.
 func NewStream(c net.Conn) *Stream { return &Stream{Conn: c} }
 
 // Write implements net.Conn.
@@ -50,7 +50,7 @@
 }
 
 // Read implements net.Conn. It returns io.EOF only where the peer has ended the stream, and
-// then ends a write in progress.
+// then interrupts a write in progress.
 func (s *Stream) Read(b []byte) (n int, err error) {
 	n, err = s.Conn.Read(b)
 	if err == io.EOF {
@@ -61,9 +61,9 @@
 	return n, err
 }
 
-// lossError returns the error by which the connection was lost, if a write has taken it.
+// lossError returns the error by which the connection was lost, if a write got it.
 func (s *Stream) lossError() error {
-	// A write that is blocked has not taken an error. It must not delay the reader.
+	// A blocked write has got no error, and must not delay the reader.
 	_ = s.Conn.SetWriteDeadline(time.Unix(1, 0))
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/hornbeamd/relayer/harness_test.go
+++ b/hornbeamd/relayer/harness_test.go
@@ -100,11 +100,17 @@
 }
 
 func startStub(t *testing.T, id string, serve func(*upstreamStub, net.Conn, *http.Request, string)) *upstreamStub {
+	t.Helper()
+	return startStubConns(t, &upstreamStub{id: id, serve: serve}, (*upstreamStub).serveConn)
+}
+
+// startStubConns starts an upstream that serves each connection with the given function.
+func startStubConns(t *testing.T, s *upstreamStub, serveConn func(*upstreamStub, net.Conn)) *upstreamStub {
 	t.Helper()
 	is := is.New(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	s := &upstreamStub{id: id, listener: ln, serve: serve}
+	s.listener = ln
 	t.Cleanup(s.close)
 	go func() {
 		for {
@@ -116,7 +122,7 @@
 			s.mu.Lock()
 			s.open = append(s.open, c)
 			s.mu.Unlock()
-			go s.serveConn(c)
+			go serveConn(s, c)
 		}
 	}()
 	return s
--- a/hornbeamd/relayer/reset_test.go
+++ b/hornbeamd/relayer/reset_test.go
@@ -19,31 +19,12 @@
 // request, and does not read the body.
 func startEarlyStub(t *testing.T, respond func(c *net.TCPConn, r *http.Request)) *upstreamStub {
 	t.Helper()
-	is := is.New(t)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	s := &upstreamStub{id: "early", listener: ln}
-	t.Cleanup(s.close)
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			s.mu.Lock()
-			s.open = append(s.open, c)
-			s.mu.Unlock()
-			go func() {
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				s.recordRun(r)
-				respond(c.(*net.TCPConn), r)
-			}()
+	return startStubConns(t, &upstreamStub{id: "early"}, func(s *upstreamStub, c net.Conn) {
+		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			s.recordRun(r)
+			respond(c.(*net.TCPConn), r)
 		}
-	}()
-	return s
+	})
 }
 
 // writePart writes a response without a length.
