screener: a line feed at the end of a field does not end the header

What callers saw: in a header whose lines end with CRLF, a line feed at the end of a field's value made the CRLF behind it an empty line. The header ended there and the rest of it was the body of a signed 200.

Cause: of an empty line, only one that ends with LF alone was checked. fasthttp takes the other one where CRLF CRLF stands anywhere behind it.

Change: the scanner accepts an empty line with CRLF only behind a line with CRLF. One with LF alone needs a header without any CRLF, as before.

--- a/core/screener/body.go
+++ b/core/screener/body.go
@@ -62,7 +62,7 @@
 
 // readTrailer reads the trailer section and returns io.EOF.
 func (b *chunkedBody) readTrailer() error {
-	s := scanner{state: lineStart, crlf: true}
+	s := scanner{state: lineStart, lastCRLF: true, anyCRLF: true}
 	err := s.peek(b.reader)
 	if err == nil {
 		err = b.trailer.ReadTrailer(b.reader)
--- a/core/screener/scanner.go
+++ b/core/screener/scanner.go
@@ -31,9 +31,10 @@
 	size int
 	// interim reports whether the response is followed by another one.
 	interim bool
-	// afterCR reports whether the last byte of a reason phrase or a value was a CR, crlf
-	// whether a line of the header has ended with CRLF.
-	afterCR, crlf bool
+	// afterCR reports whether the last byte of a reason phrase or a value was a CR.
+	afterCR bool
+	// lastCRLF reports whether the last line ended with CRLF, anyCRLF whether any line has.
+	lastCRLF, anyCRLF bool
 	// hasField reports whether the header has a field, to which a line that begins with
 	// a blank belongs.
 	hasField bool
@@ -85,7 +86,7 @@
 	case '\r':
 		s.afterCR = true
 	case '\n':
-		s.state = lineStart
+		s.endLine()
 	}
 	return nil
 }
@@ -119,16 +120,18 @@
 	return fmt.Errorf("%w: byte %q in the name of a field", ErrNotFinal, c)
 }
 
-// step examines a byte of a reason phrase or one between lines.
+// step examines a byte of a reason phrase or one between lines. The empty line that ends a
+// header has the same end as the line before it, and an LF alone only if no line has CRLF:
+// otherwise a line feed in a field would end the header there.
 func (s *scanner) step(c byte) error {
 	switch {
 	case s.state == inReason:
 		return s.stepReason(c)
 	case s.state == lineStart && s.hasField && (c == ' ' || c == '\t'):
 		s.state = inValue // obsolete line folding
-	case s.state == lineStart && c == '\r':
+	case s.state == lineStart && c == '\r' && s.lastCRLF:
 		s.state = lineEnd
-	case s.state == lineEnd && c == '\n', s.state == lineStart && c == '\n' && !s.crlf:
+	case s.state == lineEnd && c == '\n', s.state == lineStart && c == '\n' && !s.anyCRLF:
 		s.state = ended
 	default:
 		return nameError(c)
@@ -140,7 +143,7 @@
 func (s *scanner) stepReason(c byte) error {
 	switch {
 	case c == '\n':
-		s.state, s.crlf, s.afterCR = lineStart, s.afterCR, false
+		s.endLine()
 	case s.afterCR, c < ' ' && c != '\t' && c != '\r', c == 0x7f:
 		return fmt.Errorf("%w: control character in the reason phrase", ErrNotFinal)
 	default:
@@ -182,10 +185,16 @@
 	if i > 0 {
 		s.afterCR = b[i-1] == '\r'
 	}
-	s.state, s.crlf, s.afterCR = lineStart, s.crlf || s.afterCR, false
+	s.endLine()
 	return i + 1
 }
 
+// endLine is called at the LF of a line.
+func (s *scanner) endLine() {
+	s.lastCRLF, s.anyCRLF = s.afterCR, s.anyCRLF || s.afterCR
+	s.state, s.afterCR = lineStart, false
+}
+
 // tokenBytes has the bytes of which the name of a field consists, by RFC 9110 section 5.6.2.
 var tokenBytes = func() (t [256]bool) {
 	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
--- a/hornbeamd/relayer/names_test.go
+++ b/hornbeamd/relayer/names_test.go
@@ -43,6 +43,8 @@
 		lines,
 		fieldLine{"Odd", false, false},
 		fieldLine{"Odd : v", false, false},
+		fieldLine{"Odd: v\n", false, false},
+		fieldLine{"Odd: v\n w\n", false, false},
 		fieldLine{"Odd:", true, true},
 		fieldLine{"Odd:v", true, true},
 		fieldLine{"Odd: a\r\n b", true, true},
