runner: log the phases of a shutdown

Change: one line for each phase with the open connections, those with a request in progress, and the idle ones. Connections that are neither have not sent a byte yet.

--- a/hornbeamd/relayer/conn_test.go
+++ b/hornbeamd/relayer/conn_test.go
@@ -193,7 +193,7 @@
 			<-received
 			is.NoErr(c.Close())
 			close(left)
-			for h.relayer.ActiveConns() > 0 {
+			for h.relayer.Conns().Active > 0 {
 				time.Sleep(time.Millisecond)
 			}
 			is.Equal(len(received), 0) // not sent to the second upstream
--- a/hornbeamd/relayer/conn_tracker.go
+++ b/hornbeamd/relayer/conn_tracker.go
@@ -96,13 +96,26 @@
 	}
 }
 
-func (c *connTracker) countActive() int {
+// ConnCounts is the number of the callers' connections by what they are used for.
+type ConnCounts struct {
+	// Open is the number of all connections. Those that are neither active nor idle
+	// have not sent a byte yet, or are being closed.
+	Open int
+	// Active is the number of connections on which a request is arriving or in progress.
+	Active int
+	// Idle is the number of connections that wait for a further request.
+	Idle int
+}
+
+func (c *connTracker) counts() ConnCounts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := len(c.activeConns)
+	n := ConnCounts{Open: len(c.open), Active: len(c.activeConns)}
 	for nc := range c.idleSince {
 		if caller, ok := nc.(*conn); ok && caller.readAheadLen.Load() > 0 {
-			n++
+			n.Active++
+		} else {
+			n.Idle++
 		}
 	}
 	return n
--- a/hornbeamd/relayer/fault_test.go
+++ b/hornbeamd/relayer/fault_test.go
@@ -560,11 +560,11 @@
 	reader := bufio.NewReader(c)
 	res, err := http.ReadResponse(reader, nil)
 	is.NoErr(err)
-	is.Equal(h.relayer.ActiveConns(), 1) // most of the response has not been read
+	is.Equal(h.relayer.Conns().Active, 1) // most of the response has not been read
 	n, err := io.Copy(io.Discard, res.Body)
 	is.NoErr(err)
 	is.Equal(n, int64(len(body)))
-	for until := time.Now().Add(10 * time.Second); h.relayer.ActiveConns() > 0; time.Sleep(time.Millisecond) {
+	for until := time.Now().Add(10 * time.Second); h.relayer.Conns().Active > 0; time.Sleep(time.Millisecond) {
 		is.True(time.Now().Before(until)) // ends with the response
 	}
 }
--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -299,10 +299,9 @@
 // Serve serves requests on the connections that ln accepts.
 func (r *Relayer) Serve(ln net.Listener) error { return r.http.Serve(listener{ln, &r.callerConns}) }
 
-// ActiveConns returns the number of connections with a request in progress. A
-// request is in progress until its whole response has been handed to the
-// kernel.
-func (r *Relayer) ActiveConns() int { return r.callerConns.countActive() }
+// Conns counts the connections of callers. A request is in progress until its whole
+// response has been handed to the kernel.
+func (r *Relayer) Conns() ConnCounts { return r.callerConns.counts() }
 
 // StartDrain begins a graceful shutdown: each caller's connection is closed
 // after its next response, or after those of the pipelined requests in
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -196,7 +196,8 @@
 	if cause := context.Cause(groupCtx); controlCtx.Err() == nil {
 		return cause
 	}
-	r.cfg.Log.Info("stopped", "requests", r.relayer.ActiveConns())
+	conns := r.relayer.Conns()
+	r.cfg.Log.Info("stopped", "requests", conns.Active, "connections", conns.Open)
 	return nil
 }
 
--- a/hornbeamd/runner/shutdown.go
+++ b/hornbeamd/runner/shutdown.go
@@ -29,17 +29,21 @@
 	at := func(share float64) time.Time {
 		return start.Add(time.Duration(share * float64(timeout)))
 	}
+	r.logShutdown("announced", start)
 	r.events <- steerer.ShutdownStarted{Now: r.now()}
 	r.relayer.StartDrain()
 	now := r.now()
 	r.relayer.SetExitTime(now+int64(timeout-exitMargin), now+int64(longRunShare*float64(timeout)))
 	time.Sleep(time.Until(at(closeIdleShare)))
+	r.logShutdown("closing idle connections", start)
 	r.relayer.CloseIdleConnections()
 	time.Sleep(time.Until(at(closeListenerShare)))
 	_ = front.Close()
+	r.logShutdown("closed listener", start)
 	for time.Now().Before(deadline) {
 		r.relayer.CloseIdleConnections()
-		if r.relayer.ActiveConns() == 0 {
+		if r.relayer.Conns().Active == 0 {
+			r.logShutdown("no request in progress", start)
 			// The end of a response may still be in a kernel buffer.
 			time.Sleep(tickInterval)
 			return
@@ -47,3 +51,9 @@
 		time.Sleep(tickInterval / 2)
 	}
 }
+
+// logShutdown logs a phase of the shutdown that began at start.
+func (r *Runner) logShutdown(phase string, start time.Time) {
+	n := r.relayer.Conns()
+	r.cfg.Log.Info("shutdown", "phase", phase, "after", time.Since(start).Milliseconds(), "connections", n.Open, "requests", n.Active, "idle", n.Idle)
+}
