--- a/hornbeamd/journaler/journaler.go
+++ b/hornbeamd/journaler/journaler.go
@@ -27,17 +27,23 @@
 // Writer is an io.Writer that queues log lines and writes them to an output in the
 // background. Use New to create one.
 type Writer struct {
-	lines   chan []byte
+	queue   chan entry
 	dropped atomic.Uint64
 }
 
+// entry is a queued line, or a call of Flush that waits for the lines before it.
+type entry struct {
+	line    []byte
+	flushed chan struct{}
+}
+
 // RateLimits are the log lines a second that are written: at level 0, for changes
 // and failures, and at higher verbosity, for requests that succeeded.
 type RateLimits struct{ InfoPerSecond, VerbosePerSecond int }
 
 // New returns a Writer that writes JSON lines to w, and a logger on top of it.
 func New(w io.Writer, b RateLimits) (*Writer, logr.Logger) {
-	j := &Writer{lines: make(chan []byte, queueLines)}
+	j := &Writer{queue: make(chan entry, queueLines)}
 	inner := slog.NewJSONHandler(j, &slog.HandlerOptions{Level: slog.Level(-1)})
 	h := &rateLimitedHandler{
 		Handler: inner,
@@ -60,16 +66,38 @@
 // Write queues one line, or drops it if the queue is full. It never fails.
 func (j *Writer) Write(line []byte) (int, error) {
 	select {
-	case j.lines <- append([]byte(nil), line...):
+	case j.queue <- entry{line: append([]byte(nil), line...)}:
 	default:
 		j.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+// Flush waits until the queued lines have been written, at most until the deadline. It
+// reports whether they have.
+func (j *Writer) Flush(deadline time.Time) bool {
+	timeout := time.After(time.Until(deadline))
+	flushed := make(chan struct{})
+	select {
+	case j.queue <- entry{flushed: flushed}:
+	case <-timeout:
+		return false
+	}
+	select {
+	case <-flushed:
+		return true
+	case <-timeout:
+		return false
+	}
+}
+
 func (j *Writer) writeLines(w io.Writer) {
-	for line := range j.lines {
-		if _, err := w.Write(line); err != nil {
+	for e := range j.queue {
+		if e.flushed != nil {
+			close(e.flushed)
+			continue
+		}
+		if _, err := w.Write(e.line); err != nil {
 			j.dropped.Add(1)
 		}
 	}
--- a/hornbeamd/journaler/journaler_test.go
+++ b/hornbeamd/journaler/journaler_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -62,3 +63,23 @@
 	is.Equal(counts["failure"], 1)
 	is.True(counts["detail"] >= 120 && counts["detail"] < 2*120)
 }
+
+// TestFlush guards against the loss of the last lines at the exit of the process, which say
+// how it stopped: they were still queued. An output that accepts nothing must not delay it.
+func TestFlush(t *testing.T) {
+	is := is.New(t)
+	r, w := io.Pipe()
+	defer func() { is.NoErr(r.Close()) }()
+	j, log := New(w, RateLimits{InfoPerSecond: 200, VerbosePerSecond: 60})
+	log.Info("stopped")
+	is.True(!j.Flush(time.Now().Add(20 * time.Millisecond)))
+	lines := make(chan string, 1)
+	go func() {
+		line, err := bufio.NewReader(r).ReadString('\n')
+		if err == nil {
+			lines <- line
+		}
+	}()
+	is.True(j.Flush(time.Now().Add(time.Minute)))
+	is.True(strings.Contains(<-lines, "stopped"))
+}
