relayer: no connection is closed as idle while a request is read from it

What callers saw: the connection ends without a response, though the instance has read the request.

Cause: a connection is closed as idle unless bytes are unread. Between the read of the first bytes of a request and the server's report that the connection is active, they are neither unread nor known.

Change: reading bytes and noting that a request has begun are one step, under the mutex that the close takes too. A connection is marked as ended under it and closed after it, since a close waits for reads to return.

Evidence: TestCloseIdleKeepsConnWithReadRequest fails on ("use of closed network connection") and passes now.

--- a/hornbeamd/relayer/conn.go
+++ b/hornbeamd/relayer/conn.go
@@ -41,7 +41,7 @@
 		_ = tcp.Close()
 		return nil, rawErr
 	}
-	accepted := &conn{TCPConn: tcp, raw: raw, tracker: l.tracker}
+	accepted := newConn(tcp, raw, l.tracker)
 	l.tracker.add(accepted)
 	return accepted, err
 }
@@ -80,6 +80,7 @@
 	// begins.
 	headerRead, boundaryLost bool
 	headerScanner            headerScanner
+	receiver                 receiver
 	// pipelined holds the requests after the current one that are relayed
 	// already, in order.
 	pipelined []*pipelined
@@ -99,6 +100,15 @@
 
 	mu    sync.Mutex
 	phase phase
+	// begun reports whether bytes of a request have been read since the last one, not
+	// counting readAhead.
+	begun bool
+}
+
+func newConn(tcp *net.TCPConn, raw syscall.RawConn, t *connTracker) *conn {
+	c := &conn{TCPConn: tcp, raw: raw, tracker: t}
+	c.receiver.try = c.tryReceive
+	return c
 }
 
 // beginRequest marks the received request as in progress. It reports false if the
@@ -122,6 +132,9 @@
 	if c.phase != ended {
 		c.phase = p
 	}
+	if p == idle {
+		c.begun = false
+	}
 }
 
 // evicted reports whether the connection was closed in favor of others.
@@ -158,21 +171,28 @@
 // whether it did. A request that is being received is answered if answer is set.
 func (c *conn) evict(b *byteBudget, answer bool) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	closes := c.phase == idle || !answer
 	switch {
-	case c.phase == idle && (c.readAheadLen.Load() > 0 || c.hasUnread()), c.phase != idle && c.phase != receiving:
+	case c.phase == idle && c.hasArrived(), c.phase != idle && c.phase != receiving:
+		c.mu.Unlock()
 		return false
-	case c.phase == idle || !answer:
-		_ = c.TCPConn.Close()
-	default:
+	case !closes:
 		_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
 	}
 	c.phase = ended
 	c.closed.Store(true)
+	c.mu.Unlock()
+	if closes {
+		c.closeEnded()
+	}
 	c.releaseHeld(b)
 	return true
 }
 
+// closeEnded closes the connection after its phase has been set to ended. The caller must not
+// hold mu, because closing waits for a read in progress to return.
+func (c *conn) closeEnded() { _ = c.TCPConn.Close() }
+
 // extendReadDeadline gives the caller time for further bytes.
 func (c *conn) extendReadDeadline(d time.Duration) error {
 	c.mu.Lock()
@@ -208,13 +228,14 @@
 // before their turn.
 func (c *conn) Read(p []byte) (n int, err error) {
 	if len(c.readAhead) > 0 {
+		c.begin()
 		n = c.deliverable(p[:copy(p, c.readAhead)])
 		c.readAhead = c.readAhead[n:]
 		c.startedBytes = max(0, c.startedBytes-n)
 		c.readAheadLen.Store(int64(len(c.readAhead)))
 		return n, nil
 	}
-	all, err := c.TCPConn.Read(p)
+	all, err := c.receive(p)
 	n = c.deliverable(p[:all])
 	if n < all {
 		c.appendReadAhead(p[n:all])
@@ -281,12 +302,13 @@
 // be called concurrently with the goroutine that serves the connection.
 func (c *conn) closeIdle() (done bool) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.phase == serving || c.readAheadLen.Load() > 0 || c.hasUnread() {
+	if c.phase == serving || c.hasArrived() {
+		c.mu.Unlock()
 		return false
 	}
 	c.phase = ended
-	_ = c.TCPConn.Close()
+	c.mu.Unlock()
+	c.closeEnded()
 	return true
 }
 
--- a/hornbeamd/relayer/conn_test.go
+++ b/hornbeamd/relayer/conn_test.go
@@ -56,6 +56,36 @@
 	is.NoErr(busyServer.Close())
 }
 
+// TestCloseIdleKeepsConnWithReadRequest closes the idle connections when the first bytes of
+// a request have been read from one, and the server does not yet know. Before, the connection
+// was closed and the request lost.
+func TestCloseIdleKeepsConnWithReadRequest(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = ln.Close() }()
+	caller, err := net.Dial("tcp", ln.Addr().String())
+	is.NoErr(err)
+	tracker := testTracker()
+	server, err := listener{ln, tracker}.Accept()
+	is.NoErr(err)
+	server.(*conn).setPhase(idle, 1)
+	tracker.setConnState(server, fasthttp.StateIdle)
+	_, err = fmt.Fprint(caller, "GET")
+	is.NoErr(err)
+	buf := make([]byte, 8)
+	n, err := server.Read(buf)
+	is.NoErr(err)
+	is.Equal(string(buf[:n]), "GET")
+	tracker.closeIdle(0)
+	_, err = fmt.Fprint(server, "OK")
+	is.NoErr(err)
+	n, err = caller.Read(buf)
+	is.NoErr(err)
+	is.Equal(string(buf[:n]), "OK")
+	is.NoErr(server.Close())
+}
+
 // TestNoSendAfterIdleClose closes a connection as idle between the arrival of a
 // request and its handling. The request must not be sent to an upstream, since
 // its response would be lost.
--- /dev/null
+++ b/hornbeamd/relayer/receiver.go
@@ -0,0 +1,68 @@
+package relayer
+
+import (
+	"io"
+	"net"
+	"os"
+	"syscall"
+)
+
+// receiver is the state of a call of conn.receive.
+type receiver struct {
+	// try is conn.tryReceive, bound once so that receiving does not allocate.
+	try func(fd uintptr) (done bool)
+	buf []byte
+	n   int
+	err error
+}
+
+// receive reads bytes that arrive.
+func (c *conn) receive(p []byte) (n int, err error) {
+	r := &c.receiver
+	r.buf, r.n, r.err = p, 0, nil
+	if err := c.raw.Read(r.try); err != nil {
+		return 0, err
+	}
+	switch {
+	case r.err != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", r.err)}
+	case r.n == 0 && len(p) > 0:
+		return 0, io.EOF
+	}
+	return r.n, nil
+}
+
+// tryReceive reads the bytes that have arrived. It reports false if there are none. That they
+// have been read is noted in the same step, so that the connection isn't closed as idle in
+// between.
+func (c *conn) tryReceive(fd uintptr) (done bool) {
+	r := &c.receiver
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == ended {
+		r.n, r.err = 0, net.ErrClosed
+		return true
+	}
+	for {
+		r.n, r.err = syscall.Read(int(fd), r.buf)
+		if r.err != syscall.EINTR {
+			break
+		}
+	}
+	r.n = max(0, r.n)
+	c.begun = c.begun || r.n > 0
+	return r.err != syscall.EAGAIN
+}
+
+// begin notes that bytes of a request have been read.
+func (c *conn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begun = true
+}
+
+// hasArrived reports whether a part of a request has arrived, read or not, while none is in
+// progress. The caller holds mu.
+func (c *conn) hasArrived() bool {
+	return c.begun || c.readAheadLen.Load() > 0 || c.hasUnread()
+}
