--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -76,7 +76,7 @@
 		ctx.Response.SetConnectionClose()
 	}
 	// Pipelined requests in progress are answered before the connection closes.
-	if r.draining.Load() && (!ok || len(c.pipelined) == 0) {
+	if r.draining() && (!ok || len(c.pipelined) == 0) {
 		ctx.Response.SetConnectionClose()
 	}
 }
@@ -279,7 +279,7 @@
 // reroute chooses another upstream for a request that the given one has not
 // answered. While the relayer drains, no exchange is aborted for this.
 func (r *Relayer) reroute(c *call, current *dispatcher.Upstream) bool {
-	if r.draining.Load() || !c.pool.RetryBudget.TryWithdraw() {
+	if r.draining() || !c.pool.RetryBudget.TryWithdraw() {
 		return false
 	}
 	q := c.req
--- a/hornbeamd/relayer/conn.go
+++ b/hornbeamd/relayer/conn.go
@@ -101,8 +101,8 @@
 	mu    sync.Mutex
 	phase phase
 	// begun reports whether bytes of a request have been read since the last one, not
-	// counting readAhead.
-	begun bool
+	// counting readAhead. readsEnded reports that no further request is read.
+	begun, readsEnded bool
 }
 
 func newConn(tcp *net.TCPConn, raw syscall.RawConn, t *connTracker) *conn {
@@ -177,7 +177,7 @@
 		c.mu.Unlock()
 		return false
 	case !closes:
-		_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
+		_ = c.TCPConn.SetReadDeadline(passedDeadline)
 	}
 	c.phase = ended
 	c.closed.Store(true)
@@ -200,7 +200,16 @@
 	if c.phase == ended {
 		return errEvicted
 	}
-	return c.TCPConn.SetReadDeadline(time.Now().Add(d))
+	return c.limitReadDeadline(time.Now().Add(d))
+}
+
+// limitReadDeadline sets the read deadline. It has passed once no further request is read.
+// The caller holds mu.
+func (c *conn) limitReadDeadline(t time.Time) error {
+	if c.readsEnded {
+		t = passedDeadline
+	}
+	return c.TCPConn.SetReadDeadline(t)
 }
 
 // setHeaderDeadline sets the deadline for the rest of a header if one is
@@ -209,8 +218,10 @@
 	c.headerDeadline = time.Time{}
 	if expected && limit > 0 && limit < headerTimeout {
 		c.headerDeadline = time.Now().Add(limit)
+		c.mu.Lock()
+		defer c.mu.Unlock()
 		// If the connection is closed, the next read fails.
-		_ = c.TCPConn.SetReadDeadline(c.headerDeadline)
+		_ = c.limitReadDeadline(c.headerDeadline)
 	}
 }
 
@@ -220,7 +231,9 @@
 	if !c.headerDeadline.IsZero() && time.Until(t) <= headerTimeout {
 		t = c.headerDeadline
 	}
-	return c.TCPConn.SetReadDeadline(t)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.limitReadDeadline(t)
 }
 
 // Read implements net.Conn. It returns at most one request header at a time
@@ -318,7 +331,7 @@
 // close first.
 func (c *conn) Close() error {
 	c.peerClosed.Store(true)
-	if !c.hasUnread() || c.CloseWrite() != nil {
+	if !c.awaitsPeer() || c.CloseWrite() != nil {
 		return c.closeTCP()
 	}
 	_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTimeout))
@@ -329,6 +342,18 @@
 	return nil
 }
 
+// awaitsPeer reports whether Close waits for the caller to close first.
+func (c *conn) awaitsPeer() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	answered := c.phase == serving || c.begun
+	if c.readsEnded && !answered {
+		// Waiting would read a further request.
+		return false
+	}
+	return c.hasUnread()
+}
+
 // closeTCP closes the connection and makes room for another one.
 func (c *conn) closeTCP() error {
 	err := c.TCPConn.Close()
--- a/hornbeamd/relayer/conn_tracker.go
+++ b/hornbeamd/relayer/conn_tracker.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -23,8 +24,13 @@
 	evict func() bool
 	// onShortage is called when a shortage of descriptors delays accepting.
 	onShortage func(error)
+	// draining reports that connections are closed after their responses. From then on
+	// requests are read only when their turn comes.
+	draining atomic.Bool
 
-	mu          sync.Mutex
+	mu sync.Mutex
+	// readsEnded reports that no further request is read.
+	readsEnded  bool
 	open        map[*conn]struct{}
 	activeConns map[net.Conn]bool
 	idleSince   map[net.Conn]int64
@@ -39,6 +45,7 @@
 		c.open = map[*conn]struct{}{}
 	}
 	c.open[nc] = struct{}{}
+	nc.readsEnded = c.readsEnded
 }
 
 // remove removes a connection that has been closed.
@@ -140,3 +147,13 @@
 		}
 	}
 }
+
+// endReads makes all connections read no further request.
+func (c *connTracker) endReads() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readsEnded = true
+	for nc := range c.open {
+		nc.endReads()
+	}
+}
--- a/hornbeamd/relayer/pipeline.go
+++ b/hornbeamd/relayer/pipeline.go
@@ -73,7 +73,7 @@
 	if !ok || ctx.Request.ConnectionClose() {
 		return
 	}
-	for len(c.pipelined) < maxPipelined && !c.boundaryLost && !r.draining.Load() {
+	for len(c.pipelined) < maxPipelined && !c.boundaryLost && !r.draining() {
 		rest := c.readAhead[c.startedBytes:]
 		n, whole := (&headerScanner{}).scan(rest)
 		if !whole {
--- a/hornbeamd/relayer/receiver.go
+++ b/hornbeamd/relayer/receiver.go
@@ -5,8 +5,12 @@
 	"net"
 	"os"
 	"syscall"
+	"time"
 )
 
+// passedDeadline is a deadline that has passed.
+var passedDeadline = time.Unix(1, 0)
+
 // receiver is the state of a call of conn.receive.
 type receiver struct {
 	// try is conn.tryReceive, bound once so that receiving does not allocate.
@@ -16,14 +20,30 @@
 	err error
 }
 
-// receive reads bytes that arrive.
+// receive reads bytes that arrive. Once no further request is read, it returns only bytes of
+// a request that has begun and that have arrived already.
 func (c *conn) receive(p []byte) (n int, err error) {
+	c.mu.Lock()
+	begun, readsEnded := c.begun, c.readsEnded
+	c.mu.Unlock()
+	if readsEnded && !begun {
+		return 0, io.EOF
+	}
 	r := &c.receiver
 	r.buf, r.n, r.err = p, 0, nil
-	if err := c.raw.Read(r.try); err != nil {
-		return 0, err
+	waitErr := c.raw.Read(r.try)
+	if waitErr != nil && c.hasReadsEnded() {
+		// The deadline has passed, but bytes may have arrived before.
+		if err := c.raw.Control(func(fd uintptr) { r.try(fd) }); err != nil {
+			return 0, err
+		}
+		if r.err != syscall.EAGAIN {
+			waitErr = nil
+		}
 	}
 	switch {
+	case waitErr != nil:
+		return 0, waitErr
 	case r.err != nil:
 		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", r.err)}
 	case r.n == 0 && len(p) > 0:
@@ -66,3 +86,29 @@
 func (c *conn) hasArrived() bool {
 	return c.begun || c.readAheadLen.Load() > 0 || c.hasUnread()
 }
+
+func (c *conn) hasReadsEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readsEnded
+}
+
+// endReads closes the connection unless a part of a request has arrived. The connection then
+// reads only what has arrived, and is closed after the response.
+func (c *conn) endReads() {
+	c.mu.Lock()
+	c.readsEnded = true
+	closes := false
+	switch {
+	case c.phase == serving, c.phase == ended:
+	case c.hasArrived():
+		c.begun = true
+		_ = c.TCPConn.SetReadDeadline(passedDeadline)
+	default:
+		c.phase, closes = ended, true
+	}
+	c.mu.Unlock()
+	if closes {
+		c.closeEnded()
+	}
+}
--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -154,7 +154,6 @@
 	pools      sync.Map // *dispatcher.Upstream to *pooler.Pool
 	idleLimits sync.Map // service name to *pooler.IdleLimit
 
-	draining atomic.Bool
 	// exitAt is when the process exits, 0 if that is not known. longRunsUntil is until
 	// when requests are accepted that may run for longer.
 	exitAt, longRunsUntil atomic.Int64
@@ -306,7 +305,14 @@
 // StartDrain begins a graceful shutdown: each caller's connection is closed
 // after its next response, or after those of the pipelined requests in
 // progress. From then on no request is rerouted or started before its turn.
-func (r *Relayer) StartDrain() { r.draining.Store(true) }
+func (r *Relayer) StartDrain() { r.callerConns.draining.Store(true) }
+
+func (r *Relayer) draining() bool { return r.callerConns.draining.Load() }
+
+// EndReads ends the reading of requests: connections on which no part of a request has
+// arrived are closed, and a request of which only a part has arrived is refused. The others
+// are answered, and then no connection is open.
+func (r *Relayer) EndReads() { r.callerConns.endReads() }
 
 // SetExitTime sets when the process exits. Requests that may run for longer are refused, so
 // that their callers go elsewhere. Until longRunsUntil, requests that may be repeated are
@@ -321,15 +327,15 @@
 	// exitRunFactor is how much longer than expected a run may take before the process
 	// exits.
 	exitRunFactor = 2
-	// exitResponseTime is reserved before the exit for a response at the deadline.
-	exitResponseTime = 100 * time.Millisecond
+	// ExitResponseTime is reserved before the exit for a response at the deadline.
+	ExitResponseTime = 100 * time.Millisecond
 )
 
 // exitsBefore reports whether the process may exit before the end of a request.
 func (r *Relayer) exitsBefore(c *call, d *dispatcher.Decision, now int64) bool {
 	at := r.exitAt.Load()
 	switch {
-	case at == 0 || c.deadline+int64(exitResponseTime) <= at:
+	case at == 0 || c.deadline+int64(ExitResponseTime) <= at:
 		return false
 	case !c.route.Idempotent || now >= r.longRunsUntil.Load():
 		return true
--- a/hornbeamd/runner/runner.go
+++ b/hornbeamd/runner/runner.go
@@ -111,6 +111,8 @@
 	recoverer    guarder.Recoverer
 	// reregister requests another registration.
 	reregister chan struct{}
+	// frontClosed is closed when no more connections of callers are accepted.
+	frontClosed chan struct{}
 	// processStart identifies this run of the process.
 	processStart uint64
 	// ramps are those that were logged last. Only the control loop uses them.
@@ -128,6 +130,7 @@
 		registry:     prometheus.NewRegistry(),
 		timeline:     &recorder.Ring{},
 		reregister:   make(chan struct{}, 1),
+		frontClosed:  make(chan struct{}),
 		processStart: rand.Uint64(),
 	}
 	r.registry.MustRegister(collectors.NewGoCollector())
--- a/hornbeamd/runner/servers.go
+++ b/hornbeamd/runner/servers.go
@@ -35,6 +35,7 @@
 		// Serve returns during a graceful shutdown, when the listener is closed,
 		// and must not end the group.
 		_ = r.relayer.Serve(front)
+		close(r.frontClosed)
 		return nil
 	})
 	lookup := r.cfg.Directory.Handler(r.validView)
--- a/hornbeamd/runner/shutdown.go
+++ b/hornbeamd/runner/shutdown.go
@@ -1,10 +1,12 @@
 package runner
 
 import (
+	"cmp"
 	"net"
 	"time"
 
 	"hornbeamstream.example/core/steerer"
+	"hornbeamstream.example/hornbeamd/relayer"
 )
 
 const (
@@ -18,37 +20,90 @@
 	// exitMargin is the end of the shutdown period that is reserved for the exit of
 	// the process.
 	exitMargin = 600 * time.Millisecond
+	// lastResponseTime is the time before the exit from which on no request is read. No
+	// deadline of an accepted request is in it.
+	lastResponseTime = relayer.ExitResponseTime
 )
 
+// shutdownSchedule has the times of the phases of a graceful shutdown. Each phase keeps the
+// restrictions of those before it.
+//
+//	from           connections                       requests
+//	start          closed after their next response  served, if they end before the exit
+//	closeIdle      closed when idle                   as before
+//	closeListener  none is accepted                   as before
+//	endReads       closed when nothing has arrived   none is read, those read are answered
+//	exit           all closed                        none in progress
+//
+// The process exits as soon as the listener and all connections are closed, from
+// closeListener on. No request can arrive then. At exit it exits in any case.
+type shutdownSchedule struct {
+	start, closeIdle, closeListener, endReads, exit time.Time
+}
+
+// newShutdownSchedule returns the schedule of a shutdown that may take the given time.
+func newShutdownSchedule(start time.Time, timeout time.Duration) shutdownSchedule {
+	exit := start.Add(max(0, timeout-exitMargin))
+	earlier := func(t, limit time.Time) time.Time {
+		if t.After(limit) {
+			return limit
+		}
+		return t
+	}
+	after := func(share float64) time.Time { return start.Add(time.Duration(share * float64(timeout))) }
+	s := shutdownSchedule{start: start, exit: exit}
+	s.endReads = exit.Add(-lastResponseTime)
+	if s.endReads.Before(start) {
+		s.endReads = start
+	}
+	s.closeListener = earlier(after(closeListenerShare), s.endReads)
+	s.closeIdle = earlier(after(closeIdleShare), s.closeListener)
+	return s
+}
+
 // shutdown stops the instance gracefully. It first announces that the instance
-// leaves, so that callers move to other instances, while it still serves. It then
-// closes idle connections, later the listener, and waits for requests in progress.
+// leaves, so that callers move to other instances, while it still serves.
 func (r *Runner) shutdown(front net.Listener) {
-	start, timeout := time.Now(), r.currentView().Bounds.Stop
-	deadline := start.Add(timeout - exitMargin)
-	at := func(share float64) time.Time {
-		return start.Add(time.Duration(share * float64(timeout)))
-	}
-	r.logShutdown("announced", start)
-	r.events <- steerer.ShutdownStarted{Now: r.now()}
-	r.relayer.StartDrain()
+	// There is no view yet if the instance has just started.
+	timeout := cmp.Or(r.currentView().Bounds.Stop, r.cfg.Bounds.Stop)
+	s := newShutdownSchedule(time.Now(), timeout)
 	now := r.now()
-	r.relayer.SetExitTime(now+int64(timeout-exitMargin), now+int64(longRunShare*float64(timeout)))
-	time.Sleep(time.Until(at(closeIdleShare)))
-	r.logShutdown("closing idle connections", start)
+	r.relayer.StartDrain()
+	r.relayer.SetExitTime(now+int64(s.exit.Sub(s.start)), now+int64(longRunShare*float64(timeout)))
+	r.logShutdown("announced", s.start)
+	r.post(steerer.ShutdownStarted{Now: now})
+	time.Sleep(time.Until(s.closeIdle))
+	r.logShutdown("closing idle connections", s.start)
 	r.relayer.CloseIdleConnections()
-	time.Sleep(time.Until(at(closeListenerShare)))
+	time.Sleep(time.Until(s.closeListener))
 	_ = front.Close()
-	r.logShutdown("closed listener", start)
-	for time.Now().Before(deadline) {
+	r.logShutdown("closing listener", s.start)
+	if r.awaitNoConns(s.endReads) {
+		return
+	}
+	r.logShutdown("ending reads", s.start)
+	r.relayer.EndReads()
+	r.awaitNoConns(s.exit)
+}
+
+// awaitNoConns closes idle connections until the given time, or until no connection of a
+// caller is left and none can be accepted. It reports whether that is so.
+func (r *Runner) awaitNoConns(until time.Time) bool {
+	for {
 		r.relayer.CloseIdleConnections()
-		if r.relayer.Conns().Active == 0 {
-			r.logShutdown("no request in progress", start)
-			// The end of a response may still be in a kernel buffer.
-			time.Sleep(tickInterval)
-			return
+		select {
+		case <-r.frontClosed:
+			if r.relayer.Conns().Open == 0 {
+				return true
+			}
+		default:
+			// A connection may be accepted.
+		}
+		remaining := time.Until(until)
+		if remaining <= 0 {
+			return false
 		}
-		time.Sleep(tickInterval / 2)
+		time.Sleep(min(remaining, tickInterval/5))
 	}
 }
 
