relayer: requests that were read ahead are answered in a drain

What callers saw (LOST): a caller sends a second request behind the first on the same connection. The instance begins to stop; the first response closes the connection, and the second request, which has been read, gets no answer.

Cause: requests are read ahead to notice that the caller has left. In a drain each connection was closed after the current response, unless pipelined requests were in progress; those that had been read but not started were dropped, also those that the server had read with a body.

Change: a connection is closed after a response only if nothing behind it has been read. While connections are drained nothing is read ahead; whether the caller has left is seen by a peek. What follows a chunked body in the same read is still not known.

Measured: TestRequestsReadAheadAnsweredInShutdown fails before in both cases (one response, two requests) and passes now.

--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -75,8 +75,8 @@
 		ctx.Response.SetStatusCode(fasthttp.StatusBadGateway)
 		ctx.Response.SetConnectionClose()
 	}
-	// Pipelined requests in progress are answered before the connection closes.
-	if r.draining() && (!ok || len(c.pipelined) == 0) {
+	// Requests that have been read are answered before the connection closes.
+	if r.draining() && (!ok || !c.hasReadFurther()) {
 		ctx.Response.SetConnectionClose()
 	}
 }
@@ -104,6 +104,7 @@
 		r.serve(ctx, nil, body, start)
 		return
 	}
+	c.noteBodyEnd(ctx.Request.Header.ContentLength())
 	if !c.beginRequest() {
 		ctx.Response.SetStatusCode(fasthttp.StatusBadGateway)
 		ctx.Response.SetConnectionClose()
--- a/hornbeamd/relayer/conn.go
+++ b/hornbeamd/relayer/conn.go
@@ -80,7 +80,11 @@
 	// begins.
 	headerRead, boundaryLost bool
 	headerScanner            headerScanner
-	receiver                 receiver
+	// bodyBytes is the number of bytes that Read has returned since the end of the header.
+	// overRead reports that the server has read bytes beyond the end of the request.
+	bodyBytes int
+	overRead  bool
+	receiver  receiver
 	// pipelined holds the requests after the current one that are relayed
 	// already, in order.
 	pipelined []*pipelined
@@ -114,7 +118,7 @@
 // beginRequest marks the received request as in progress. It reports false if the
 // connection was closed in favor of others.
 func (c *conn) beginRequest() bool {
-	c.headerRead = false
+	c.headerRead, c.bodyBytes = false, 0
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == ended {
@@ -133,7 +137,7 @@
 		c.phase = p
 	}
 	if p == idle {
-		c.begun = false
+		c.begun, c.overRead = c.overRead, false
 	}
 }
 
@@ -262,6 +266,7 @@
 func (c *conn) deliverable(p []byte) int {
 	if c.headerRead {
 		c.boundaryLost = true
+		c.bodyBytes += len(p)
 		return len(p)
 	}
 	n, whole := c.headerScanner.scan(p)
@@ -276,8 +281,14 @@
 }
 
 // pollClosed reports whether the caller has closed the connection. Unread
-// pipelined requests would hide the close, so they are read ahead.
+// pipelined requests would hide the close, so they are read ahead, but not
+// while connections are drained: what has been read must be answered.
 func (c *conn) pollClosed() bool {
+	if c.tracker.draining.Load() {
+		var one [1]byte
+		n, err := c.recvNonblocking(one[:], syscall.MSG_PEEK)
+		return n <= 0 && err != syscall.EAGAIN
+	}
 	var buf [4 << 10]byte
 	for len(c.readAhead) < maxReadAheadBytes {
 		n, err := c.recvNonblocking(buf[:], 0)
--- a/hornbeamd/relayer/receiver.go
+++ b/hornbeamd/relayer/receiver.go
@@ -87,6 +87,19 @@
 	return c.begun || c.readAheadLen.Load() > 0 || c.hasUnread()
 }
 
+// hasReadFurther reports whether bytes behind the current request have been read. Only the
+// goroutine that serves the connection uses it.
+func (c *conn) hasReadFurther() bool {
+	return len(c.pipelined) > 0 || len(c.readAhead) > 0 || c.overRead
+}
+
+// noteBodyEnd notes whether bytes behind the body of the current request have been read. That
+// isn't known of a chunked body.
+func (c *conn) noteBodyEnd(length int) {
+	const chunked = -1
+	c.overRead = length != chunked && c.bodyBytes > max(0, length)
+}
+
 func (c *conn) hasReadsEnded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/hornbeamd/runner/shutdown_conn_test.go
+++ b/hornbeamd/runner/shutdown_conn_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -138,3 +139,69 @@
 	}
 	return status[1]
 }
+
+// openCaller opens a connection to an instance and writes the given bytes.
+func openCaller(t *testing.T, i *testInstance, bytes string) net.Conn {
+	t.Helper()
+	is := is.New(t)
+	c, err := net.Dial("tcp", i.cfg.Self.Front)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = c.Close() })
+	is.NoErr(c.SetDeadline(time.Now().Add(20 * time.Second)))
+	_, err = io.WriteString(c, bytes)
+	is.NoErr(err)
+	return c
+}
+
+// request returns a request that must not run twice.
+func request(id, body string) string {
+	return fmt.Sprintf("POST /once/x HTTP/1.1\r\nHost: h\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// statuses returns the statuses of all whole responses on a connection until it ends.
+func statuses(c net.Conn) (found []int) {
+	reader := bufio.NewReader(c)
+	for {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return found
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return found
+		}
+		found = append(found, response.StatusCode)
+	}
+}
+
+// statusesAtExit returns what statuses returns when an instance has shut down.
+func statusesAtExit(t *testing.T, i *testInstance, c net.Conn) []int {
+	t.Helper()
+	is := is.New(t)
+	received := make(chan []int, 1)
+	go func() { received <- statuses(c) }()
+	<-i.done
+	is.NoErr(i.err)
+	select {
+	case found := <-received:
+		return found
+	case <-time.After(50 * time.Millisecond):
+		t.Error("the connection is open when the process exits")
+		return nil
+	}
+}
+
+// TestRequestsReadAheadAnsweredInShutdown guards against requests that have been read behind
+// another one when a shutdown begins: the connection closed after the first response.
+func TestRequestsReadAheadAnsweredInShutdown(t *testing.T) {
+	for name, first := range map[string]string{"after a header": request("first", ""), "after a body": request("first", "body")} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			i, u := startShutdownInstance(t, 41, 4*time.Second, 600*time.Millisecond, 900*time.Millisecond)
+			c := openCaller(t, i, first+request("second", ""))
+			time.Sleep(300 * time.Millisecond) // the first one runs, the second one has been read
+			i.stop()
+			is.Equal(statusesAtExit(t, i, c), []int{200, 200})
+			is.True(u.hasRun("second"))
+		})
+	}
+}
