relayer: incomplete requests are refused when reads end

What callers saw: the process exits while a part of a request has arrived, and the connection ends without a response. The caller can't know that a request that must not run twice has not run.

Cause: a request that is arriving kept the process until its latest exit, which then cut it.

Change: when reads end, a request of which only a part has arrived gets 503 with a Retry-After. One that has arrived whole is answered as before.

Measured: TestIncompleteRequestRefusedAtExit (half a header, half a body) fails before ("the connection is open when the process exits") and passes now.

--- a/hornbeamd/relayer/call.go
+++ b/hornbeamd/relayer/call.go
@@ -26,6 +26,8 @@
 	// startingRetryAfter is the Retry-After of an instance that has no
 	// configuration yet.
 	startingRetryAfter = 300 * time.Millisecond
+	// shuttingDown is the label of requests that are refused because of a shutdown.
+	shuttingDown = "shutting down"
 )
 
 // call is one request of a caller.
@@ -237,7 +239,7 @@
 		if r.exitsBefore(c, &d, c.req.Now) {
 			d.Done(&c.req, dispatcher.Canceled, 0, c.req.Now)
 			c.recordDelivery(false)
-			c.giveUp(outcome{label: "shutting down"})
+			c.giveUp(outcome{label: shuttingDown})
 			return
 		}
 		if done := r.try(c, &d); done {
--- a/hornbeamd/relayer/relayer.go
+++ b/hornbeamd/relayer/relayer.go
@@ -192,7 +192,7 @@
 	r := &Relayer{cfg: cfg}
 	r.http = &fasthttp.Server{
 		Handler:                      r.handle,
-		ErrorHandler:                 writeParseError,
+		ErrorHandler:                 r.rejectHeader,
 		ReadBufferSize:               maxHeaderBytes,
 		WriteBufferSize:              writeBufferBytes,
 		StreamRequestBody:            true,
--- a/hornbeamd/relayer/request_body.go
+++ b/hornbeamd/relayer/request_body.go
@@ -26,6 +26,9 @@
 var (
 	errBodyTooLarge = errors.New("the body is larger than the configuration allows")
 	errBodyStalled  = errors.New("the body did not arrive in time")
+	// errShutDown means that the body did not arrive before the instance had to end its
+	// reads.
+	errShutDown = errors.New("the body did not arrive before the shutdown")
 )
 
 // requestBody is the received body of a request.
@@ -70,8 +73,12 @@
 	if err == nil && announced >= 0 && b.body.size < announced {
 		err = io.ErrUnexpectedEOF
 	}
-	if c != nil && c.evicted() {
+	switch {
+	case c == nil:
+	case c.evicted():
 		err = errEvicted
+	case errors.Is(err, errBodyStalled) && c.hasReadsEnded():
+		err = errShutDown
 	}
 	return b.body, err
 }
@@ -161,6 +168,9 @@
 	case errors.Is(err, collector.ErrBudgetExceeded), errors.Is(err, errEvicted):
 		o.label, o.retryAfter = "out of memory", heldRetryAfter
 		c.refuse(o)
+	case errors.Is(err, errShutDown):
+		o.label = shuttingDown
+		c.refuse(o)
 	case errors.Is(err, errBodyStalled):
 		o.label = "body stalled"
 		c.fail(fasthttp.StatusRequestTimeout, o)
--- a/hornbeamd/relayer/response.go
+++ b/hornbeamd/relayer/response.go
@@ -184,6 +184,19 @@
 	return 1
 }
 
+// rejectHeader responds to a request whose header could not be read.
+func (r *Relayer) rejectHeader(ctx *fasthttp.RequestCtx, err error) {
+	var timeout interface{ Timeout() bool }
+	caller, ok := ctx.Conn().(*conn)
+	if ok && errors.As(err, &timeout) && timeout.Timeout() && caller.hasReadsEnded() {
+		c := r.newCall(ctx, nil, r.cfg.Now())
+		c.refuse(outcome{label: shuttingDown, cause: "the header did not arrive before the shutdown"})
+		r.finish(c)
+		return
+	}
+	writeParseError(ctx, err)
+}
+
 // writeParseError responds to a request that fasthttp could not parse.
 func writeParseError(ctx *fasthttp.RequestCtx, err error) {
 	var smallBuffer *fasthttp.ErrSmallBuffer
--- a/hornbeamd/runner/shutdown_conn_test.go
+++ b/hornbeamd/runner/shutdown_conn_test.go
@@ -190,6 +190,23 @@
 	}
 }
 
+// TestIncompleteRequestRefusedAtExit guards against requests of which only a part has arrived
+// when the process exits: their connections ended without a response, so that a caller could
+// not know that the request has not run. They have to be refused.
+func TestIncompleteRequestRefusedAtExit(t *testing.T) {
+	whole := request("incomplete", "body")
+	for name, part := range map[string]string{"header": whole[:30], "body": whole[:len(whole)-2]} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			i, u := startShutdownInstance(t, 40, 3*time.Second, time.Millisecond, 100*time.Millisecond)
+			c := openCaller(t, i, part)
+			i.stop()
+			is.Equal(statusesAtExit(t, i, c), []int{503})
+			is.True(!u.hasRun("incomplete"))
+		})
+	}
+}
+
 // TestRequestsReadAheadAnsweredInShutdown guards against requests that have been read behind
 // another one when a shutdown begins: the connection closed after the first response.
 func TestRequestsReadAheadAnsweredInShutdown(t *testing.T) {
