relayer: in a drain, the caller's close ends a connection

What callers saw: the end of a response is lost when it is still in the kernel's buffers and the caller has sent further bytes.

Cause: bytes that arrive on a closed connection make the kernel reset it, which discards what has not been sent. Close waits for the caller if bytes are unread at that time, but not for those that come later, and the exit of the process closes whatever is left.

Change: while connections are drained, Close after a response half-closes the connection and waits up to 1 s for the caller's close, which shows that the response has arrived.

--- a/hornbeamd/relayer/conn.go
+++ b/hornbeamd/relayer/conn.go
@@ -340,6 +340,10 @@
 // Closing with unread bytes sends a reset, by which the caller may lose a
 // response that it has not read yet. Close therefore waits for the caller to
 // close first.
+//
+// While connections are drained, it also waits for that after a response,
+// since the process may exit and the caller's close shows that the response
+// has arrived.
 func (c *conn) Close() error {
 	c.peerClosed.Store(true)
 	if !c.awaitsPeer() || c.CloseWrite() != nil {
@@ -362,7 +366,7 @@
 		// Waiting would read a further request.
 		return false
 	}
-	return c.hasUnread()
+	return answered && c.phase != ended && c.tracker.draining.Load() || c.hasUnread()
 }
 
 // closeTCP closes the connection and makes room for another one.
--- a/hornbeamd/relayer/conn_test.go
+++ b/hornbeamd/relayer/conn_test.go
@@ -1,11 +1,13 @@
 package relayer
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -179,6 +181,44 @@
 	is.NoErr(caller.Close())
 }
 
+// TestResponseArrivesInDrain writes further bytes behind a request while a connection is
+// drained. The connection ends after the first response, most of which is still in the
+// kernel's buffers then. The caller must get all of it.
+func TestResponseArrivesInDrain(t *testing.T) {
+	is := is.New(t)
+	const size = 2 << 20
+	h := startHarness(t, startStub(t, "u1", func(s *upstreamStub, c net.Conn, r *http.Request, _ string) {
+		s.reply(c, r, 200, strings.Repeat("x", size))
+	}))
+	h.relayer.StartDrain()
+	c, err := (&net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}).Dial("tcp", h.address)
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	is.NoErr(c.SetDeadline(time.Now().Add(20 * time.Second)))
+	_, err = fmt.Fprint(c, "GET /safe/x HTTP/1.1\r\nHost: h\r\nId: q1\r\n\r\n")
+	is.NoErr(err)
+	reader := bufio.NewReader(c)
+	res, err := http.ReadResponse(reader, nil)
+	is.NoErr(err)
+	is.True(res.Close)
+	// Until the response has been handed to the kernel, or the connection is closed.
+	for until := time.Now().Add(2 * time.Second); h.relayer.Conns().Active > 0 && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = fmt.Fprint(c, "GET /safe/y HTTP/1.1\r\nHost: h\r\nId: q2\r\n\r\n")
+	is.NoErr(err)
+	body, err := io.ReadAll(res.Body)
+	is.NoErr(err)
+	is.Equal(len(body), size)
+	is.Equal(h.relayer.Conns().Open, 1) // until the caller has closed
+	is.NoErr(c.Close())
+	for h.relayer.Conns().Open > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // TestCallerClosesWithPipelinedRequest closes a connection with an unread
 // pipelined request while the first request is in progress at an upstream.
 func TestCallerClosesWithPipelinedRequest(t *testing.T) {
