runner, relayer: queued connections are accepted before the listener closes

What callers saw: a planned stop resets connections that the kernel has accepted and the process has not. Nothing of them is read, but a caller can't know that.

Cause: the listener was closed with connections in its queue.

Change: at closeListener the listener gets a deadline of 20 ms; connections in the queue are accepted until then, and then the listener closes.

Measured: TestQueuedConnsServedInShutdown fails before (no response) and passes 3 of 3 times now. TestShutdownBeforeConfiguration passes before too: an instance without a configuration already kept its shutdown period.

--- a/hornbeamd/relayer/conn.go
+++ b/hornbeamd/relayer/conn.go
@@ -1,8 +1,10 @@
 package relayer
 
 import (
+	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -32,6 +34,11 @@
 func (l listener) Accept() (net.Conn, error) {
 	l.tracker.awaitRoom()
 	c, err := acceptor.Accept(l.Listener, l.tracker.onShortage)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// The queue of connections has been emptied for a shutdown.
+		_ = l.Close()
+		return nil, io.EOF
+	}
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
 		return c, err
--- a/hornbeamd/runner/shutdown.go
+++ b/hornbeamd/runner/shutdown.go
@@ -23,6 +23,9 @@
 	// lastResponseTime is the time before the exit from which on no request is read. No
 	// deadline of an accepted request is in it.
 	lastResponseTime = relayer.ExitResponseTime
+	// acceptQueueTime is how long connections that the kernel has queued are accepted
+	// before the listener is closed.
+	acceptQueueTime = 20 * time.Millisecond
 )
 
 // shutdownSchedule has the times of the phases of a graceful shutdown. Each phase keeps the
@@ -76,7 +79,7 @@
 	r.logShutdown("closing idle connections", s.start)
 	r.relayer.CloseIdleConnections()
 	time.Sleep(time.Until(s.closeListener))
-	_ = front.Close()
+	closeAfterQueue(front)
 	r.logShutdown("closing listener", s.start)
 	if r.awaitNoConns(s.endReads) {
 		return
@@ -86,6 +89,15 @@
 	r.awaitNoConns(s.exit)
 }
 
+// closeAfterQueue closes a listener after the connections that the kernel has queued have been
+// accepted.
+func closeAfterQueue(ln net.Listener) {
+	if tcp, ok := ln.(*net.TCPListener); ok && tcp.SetDeadline(time.Now().Add(acceptQueueTime)) == nil {
+		return
+	}
+	_ = ln.Close()
+}
+
 // awaitNoConns closes idle connections until the given time, or until no connection of a
 // caller is left and none can be accepted. It reports whether that is so.
 func (r *Runner) awaitNoConns(until time.Time) bool {
--- a/hornbeamd/runner/shutdown_conn_test.go
+++ b/hornbeamd/runner/shutdown_conn_test.go
@@ -11,8 +11,10 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
+	"hornbeamstream.example/core/dispatcher"
 	"hornbeamstream.example/core/steerer"
 )
 
@@ -222,3 +224,45 @@
 		})
 	}
 }
+
+// TestShutdownBeforeConfiguration guards against an immediate exit of an instance that is told
+// to stop before it has a configuration. It has to refuse the requests that arrive meanwhile.
+func TestShutdownBeforeConfiguration(t *testing.T) {
+	is := is.New(t)
+	m := newMemoryStore()
+	m.unavailable = true
+	i := startInstance(t, m, 42, func(c *Config) { c.Bounds.Stop = 3 * time.Second })
+	waitForResponse(t, i.cfg.DirectoryAddress, "/", "200 false 0")
+	c := openCaller(t, i, "")
+	i.stop()
+	time.Sleep(300 * time.Millisecond)
+	_, err := io.WriteString(c, request("early", ""))
+	is.NoErr(err)
+	is.Equal(statusesAtExit(t, i, c), []int{503})
+}
+
+// TestQueuedConnsServedInShutdown guards against connections that the kernel has accepted and
+// the process has not when the listener closes: they were reset.
+func TestQueuedConnsServedInShutdown(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	var callers [5]net.Conn
+	for k := range callers {
+		callers[k], err = net.Dial("tcp", ln.Addr().String())
+		is.NoErr(err)
+		is.NoErr(callers[k].SetDeadline(time.Now().Add(20 * time.Second)))
+		_, err = io.WriteString(callers[k], request("queued", ""))
+		is.NoErr(err)
+	}
+	closeAfterQueue(ln)
+	r := New(Config{Bounds: steerer.Bounds{Stop: time.Second}, Dialect: plainDialect{}, Directory: plainDialect{}, Store: newMemoryStore(), Log: logr.Discard(), Clock: NewClock()})
+	r.table.Store(&dispatcher.Table{})
+	r.relayer.StartDrain()
+	_ = r.relayer.Serve(ln) // ends with the queue
+	for _, c := range callers {
+		is.Equal(statuses(c), []int{503})
+	}
+	_, err = net.Dial("tcp", ln.Addr().String())
+	is.True(err != nil)
+}
