relayer: a connection with a request that has begun is no candidate for eviction

Cause: an idle connection on which bytes of a request have just been read was chosen to be closed in favor of others, which then failed, and the choice was repeated at once until the request was noted.

Change: it is no candidate. hornbeamd/server has a test that its shutdown serves connections that were silent or had sent a part of a header (TestShutdownServesSilentConns); it passes without a change.

Measured: the tests of hornbeamd/relayer and 3 runs of hornbeamd/server's pass with -race. The new assertion was not run against the code before.

--- a/hornbeamd/relayer/conn.go
+++ b/hornbeamd/relayer/conn.go
@@ -175,7 +175,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := evictionCandidate{idle: c.phase == idle, quiet: time.Duration(now - c.progressAt.Load()), held: c.held.Load()}
-	return e, c.phase == idle || c.phase == receiving
+	return e, c.phase == idle && !c.begun || c.phase == receiving
 }
 
 // evict ends a connection on which no request is in progress at an upstream. It reports
--- a/hornbeamd/relayer/conn_test.go
+++ b/hornbeamd/relayer/conn_test.go
@@ -80,6 +80,8 @@
 	is.NoErr(err)
 	is.Equal(string(buf[:n]), "GET")
 	tracker.closeIdle(0)
+	_, closable := server.(*conn).candidate(1)
+	is.True(!closable) // for other connections either
 	_, err = fmt.Fprint(server, "OK")
 	is.NoErr(err)
 	n, err = caller.Read(buf)
--- a/hornbeamd/server/server_test.go
+++ b/hornbeamd/server/server_test.go
@@ -267,6 +267,39 @@
 	is.NoErr(<-stopped)
 }
 
+// TestShutdownServesSilentConns guards against a shutdown that ends while a request can still
+// arrive: on a connection that was silent, or behind a part of the header.
+func TestShutdownServesSilentConns(t *testing.T) {
+	const request = "GET /s/posting/ HTTP/1.1\r\nHost: h\r\n\r\n"
+	for name, early := range map[string]string{"silent": "", "part of a header": request[:20]} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := &fake{hold: make(chan struct{})}
+			s := newServer(f, false)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			served, stopped := make(chan error, 1), make(chan error, 1)
+			go func() { served <- s.Serve(ln) }()
+			c, err := net.Dial("tcp", ln.Addr().String())
+			is.NoErr(err)
+			defer func() { _ = c.Close() }()
+			_, err = io.WriteString(c, early)
+			is.NoErr(err)
+			go func() { stopped <- s.Shutdown(context.Background(), time.Now()) }()
+			is.NoErr(<-served) // no new connections
+			_, err = io.WriteString(c, request[len(early):])
+			is.NoErr(err)
+			time.Sleep(300 * time.Millisecond) // several looks of the shutdown
+			is.Equal(len(stopped), 0)
+			close(f.hold)
+			response, err := io.ReadAll(c)
+			is.NoErr(err)
+			is.True(strings.HasPrefix(string(response), "HTTP/1.1 200 "))
+			is.NoErr(<-stopped)
+		})
+	}
+}
+
 // FuzzRequest guards against headers that make the server forward a request
 // with an invalid id, deadline, attempt or priority.
 func FuzzRequest(f *testing.F) {
