relayer: the end of reads does not cut responses on their way

Cause: a connection that waits for the caller's close after a refusal counted as one on which a request is arriving. When the reads ended, its deadline passed and it was closed.

Change: such a connection has a phase of its own.

Measured: TestEndReadsAwaitsResponses fails before (0 of 1 connection open) and passes now with the tests of closes, drains and pipelining.

--- a/hornbeamd/relayer/conn.go
+++ b/hornbeamd/relayer/conn.go
@@ -63,6 +63,9 @@
 	idle
 	// serving means that a request has been received and is in progress.
 	serving
+	// closing means that the last response has been written and the caller's close is
+	// awaited.
+	closing
 	// ended means that the connection was closed in favor of others, or as idle.
 	ended
 )
@@ -353,7 +356,7 @@
 // has arrived.
 func (c *conn) Close() error {
 	c.peerClosed.Store(true)
-	if !c.awaitsPeer() || c.CloseWrite() != nil {
+	if !c.beginClose() || c.CloseWrite() != nil {
 		return c.closeTCP()
 	}
 	_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTimeout))
@@ -364,8 +367,8 @@
 	return nil
 }
 
-// awaitsPeer reports whether Close waits for the caller to close first.
-func (c *conn) awaitsPeer() bool {
+// beginClose reports whether Close waits for the caller to close first.
+func (c *conn) beginClose() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	answered := c.phase == serving || c.begun
@@ -373,7 +376,11 @@
 		// Waiting would read a further request.
 		return false
 	}
-	return answered && c.phase != ended && c.tracker.draining.Load() || c.hasUnread()
+	if c.phase == ended {
+		return c.hasUnread()
+	}
+	c.phase = closing
+	return answered && c.tracker.draining.Load() || c.hasUnread()
 }
 
 // closeTCP closes the connection and makes room for another one.
--- a/hornbeamd/relayer/conn_test.go
+++ b/hornbeamd/relayer/conn_test.go
@@ -183,6 +183,38 @@
 	is.NoErr(caller.Close())
 }
 
+// TestEndReadsAwaitsResponses ends the reads while the last response is on its way to the
+// caller. The connection stays open until the caller has closed it.
+func TestEndReadsAwaitsResponses(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = ln.Close() }()
+	caller, err := net.Dial("tcp", ln.Addr().String())
+	is.NoErr(err)
+	tracker := testTracker()
+	tracker.draining.Store(true)
+	server, err := listener{ln, tracker}.Accept()
+	is.NoErr(err)
+	_, err = fmt.Fprint(caller, "GET")
+	is.NoErr(err)
+	_, err = server.Read(make([]byte, 8))
+	is.NoErr(err)
+	_, err = fmt.Fprint(server, "answer")
+	is.NoErr(err)
+	is.NoErr(server.Close())
+	tracker.endReads()
+	time.Sleep(20 * time.Millisecond)
+	is.Equal(tracker.openCount(), 1)
+	data, err := io.ReadAll(caller)
+	is.NoErr(err)
+	is.Equal(string(data), "answer")
+	is.NoErr(caller.Close())
+	for tracker.openCount() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // TestResponseArrivesInDrain writes further bytes behind a request while a connection is
 // drained. The connection ends after the first response, most of which is still in the
 // kernel's buffers then. The caller must get all of it.
--- a/hornbeamd/relayer/receiver.go
+++ b/hornbeamd/relayer/receiver.go
@@ -113,7 +113,7 @@
 	c.readsEnded = true
 	closes := false
 	switch {
-	case c.phase == serving, c.phase == ended:
+	case c.phase == serving, c.phase == closing, c.phase == ended:
 	case c.hasArrived():
 		c.begun = true
 		_ = c.TCPConn.SetReadDeadline(passedDeadline)
