soaker: planned stops, and callers that send late on early connections

Cause: the soak did not see requests that are cut by a planned stop. Its callers send at once on a connection, and its checks took a connection that ends without an answer for a fault.

No request that has run may end without an answer before its caller gives up.

--- a/hornbench/commands_soak.go
+++ b/hornbench/commands_soak.go
@@ -30,6 +30,7 @@
 			&cli.BoolFlag{Name: "crashes", Value: true, Usage: "send requests that crash the upstreams that run them, and let upstreams crash together"},
 			&cli.BoolFlag{Name: "workspaces", Value: true, Usage: "give callers keys that change, and one workspace an allowance that it exceeds"},
 			&cli.BoolFlag{Name: "pauses", Usage: "pause instances while routes move"},
+			&cli.BoolFlag{Name: "stops", Usage: "stop instances, without other faults, while callers send late on connections opened early"},
 			&cli.BoolFlag{Name: "garbage", Usage: "let upstreams and the store send bytes that are no answer, some without end"},
 			&cli.StringFlag{Name: "binary", Value: "target/hornplatform"},
 			&cli.StringFlag{Name: "dir", Usage: "directory for the logs; those of seeds without a violation are removed"},
@@ -58,7 +59,7 @@
 	o := soaker.Options{
 		Binary: c.String("binary"), Seed: seed, Until: time.Now().Add(c.Duration("time")),
 		Instances: c.Int("instances"), Upstreams: c.Int("upstreams"), Callers: c.Int("callers"),
-		Extended: c.Bool("extended"), Limits: c.Bool("limits"), Bursts: c.Bool("bursts"), Crashes: c.Bool("crashes"), Workspaces: c.Bool("workspaces"), Pauses: c.Bool("pauses"), Garbage: c.Bool("garbage"),
+		Extended: c.Bool("extended"), Limits: c.Bool("limits"), Bursts: c.Bool("bursts"), Crashes: c.Bool("crashes"), Workspaces: c.Bool("workspaces"), Pauses: c.Bool("pauses"), Garbage: c.Bool("garbage"), Stops: c.Bool("stops"),
 		Dir: filepath.Join(dir, fmt.Sprint("seed-", seed)),
 	}
 	r, err := soaker.Soak(ctx, o)
--- a/hornbench/soaker/caller.go
+++ b/hornbench/soaker/caller.go
@@ -31,6 +31,8 @@
 	Instance string
 	Start    time.Time
 	End      time.Time
+	// Deadline is when the caller gives up.
+	Deadline time.Time
 	// Status is 0 if no answer came; then Err says why.
 	Status        int
 	Err           string
@@ -155,6 +157,7 @@
 func (c *caller) exchange(s *Sent, address, key string) {
 	c.count++
 	s.ID, s.Instance, s.Start = fmt.Sprintf("%s-%d", c.name, c.count), address, time.Now()
+	s.Deadline = s.Start.Add(callerTime)
 	if c.pickKey != nil {
 		s.Key = c.pickKey(c.random)
 	}
@@ -175,7 +178,7 @@
 		q.Header.Set("Authorization", "Bearer "+s.Key.value)
 		q.Header.Set("X-Tenant", "forged")
 	}
-	err := c.client(address).DoDeadline(q, a, s.Start.Add(callerTime))
+	err := c.client(address).DoDeadline(q, a, s.Deadline)
 	c.journal.end(s, func() {
 		if err != nil {
 			s.Err = err.Error()
--- a/hornbench/soaker/faults.go
+++ b/hornbench/soaker/faults.go
@@ -340,6 +340,9 @@
 	if w.options.Crashes {
 		all = slices.Concat(all, crashFaults, crashFaults)
 	}
+	if w.options.Stops {
+		all = stopFaults
+	}
 	changes := slices.DeleteFunc(slices.Clone(all), func(f fault) bool { return !slices.Contains(plannedChanges, f.name) })
 	for time.Now().Before(w.options.Until) && ctx.Err() == nil {
 		f := all[w.number(len(all))]
--- a/hornbench/soaker/fleet.go
+++ b/hornbench/soaker/fleet.go
@@ -41,8 +41,8 @@
 }
 
 // newInstance writes the settings of an instance whose calls to the store pass
-// through a proxy of their own.
-func newInstance(binary, dir, name, ip, domain, region, store string, domains map[string]string) (i *Instance, err error) {
+// through a proxy of their own. Grace is the length of a planned stop in seconds.
+func newInstance(binary, dir, name, ip, domain, region, store string, domains map[string]string, grace int) (i *Instance, err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("instance %s: %w", name, err)
@@ -65,7 +65,7 @@
 region = %q
 internalPorts = [%d, %d]
 bootstrap = false
-bounds = ["graceS=3", "retryRatio=0.2", "retrySlack=50", "retryWindowS=10", "coldSlack=5", "ttl_max_s=5", "quotaWindowS=5", "quotaOver=0.1", "quotaSlack=20"]
+bounds = ["graceS=%d", "retryRatio=0.2", "retrySlack=50", "retryWindowS=10", "coldSlack=5", "ttl_max_s=5", "quotaWindowS=5", "quotaOver=0.1", "quotaSlack=20"]
 [zones]
 %s[listen]
 front = "%s:%d"
@@ -73,7 +73,7 @@
 ready = "%s:%d"
 [provider]
 address = %q
-`, name, ip, domain, region, beaconPort, beaconPort+15, zones, ip, frontPort, ip, directoryPort, ip, readyPort, i.proxy.Address())
+`, name, ip, domain, region, beaconPort, beaconPort+15, grace, zones, ip, frontPort, ip, directoryPort, ip, readyPort, i.proxy.Address())
 	return i, os.WriteFile(i.settings(), []byte(text), 0o644)
 }
 
--- a/hornbench/soaker/report.go
+++ b/hornbench/soaker/report.go
@@ -89,6 +89,7 @@
 	r.Violations = append(r.Violations, w.crashesContained(sent)...)
 	r.Violations = append(r.Violations, w.allowanceKept(all)...)
 	r.Violations = append(r.Violations, w.pausesNoticed(all)...)
+	r.Violations = append(r.Violations, w.stopsCutNothing(all)...)
 	for _, i := range w.instances {
 		r.SlowestStop = max(r.SlowestStop, i.slowest)
 	}
--- a/hornbench/soaker/soak.go
+++ b/hornbench/soaker/soak.go
@@ -41,6 +41,9 @@
 	Pauses bool
 	// Garbage adds upstreams and a store that send bytes that are no answer.
 	Garbage bool
+	// Stops adds callers that send late on connections opened early, and leaves only planned
+	// stops and moves of routes as faults.
+	Stops bool
 	// Dir takes the logs of the instances. It is made if it is missing.
 	Dir string
 }
@@ -170,6 +173,15 @@
 			})
 		}
 	}
+	if o.Stops {
+		for n := range lateCallers * len(w.instances) {
+			c := &lateCaller{name: fmt.Sprint(latePrefix, n), instance: w.instances[n%len(w.instances)], journal: w.journal, random: rand.New(rand.NewPCG(o.Seed, uint64(n)))}
+			group.Go(func() error {
+				c.run(done)
+				return nil
+			})
+		}
+	}
 	w.disturb(ctx)
 	close(faultsDone)
 	sleep(ctx, calmTime)
@@ -193,7 +205,7 @@
 	for n := range w.options.Instances {
 		domain := domainNames[n%len(domainNames)]
 		i, err := newInstance(w.options.Binary, w.options.Dir, fmt.Sprintf("i%02d", n), fmt.Sprintf("%s.%d", net, n+1),
-			domain, domains[domain], w.server.address, domains)
+			domain, domains[domain], w.server.address, domains, w.grace())
 		if err != nil {
 			return err
 		}
--- a/hornbench/soaker/soak_test.go
+++ b/hornbench/soaker/soak_test.go
@@ -93,6 +93,15 @@
 // TestGarbage guards against taking such bytes for answers.
 func TestGarbage(t *testing.T) { soakSeeds(t, garbageSeeds) }
 
+// stopSeeds have planned stops, and callers that send late on connections opened early.
+var stopSeeds = []soakSeed{
+	// Requests that had been sent on were cut by the exit of their instance.
+	{26002, Options{Instances: 5, Upstreams: 4, Callers: 16, Stops: true}, 8 * time.Second},
+}
+
+// TestStops guards against requests that are cut by planned stops.
+func TestStops(t *testing.T) { soakSeeds(t, stopSeeds) }
+
 func soakSeeds(t *testing.T, seeds []soakSeed) {
 	is := is.New(t)
 	binary := filepath.Join(t.TempDir(), "hornplatform")
@@ -157,6 +166,32 @@
 	}
 }
 
+// TestStopsCutNothing shows the check requests that ended in several ways after they ran, or
+// without a run.
+func TestStopsCutNothing(t *testing.T) {
+	began := time.Now()
+	ran := []Run{{Upstream: "alpha-1"}}
+	for _, tt := range []struct {
+		name   string
+		status int
+		took   time.Duration
+		runs   []Run
+		want   int
+	}{
+		{"answered", 200, 100 * time.Millisecond, ran, 0},
+		{"cut", 0, 100 * time.Millisecond, ran, 1},
+		{"caller gave up", 0, 500 * time.Millisecond, ran, 0},
+		{"closed unread", 0, 100 * time.Millisecond, nil, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w := &World{options: Options{Stops: true}, ledger: &Ledger{runs: map[string][]Run{"q": tt.runs}}}
+			s := Sent{ID: "q", Status: tt.status, Start: began, End: began.Add(tt.took), Deadline: began.Add(500 * time.Millisecond)}
+			is.Equal(len(w.stopsCutNothing([]Sent{s})), tt.want)
+		})
+	}
+}
+
 // TestDrains finds a request that reached an upstream long after it had told that it
 // leaves, unless the time bounds did not hold for the instance that sent it. Faults of
 // other instances make no difference.
--- a/hornbench/soaker/upstream.go
+++ b/hornbench/soaker/upstream.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -296,6 +297,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	work := workTime
+	if strings.HasPrefix(id, latePrefix) {
+		work = lateWork
+	}
 	if mode == upstreamSlow {
 		work *= 10
 	}
