--- a/hornbeamd/relayer/conn_test.go
+++ b/hornbeamd/relayer/conn_test.go
@@ -24,6 +24,20 @@
 	return &connTracker{now: func() int64 { return 1 }}
 }
 
+// acceptOne opens a connection and returns both of its ends.
+func acceptOne(t *testing.T, tracker *connTracker) (caller net.Conn, server *conn) {
+	t.Helper()
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = ln.Close() }()
+	caller, err = net.Dial("tcp", ln.Addr().String())
+	is.NoErr(err)
+	accepted, err := listener{ln, tracker}.Accept()
+	is.NoErr(err)
+	return caller, accepted.(*conn)
+}
+
 // TestCloseIdleKeepsConnWithUnreadRequest closes the idle connections when a
 // request has arrived on one of them but has not been read yet.
 func TestCloseIdleKeepsConnWithUnreadRequest(t *testing.T) {
@@ -63,24 +77,18 @@
 // was closed and the request lost.
 func TestCloseIdleKeepsConnWithReadRequest(t *testing.T) {
 	is := is.New(t)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer func() { _ = ln.Close() }()
-	caller, err := net.Dial("tcp", ln.Addr().String())
-	is.NoErr(err)
 	tracker := testTracker()
-	server, err := listener{ln, tracker}.Accept()
-	is.NoErr(err)
-	server.(*conn).setPhase(idle, 1)
+	caller, server := acceptOne(t, tracker)
+	server.setPhase(idle, 1)
 	tracker.setConnState(server, fasthttp.StateIdle)
-	_, err = fmt.Fprint(caller, "GET")
+	_, err := fmt.Fprint(caller, "GET")
 	is.NoErr(err)
 	buf := make([]byte, 8)
 	n, err := server.Read(buf)
 	is.NoErr(err)
 	is.Equal(string(buf[:n]), "GET")
 	tracker.closeIdle(0)
-	_, closable := server.(*conn).candidate(1)
+	_, closable := server.candidate(1)
 	is.True(!closable) // for other connections either
 	_, err = fmt.Fprint(server, "OK")
 	is.NoErr(err)
@@ -187,16 +195,10 @@
 // caller. The connection stays open until the caller has closed it.
 func TestEndReadsAwaitsResponses(t *testing.T) {
 	is := is.New(t)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer func() { _ = ln.Close() }()
-	caller, err := net.Dial("tcp", ln.Addr().String())
-	is.NoErr(err)
 	tracker := testTracker()
 	tracker.draining.Store(true)
-	server, err := listener{ln, tracker}.Accept()
-	is.NoErr(err)
-	_, err = fmt.Fprint(caller, "GET")
+	caller, server := acceptOne(t, tracker)
+	_, err := fmt.Fprint(caller, "GET")
 	is.NoErr(err)
 	_, err = server.Read(make([]byte, 8))
 	is.NoErr(err)
